Keep each gateway to fewer backends, so that it knows those it uses

Seen: with 40 gateways and 60 backends a gateway has about 8 requests a second and spreads them over 8 backends. It meets each backend once a second, each answer moves what it believes by up to a third, and it opens 13 connections.

Checked: load reports logged with each answer. What a gateway believes of a backend's slowness does foretell its time (220 ms for the quickest third, 400 to 500 ms for the slowest), so the choice is sound but comes too late; how busy a report says the backend is foretells hardly more.

At fault: NEAR, the number of gateways that share each backend (5), which sets how many backends a gateway keeps to (8 of 60).

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -69,6 +69,24 @@
     assert max(met.values()) <= 1.5 * min(met.values())
 
 
+def test_the_traffic_of_one_of_many_gateways_is_enough_to_know_its_backends() -> None:
+    """Forty gateways, sixty backends: a few requests a second tell little of eight backends, but enough of five."""
+    met = dict.fromkeys(range(60), 0)
+    for index in range(40):
+        g = gateway(*met, gateways=40, index=index)
+        answered = dict.fromkeys(met, 0)
+        for n in range(80):  # ten seconds of one gateway's share
+            now = START + n * 125
+            for send in sends(g, now, n):
+                answered[send.backend] += 1
+                g.handle(now + 100, ended(n, send.backend))
+        kept = [backend for backend, count in answered.items() if count]
+        assert len(kept) <= 6
+        for backend in kept:
+            met[backend] += 1
+    assert min(met.values()) >= 3  # and none depends on one or two
+
+
 def test_the_work_of_an_event_does_not_grow_with_the_fleet() -> None:
     """Counted in backends looked at, not in seconds."""
     looked = {}
