Write nothing to a backend that began to drain while the connection came up

Seen by reading, forced by tests: an attempt that waits in Pool.waiting for its connection was written as soon as that came up, whatever the list had said meanwhile (Pool._open, Pool._serve_waiting; Backends.follow looked at GONE alone, and a retired pool served its waiting attempts on).

Now whatever waits in a pool whose backend drains, has left or is elsewhere ends as moot, which proves that it never ran, in the next turn of the loop (the whole list is taken in first); the gateway chooses another backend.

--- a/troutdock/backends.py
+++ b/troutdock/backends.py
@@ -234,7 +234,7 @@
 
     def offer(self, connection: Connection) -> None:
         """A connection is free: once it has rested, the attempt that has waited longest gets it."""
-        if self.retired and not self.waiting:
+        if self.retired:
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
@@ -245,8 +245,6 @@
     def _serve_waiting(self) -> None:
         while self.waiting and (connection := self._rested()) is not None:
             connection.start(self.waiting.popleft())
-        if self.retired:
-            self.retire()
 
     def reset_after(self, idle_s: float, took_s: float) -> None:
         """A connection was reset under a request that it got after standing idle."""
@@ -269,15 +267,28 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def turn_away(self) -> None:
+        """Nothing new is wanted here: what has not been written is not written any more.
+
+        Guards the time that a draining backend gives: the wait for a connection may be longer. The outcomes
+        come in a later turn of the loop, when the whole list has been taken in.
+        """
+        while self.waiting:
+            attempt = self.waiting.popleft()
+            if attempt.opening is not None:
+                attempt.opening.cancel()
+            asyncio.get_running_loop().call_soon(self.ended, attempt, Outcome.MOOT, None)
+
     def drop_idle(self, before: float) -> None:
         """Close what has stood idle since before that time."""
         while self.idle and self.idle[0].idle_since < before:
             self.idle[0].close()
 
     def retire(self) -> None:
-        """The backend has left: what is under way goes on, nothing is kept for later."""
+        """The backend has left: what has been written goes on, nothing is kept for later."""
         self.retired = True
-        while not self.waiting and self.idle:
+        self.turn_away()
+        while self.idle:
             self.idle[0].close()
 
 
@@ -302,7 +313,10 @@
             self._pools[backend] = Pool(endpoint, self, up_since_ms)
 
     def follow(self, update: FleetUpdate) -> None:
-        """Whatever the list says has left, or a whole one does not name, has left."""
+        """Whatever the list says has left, or a whole one does not name, has left; what drains wants nothing new."""
+        for entry in update.entries:
+            if entry.state is BackendState.DRAINING and (pool := self._pools.get(entry.backend)) is not None:
+                pool.turn_away()
         gone = [e.backend for e in update.entries if e.state is BackendState.GONE]
         if update.kind in (ListKind.FULL, ListKind.CACHED):
             named = {e.backend for e in update.entries}
