End an attempt's connection before the next attempt is written

Seen: at the moment a further attempt is written, the backend of the one before still saw an open, empty connection (a peek at its socket in the test gave nothing to read, not the end). Connection.close called transport.abort, and uvloop closes the socket in the next turn of the loop, while the retry is written to a standing connection in this one. Where the settings allow no second copies two attempts were out for a moment, after a response that stopped half way or was noise. Unsafe classes were not hit: what was written is never sent again there.

Connection.close shuts the socket down first. One system call for each closed connection.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,13 +5,17 @@
 import asyncio
 import json
 import socket
+from typing import Any
 
 import pytest
-from loopback import Peer, answer, request, run, target, until, world
+from loopback import SETTINGS, Peer, answer, request, run, silence, target, until, world
 from test_outcomes import Outcomes
 
 from tamarindfold.interface import BackendEntry, BackendState, FleetUpdate, ListKind, Outcome
-from troutdock.backends import Attempt, Connection, Pool
+from troutdock.backends import REST_S, Attempt, Connection, Pool
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
 
 class Dials:
     """Connections to backends come up only when the test lets them."""
@@ -114,3 +118,47 @@
             assert (status, body) == (200, (b"second", b"first")[drained])
             assert w.backends[drained].requests == []
     run(test())
+
+
+# ---- an attempt's end and the next one
+
+
+@pytest.mark.parametrize("cut", [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", b"noise that is no answer\r\n\r\n"])
+def test_an_attempt_is_over_for_its_backend_before_the_next_is_written(cut: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where no second copies are allowed the first connection ends first, not in the next turn of the loop."""
+    async def test() -> None:
+        seen: list[bytes | None] = []
+        cut_off: list[asyncio.StreamWriter] = []
+        original = Connection.start
+
+        def start(connection: Connection, attempt: Attempt) -> None:
+            for writer in cut_off:  # what its backend sees at this moment
+                with socket.socket(fileno=socket.dup(writer.transport.get_extra_info("socket").fileno())) as peek:
+                    try:
+                        seen.append(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+                    except BlockingIOError:
+                        seen.append(None)
+            original(connection, attempt)
+
+        async def spoil(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            cut_off.append(writer)
+            for other in w.backends:
+                other.script = answer()
+            writer.write(cut)
+
+        alone: dict[str, Any] = {"permissions": SETTINGS["permissions"] | {"parallel_tries": False}}
+        async with world(silence, silence, settings=alone) as w:
+            client = await w.client()
+            for number in range(2):  # a standing connection to each
+                (await w.client()).writer.write(request("ledger-read", number, Request_Timeout="20.000"))
+                await until(lambda n=number: sum(len(b.requests) for b in w.backends) == n + 1)
+            for backend in w.backends:
+                backend.writers[0].write(OK)
+            await until(lambda: sum(len(p.idle) for p in w.service._ingress.backends._pools.values()) == 2)
+            await asyncio.sleep(2 * REST_S)
+            for backend in w.backends:
+                backend.script = spoil
+            monkeypatch.setattr(Connection, "start", start)
+            assert (await client.ask(request("ledger-read", 2, Request_Timeout="20.000")))[0] == 200
+            assert [b.connections for b in w.backends] == [1, 1] and seen == [b""]
+    run(test())
--- a/troutdock/backends.py
+++ b/troutdock/backends.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, cast
 
 from tamarindfold.interface import BackendId, BackendState, FleetUpdate, ListKind, Outcome
@@ -148,6 +149,9 @@
             if self._stalled is not None:
                 self._stalled.cancel()
             self.pool.forget(self)
+            # the transport closes in the next turn of the loop, and another attempt may be written before
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
             self._transport.abort()
 
 
@@ -313,7 +317,7 @@
             self._pools[backend] = Pool(endpoint, self, up_since_ms)
 
     def follow(self, update: FleetUpdate) -> None:
-        """Whatever the list says has left, or a whole one does not name, has left; what drains wants nothing new."""
+        """What drains wants nothing new; what has left, or a whole list does not name, is gone."""
         for entry in update.entries:
             if entry.state is BackendState.DRAINING and (pool := self._pools.get(entry.backend)) is not None:
                 pool.turn_away()
