See a client's end wherever its request waits, and answer all that it is owed

Found by reading, each forced by a test that fails without its part: - With eight answers owed, reading was paused: an end or a reset of the client was not seen, and what stood unread was parsed and sent on when answers freed the way, seconds after the client had left. Now all is taken from the socket and held, 80 KB at most; past that the connection ends with 429 behind the answers owed. The time of what was held counts from its coming. - A request in the accept queue whose client had left was sent on as soon as it was read: its end comes one read later. Now a peek before a request is taken tells (one system call a request). - One at the door waited until a connection ended, though a connection between requests makes room for it. - A client with Connection: close stayed among those that had not brought a request (data_received looked at _deaf) and was dropped after 2 s, or 1 s in a drain, its request lost. - In a drain the first of two answers owed on a connection said close and ended its sending; the second met a RuntimeError (write after write_eof) and was lost. Now the last one says it. - A client that takes no answers was read on without end, its answers piling up.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,14 +5,24 @@
 import asyncio
 import json
 import socket
+import struct
+from dataclasses import replace
 from typing import Any
 
 import pytest
-from loopback import SETTINGS, Peer, answer, request, run, silence, target, until, world
+from build import START, gateway
+from build import ended as attempt_ended
+from build import request as arrival
+from loopback import SETTINGS, Client, Peer, answer, request, run, silence, target, until, world
 from test_outcomes import Outcomes
+from test_service import read_call
 
-from tamarindfold.interface import BackendEntry, BackendState, FleetUpdate, ListKind, Outcome
+from tamarindfold.interface import (
+    BackendEntry, BackendState, FleetUpdate, ListKind, Outcome, RequestWithdrawn, Send, SetTimer, TimerFired,
+)
 from troutdock.backends import REST_S, Attempt, Connection, Pool
+from troutdock.ingress import MARGIN_MS
+from troutdock.server import MAX_PIPELINED
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
@@ -162,3 +172,238 @@
             assert (await client.ask(request("ledger-read", 2, Request_Timeout="20.000")))[0] == 200
             assert [b.connections for b in w.backends] == [1, 1] and seen == [b""]
     run(test())
+
+
+# ---- a client that leaves
+
+
+SILENT = "60.000"  # a client's time that no step of a test takes
+
+
+def sent(w: Any) -> int:
+    return sum(len(b.requests) for b in w.backends)
+
+
+def leave(client: Client, how: str) -> None:
+    if how == "reset":
+        sock = client.writer.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.writer.transport.abort()
+
+
+@pytest.mark.parametrize("how", ["closed", "reset"])
+def test_what_stands_behind_others_is_dropped_with_its_client(how: str) -> None:
+    """With eight answers owed no more is read from the client; its end has to be seen all the same."""
+    async def test() -> None:
+        async with world(*[silence] * 8) as w:
+            client = await w.client()
+            for number in range(MAX_PIPELINED):
+                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                await until(lambda n=number: sent(w) == n + 1)
+            (connection,) = w.service._server._clients
+            for number in (50, 51):
+                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+            await until(lambda: connection._held_size == len(request("vat-filing", 50, Request_Timeout=SILENT)) * 2)
+            leave(client, how)
+            await until(lambda: not w.service._server._clients and not w.service._ingress._calls)
+            await until(lambda: sum(b.closed for b in w.backends) == MAX_PIPELINED)
+            assert sent(w) == MAX_PIPELINED and w.service._ingress.backends.open == 0
+    run(test())
+
+
+def test_what_stands_behind_others_is_read_once_they_are_answered_and_its_time_counts_from_its_coming() -> None:
+    async def test() -> None:
+        async with world(*[silence] * 8) as w:
+            client = await w.client()
+            for number in range(MAX_PIPELINED):
+                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                await until(lambda n=number: sent(w) == n + 1)
+            (connection,) = w.service._server._clients
+            client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
+            await until(lambda: connection._held_size > 0)
+            await asyncio.sleep(0.05)  # time that it loses
+            for backend in w.backends:
+                backend.script = answer()
+                for writer in backend.writers:
+                    writer.write(OK)
+            assert [(await client.answer())[0] for _ in range(MAX_PIPELINED + 1)] == [200] * (MAX_PIPELINED + 1)
+            (told,) = [r for b in w.backends for r in b.requests if b"%016x" % 50 in r]
+            left = float(told.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
+            assert left <= 5 - 0.05 - MARGIN_MS / 1000
+    run(test())
+
+
+def test_more_than_may_be_held_ends_the_connection_after_the_answers_owed() -> None:
+    async def test() -> None:
+        async with world(*[silence] * 8) as w:
+            client = await w.client()
+            for number in range(MAX_PIPELINED):
+                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                await until(lambda n=number: sent(w) == n + 1)
+            client.writer.write(b"".join(request("vat-filing", 100 + n) for n in range(400)))  # some 90 KB
+            (connection,) = w.service._server._clients
+            await until(lambda: connection._deaf)
+            assert connection._held_size == 0
+            for backend in w.backends:
+                for writer in backend.writers:
+                    writer.write(OK)
+            assert [(await client.answer())[0] for _ in range(MAX_PIPELINED)] == [200] * MAX_PIPELINED
+            assert (await client.answer())[0] == 429
+            assert await client.reader.read() == b"" and sent(w) == MAX_PIPELINED
+    run(test())
+
+
+def test_a_client_that_takes_no_answers_is_read_no_further() -> None:
+    """Its answers would pile up here without end."""
+    async def test() -> None:
+        async with world(answer(b"x" * 60_000)) as w:
+            client = await w.client()
+            client.writer.transport.pause_reading()
+            number = 0
+            while not (w.service._server._clients and (connection := next(iter(w.service._server._clients)))._choked):
+                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                number += 1
+                await until(lambda: not connection._exchanges or connection._choked)
+                await asyncio.sleep(0)
+            before = sent(w)
+            client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+            await until(lambda: connection._held_size > 0)
+            assert sent(w) == before
+            client.writer.transport.resume_reading()
+            told = [(await client.answer())[0] for _ in range(number + 1)]
+            assert 200 in told and not connection._held
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["closed", "reset"])
+def test_a_request_whose_client_left_before_it_was_read_is_not_sent_on(how: str) -> None:
+    """It waited at the door, in the kernel's hands; a connection to its backend stands ready to be written to."""
+    async def test() -> None:
+        async with world(answer()) as w:
+            server, seen = w.service._server, []
+            assert (await w.ask(request("vat-filing")))[0] == 200
+            await asyncio.sleep(2 * REST_S)
+            server._pause()
+            late = await w.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
+            await until(lambda: not late.writer.transport.get_write_buffer_size())
+            leave(late, how)
+            admitted = server.admit
+            server.admit = lambda connection: (seen.append(connection), admitted(connection))
+            server._resume()
+            await until(lambda: len(seen) == 1 and seen[0] not in server._clients)
+            assert (await w.ask(request("vat-filing", 51)))[0] == 200  # whatever was written before it has come by now
+            assert sent(w) == 2
+    run(test())
+
+
+def test_one_at_the_door_comes_in_as_soon_as_a_client_has_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by reading: it waited until a connection ended, though one between requests makes room."""
+    monkeypatch.setattr("troutdock.server.IDLE_S", 1000.0)
+
+    async def test() -> None:
+        async with world(*[silence] * 8, sockets=64) as w:
+            for number in range(8):
+                (await w.client()).writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                await until(lambda n=number: sent(w) == n + 1)
+            late = await w.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
+            await until(lambda: not w.service._server._accepting)
+            w.backends[0].writers[0].write(OK)
+            await until(lambda: sent(w) == 9)
+    run(test())
+
+
+def test_what_waits_for_a_connection_is_dropped_with_its_client(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        dials = Dials(monkeypatch)
+        async with world(answer()) as w:
+            client = await w.client()
+            client.writer.write(request("vat-filing", Request_Timeout=SILENT))
+            await until(lambda: dials.begun == 1)
+            leave(client, "closed")
+            await until(lambda: not w.service._server._clients)
+            dials.let.set()
+            await until(lambda: w.service._ingress.backends.open == 0)
+            assert sent(w) == 0 and not w.service._ingress._gateway.calls
+            assert (await w.ask(request("vat-filing", 2)))[0] == 200 and sent(w) == 1
+    run(test())
+
+
+def test_what_waits_for_the_counter_is_dropped_with_its_client() -> None:
+    async def test() -> None:
+        async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
+            total[0] += float(call.split()[2])  # as a counter would: else the gateway puts it right again and again
+            await let.wait()
+            writer.write(b"$%d\r\n%b\r\n" % (len(text := b"%.6f" % total[0]), text))
+
+        let, total = asyncio.Event(), [0.0]
+        patient = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
+        async with world(answer(), counter=late, read_counter=read_call, settings=patient) as w:
+            client = await w.client()
+            client.writer.write(request(Plan="basis", Request_Timeout=SILENT, Quota_Info="units=6,spread=3,first=0"))
+            gateway = w.service._ingress._gateway
+            await until(lambda: any(call for asked in gateway.counts.values() for *_, call in asked))
+            leave(client, "closed")
+            await until(lambda: not w.service._server._clients)
+            let.set()
+            await until(lambda: not any(call for asked in gateway.counts.values() for *_, call in asked))
+            assert sent(w) == 0 and not gateway.calls
+    run(test())
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT])
+@pytest.mark.parametrize("left_first", [True, False])
+def test_a_client_that_leaves_as_an_attempt_ends_gets_no_further_one(outcome: Outcome, left_first: bool) -> None:
+    """Either order within one turn of the loop; the timer for a second copy comes after both."""
+    g = gateway(1, 2, 3, second_copies=True)
+    send, timer = g.handle(START, arrival(1))
+    assert isinstance(send, Send) and isinstance(timer, SetTimer)
+    over = replace(attempt_ended(1, send.backend, outcome, took=5.0), over=left_first)
+    events = [RequestWithdrawn(1), over] if left_first else [over, RequestWithdrawn(1)]
+    first, second = (g.handle(START + 5, event) for event in events)
+    assert not any(isinstance(a, Send) for a in (first if left_first else second))
+    assert not any(isinstance(a, Send) for a in (second if left_first else []))
+    assert g.handle(START + timer.after_ms, TimerFired(timer.label)) == [] and not g.calls
+
+
+# ---- the end of service
+
+
+def test_answers_owed_on_one_connection_all_come_though_service_ends_between_them() -> None:
+    async def test() -> None:
+        async with world(silence, silence) as w:
+            client = await w.client()
+            for number in range(2):
+                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                await until(lambda n=number: sent(w) == n + 1)
+            w.stop.set()
+            await until(lambda: w.service._server.draining)
+            for backend in w.backends:
+                backend.writers[0].write(OK)
+            first, second = await client.answer(), await client.answer()
+            assert (first[0], second[0]) == (200, 200)
+            assert b"Connection: close" not in first[1] and b"Connection: close" in second[1]
+            assert await client.reader.read() == b""
+            await w.task
+    run(test())
+
+
+def test_a_client_that_asks_once_and_says_so_is_waited_for_like_any_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
+    monkeypatch.setattr("troutdock.server.MESSAGE_S", 0.1)
+    monkeypatch.setattr("troutdock.__main__.SWEEP_S", 0.02)
+
+    async def test() -> None:
+        async with world(silence) as w:
+            client = await w.client()
+            client.writer.write(request("vat-filing", Request_Timeout=SILENT, Connection="close"))
+            await until(lambda: sent(w) == 1)
+            server = w.service._server
+            (connection,) = server._clients
+            assert connection not in server.waiting._since
+            await asyncio.sleep(0.3)  # three times what a message may take
+            w.backends[0].writers[0].write(OK)
+            assert (await client.answer())[0] == 200
+            assert await client.reader.read() == b""
+    run(test())
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -21,7 +21,8 @@
 
 log = logging.getLogger("troutdock")
 
-MAX_PIPELINED = 8  # answers owed on one connection before reading pauses
+MAX_PIPELINED = 8  # answers owed on one connection before what comes is held unread
+MAX_HELD = MAX_HEAD + MAX_BODY  # bytes held so: one more request of any size; past that the connection ends
 MAX_MESSAGE = 8 * MAX_BODY  # bytes of one message in all, chunk framing too
 MESSAGE_S = 2.0  # for a message, from its first byte on; for the first one, from the connection's start on
 IDLE_S = 10.0  # a client's connection between requests is closed after this
@@ -39,46 +40,39 @@
 class Exchange:
     """One request on a client's connection, and its answer once there is one."""
 
-    __slots__ = ("arrived", "body", "call", "connection", "keep_alive", "reply")
+    __slots__ = ("arrived", "body", "call", "connection", "head", "keep_alive")
 
-    def __init__(self, connection: ClientConnection, keep_alive: bool) -> None:
-        self.connection, self.keep_alive = connection, keep_alive
-        self.arrived = time.monotonic()
+    def __init__(self, connection: ClientConnection, keep_alive: bool, arrived: float) -> None:
+        self.connection, self.keep_alive, self.arrived = connection, keep_alive, arrived
         self.call: Call | None = None
-        self.reply: bytes | None = None
-        self.body = b""  # behind the reply, where it is not part of it
+        self.head: bytes | None = None  # of the answer
+        self.body = b""
 
     def answer(self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
         """The final answer; it goes out when those before it on the connection have."""
-        if self.reply is not None:
+        if self.head is not None:
             raise RuntimeError("a second answer to one request")
-        if self.connection.server.draining:
-            self.keep_alive = False
         lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b"")), b"Content-Length: %d" % len(body)]
         lines += [b"%b: %b" % pair for pair in headers]
-        if not self.keep_alive:
-            lines.append(b"Connection: close")
-        lines += [b"", b""]
-        self.reply = b"\r\n".join(lines)
-        if len(body) > MAX_BODY:
-            self.body = body  # not copied, as it may be large
-        else:
-            self.reply += body
+        self.head, self.body = b"\r\n".join(lines), body
         self.connection.flush()
 
 
 class ClientConnection(asyncio.Protocol):
     """A connection of a client; requests may come in pieces, in a row, or chunked."""
 
-    def __init__(self, server: Server) -> None:
-        self.server = server
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server, self._sock = server, sock
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[Exchange] = deque()
         self._received = 0  # bytes of the message that is coming
         self._begun = False  # a message has, and is not complete
         self._in_head = True
         self._deaf = False  # the connection is about to end: nothing more is taken
-        self._paused = False
+        self._came = 0.0  # when the bytes that are being read came
+        self._held: deque[tuple[float, bytes]] = deque()  # not read yet, and when they came
+        self._held_size = 0
+        self._reading = self._choked = False
         self._transport: asyncio.Transport
         self._clear()
 
@@ -87,8 +81,17 @@
         self.server.admit(self)
 
     def data_received(self, data: bytes) -> None:
+        """Take it all from the socket, however much is owed: only its end tells that the client has left."""
         if self._deaf:
             return  # only drained: see _end
+        self._held.append((time.monotonic(), data))
+        self._held_size += len(data)
+        self.flush()
+        if self._held_size > MAX_HELD:
+            self._received += self._held_size
+            self._reject(429)
+
+    def _read(self, data: bytes) -> None:
         self._received += len(data)
         try:
             self._parser.feed_data(data)
@@ -103,59 +106,87 @@
         except httptools.HttpParserError as error:
             cause = error.__context__
             self._reject(cause.status if isinstance(cause, BadRequest) else 400)
-        if not self._deaf:
-            if self._exchanges:
-                self.server.waiting.drop(self)
-                self.server.idle.drop(self)
-            elif self._begun and self.server.idle.drop(self):
-                self.server.waiting.add(self)  # from its first byte on a message has so long to come
-        if len(self._exchanges) >= MAX_PIPELINED and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        """The client does not take its answers: it gets no more of them for now."""
+        self._choked = True
+
+    def resume_writing(self) -> None:
+        self._choked = False
+        self.flush()
 
     def _reject(self, status: int) -> None:
         """What came is no request, and where the next would begin can't be told."""
         if not self._deaf:
-            exchange = Exchange(self, False)
+            exchange = Exchange(self, False, self._came)
             self._exchanges.append(exchange)
-            self._deaf = True
+            self._hear_no_more()
             exchange.answer(status)
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def _hear_no_more(self) -> None:
         self._deaf = True
+        self._held.clear()
+        self._held_size = 0
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._hear_no_more()
         self.server.forget(self)
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
-            if exchange.reply is None and exchange.call is not None:
+            if exchange.head is None and exchange.call is not None:
                 self.server.ingress.withdraw(exchange.call)
 
     def flush(self) -> None:
-        """Write the answers that are due, in the order of their requests."""
-        while self._exchanges and self._exchanges[0].reply is not None:
-            exchange = self._exchanges.popleft()
-            self._transport.write(exchange.reply or b"")
-            if exchange.body:
-                self._transport.write(exchange.body)
-            if not exchange.keep_alive:
-                self._end()
-                return
-        if not self._exchanges and not self._deaf:
+        """Write the answers that are due, and read on as far as those still owed allow."""
+        if self._reading:
+            return  # what is answered while bytes are read goes out when they have been
+        wrote = self._write()
+        while self._held and not self._deaf and not self._choked and len(self._exchanges) < MAX_PIPELINED:
+            self._came, data = self._held.popleft()
+            self._held_size -= len(data)
+            self._reading = True
+            try:
+                self._read(data)
+            finally:
+                self._reading = False
+            wrote = self._write() or wrote
+        if self._exchanges:
+            self.server.waiting.drop(self)
+            self.server.idle.drop(self)
+        elif self._deaf:
+            pass  # it ends, or has
+        elif wrote and not self._begun:
             self.server.waiting.drop(self)
-            if self._begun:
-                self.server.waiting.add(self)
+            self.server.rest(self)
+        elif wrote or (self._begun and self.server.idle.drop(self)):
+            self.server.idle.drop(self)
+            self.server.waiting.add(self)  # from its first byte on a message has so long to come
+
+    def _write(self) -> bool:
+        """Write the answers that are due, in the order of their requests; false if there are none."""
+        wrote = False
+        while self._exchanges and (head := self._exchanges[0].head) is not None:
+            exchange, wrote = self._exchanges.popleft(), True
+            # the last one says that it is; in a drain that is any behind which nothing has come
+            draining = self.server.draining and not (self._exchanges or self._held)
+            last = draining or not exchange.keep_alive
+            head += b"\r\nConnection: close\r\n\r\n" if last else b"\r\n\r\n"
+            if len(exchange.body) > MAX_BODY:
+                self._transport.write(head)
+                self._transport.write(exchange.body)  # not copied, as it may be large
             else:
-                self.server.rest(self)
-        if self._paused and len(self._exchanges) < MAX_PIPELINED:
-            self._paused = False
-            self._transport.resume_reading()
+                self._transport.write(head + exchange.body)
+            if last:
+                self._end()
+        return wrote
 
     def _end(self) -> None:
         """Say goodbye, but read on for a while: an unread byte would take the answer with it."""
-        self._deaf = True
+        self._hear_no_more()
         self.server.waiting.drop(self)
         self.server.idle.drop(self)
         self.server.ending.add(self)
-        if self._received or self._exchanges:
+        if self._received:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
         else:
@@ -186,6 +217,15 @@
         self._deaf = True
         self._transport.abort()
 
+    def _left(self) -> bool:
+        """Guards against sending on what waited unread until its client had left; the loop learns it next."""
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     # ---- called by the parser
 
     def on_message_begin(self) -> None:
@@ -227,11 +267,15 @@
         self._received, self._begun = 0, False
         if self._deaf:
             return
-        exchange = Exchange(self, self._parser.should_keep_alive() and not self._parser.should_upgrade())
+        if self._left():
+            self._hear_no_more()
+            return
+        keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        exchange = Exchange(self, keep_alive, self._came)
         self._exchanges.append(exchange)
         method = self._parser.get_method()
-        if not exchange.keep_alive:
-            self._deaf = True
+        if not keep_alive:
+            self._hear_no_more()
         if self._url == b"/healthz" and method == b"GET":
             exchange.answer(200 if self.server.ingress.ready and not self.server.draining else 503)
             return
@@ -337,7 +381,7 @@
 
     async def _start(self, sock: socket.socket) -> None:
         try:
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
         except OSError:
             sock.close()
             self._coming -= 1
@@ -386,6 +430,7 @@
         come back seldom, by a new connection for each request.
         """
         self.idle.add(connection)
+        self._resume()  # it makes room for one at the door
         if len(self.idle) > self._max_idle and (longest := self.idle.first()) is not None:
             self._close(longest)
 
