Answer all that comes late in a drain, and shut the door on nobody who stands at it

Found by reading, each forced by a test that fails without its part: - SIGKILL follows SIGTERM by the longest deadline and 0.7 s, and the door stays open for up to 1 s: a request that comes then with the longest deadline, to a backend that hangs, was still unanswered at SIGKILL (Ingress.arrive knew only the client's time). Its time now ends 0.2 s before that. - With no place free the listener was closed on those in its queue; it now stays open for them, 2 s at most. - An accept that failed with another error than those of want of descriptors, in the drain, would have ended the process and all that it had taken; one aborted connection ended the round for those behind it. - SIGTERM while the counter is first tried opened the door for 0.4 s all the same.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import socket
 import struct
@@ -20,7 +21,10 @@
 from tamarindfold.interface import (
     BackendEntry, BackendState, FleetUpdate, ListKind, Outcome, RequestWithdrawn, Send, SetTimer, TimerFired,
 )
+from troutdock.__main__ import serve
 from troutdock.backends import REST_S, Attempt, Connection, Pool
+from troutdock.config import read_config
+from troutdock.counter import Counter
 from troutdock.ingress import MARGIN_MS
 from troutdock.server import MAX_PIPELINED
 
@@ -407,3 +411,97 @@
             assert (await client.answer())[0] == 200
             assert await client.reader.read() == b""
     run(test())
+
+
+def test_what_comes_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
+    """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to a second after it."""
+    async def test() -> None:
+        async with world(silence) as w:
+            w.stop.set()
+            await until(lambda: w.service._server.draining)
+            late = await w.client()
+            late.writer.write(request("ledger-read", Request_Timeout=SILENT))
+            await until(lambda: sent(w) == 1)
+            (call,) = w.service._ingress._calls.values()
+            longest = max(c["hard_limit"] for c in SETTINGS["categories"])
+            assert call.give_up <= w.service._ingress._answer_by < w.service._ingress._clock.now() + longest + 700
+            told = float(w.backends[0].requests[0].lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
+            assert told < (longest + 700) / 1000
+            w.backends[0].writers[0].write(OK)
+            assert (await late.answer())[0] == 200
+            await w.task
+    run(test())
+
+
+def test_who_stands_at_the_door_as_it_closes_gets_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All eight places are taken: the listener was closed, and the ninth was reset with its request."""
+    for name in ("DRAIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MOST_S"):
+        monkeypatch.setattr(f"troutdock.server.{name}", 0.05)
+    monkeypatch.setattr("troutdock.server.DRAIN_DOOR_S", 1000.0)
+
+    async def test() -> None:
+        async with world(*[silence] * 8, sockets=64) as w:
+            for number in range(8):
+                (await w.client()).writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                await until(lambda n=number: sent(w) == n + 1)
+            late = await w.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
+            await until(lambda: not w.service._server._accepting)
+            w.stop.set()
+            await asyncio.sleep(0.3)  # long past the time at which it would have closed
+            for backend in w.backends:
+                backend.script = answer()
+                backend.writers[0].write(OK)
+            assert (await late.answer())[0] == 200
+            await w.task
+    run(test())
+
+
+def test_the_door_stays_shut_where_the_end_comes_before_it_opens(monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGTERM while the counter is first tried: nobody has come in yet."""
+    async def test() -> None:
+        tried: list[asyncio.Event] = []
+
+        async def hang(counter: Counter, first_try: asyncio.Event) -> None:
+            tried.append(first_try)
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(Counter, "run", hang)
+        extra = SETTINGS["extra"] | {"has_counter": True}
+        config = read_config(json.dumps({
+            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1",
+            "settings": SETTINGS | {"extra": extra}}))
+        stop, opened = asyncio.Event(), []
+        task = asyncio.create_task(serve(config, stop, opened.append))
+        await until(lambda: bool(tried))
+        stop.set()
+        tried[0].set()
+        await task
+        assert not opened
+    run(test())
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.EPROTO, errno.EPERM])
+def test_an_accept_that_fails_ends_nothing(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """One in the drain would have ended the process, with all that it had taken."""
+    async def test() -> None:
+        async with world(silence) as w:
+            client = await w.client()
+            client.writer.write(request("vat-filing", Request_Timeout=SILENT))
+            await until(lambda: sent(w) == 1)
+            listener = w.service._server._listener
+
+            class Failing:
+                def accept(self) -> Any:
+                    raise OSError(error, "no")
+
+                def __getattr__(self, name: str) -> Any:
+                    return getattr(listener, name)
+
+            w.service._server._listener = Failing()
+            w.stop.set()
+            await asyncio.sleep(0.5)  # the door would be closed by now
+            w.backends[0].writers[0].write(OK)
+            assert (await client.answer())[0] == 200
+            await w.task
+    run(test())
--- a/troutdock/__main__.py
+++ b/troutdock/__main__.py
@@ -45,6 +45,8 @@
         if (counter := self._ingress.counter) is not None:
             self._count = Background("the counter's connection", lambda: counter.run(self._counter_tried))
             await self._counter_tried.wait()
+        if stop.is_set():
+            return  # nobody has come in yet, and nobody is to
         self.address = self._server.listen(self._config.listen)
         sweep = Background("the sweep", self._sweep)
         serving(self)
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -7,6 +7,7 @@
 import re
 import time
 from dataclasses import replace
+from math import inf
 from typing import Protocol
 
 from tamarindfold.choice import Gateway
@@ -30,6 +31,9 @@
 # Of the time-out that the settings name: the counter works on every call and answers it in its turn, so a
 # reply that comes later is as true. Many gateways' calls stand in one line, of two or three time-outs.
 COUNTER_WAIT = 4.0
+# From SIGTERM to SIGKILL, by the platform: the longest deadline, counted as so much at least, and a time
+# beyond it. What comes late in a drain is answered before that, and its answer needs its way.
+KILL_LEAST_MS, KILL_MS, KILL_MARGIN_MS = 3000.0, 700.0, 200.0
 OTHER_SOCKETS = 48  # of the process: listening, discovery, counter, event loop, standard streams
 _UNITS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
 PASSED_ON = (b"content-type", b"content-encoding")
@@ -89,6 +93,9 @@
         self._open_ids: set[bytes] = set()
         self._last_number = 0
         self.ready = False  # until there is a backend to send to
+        longest = max(KILL_LEAST_MS, *(cls.deadline_ms for cls in settings.classes))
+        self._drain_ms = longest + KILL_MS - KILL_MARGIN_MS
+        self._answer_by = inf  # on the gateway's clock: the end of a drain
         self.backends = Backends(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
                                  self._attempt_ended, config.max_answer)
         self.counter: Counter | None = None
@@ -119,8 +126,10 @@
         arrival = request.arrival
         arrival.request = self._last_number
         # the gateway's deadline lies before the client's, so that it tries nothing in between
-        arrival.time_left_ms = max(1.0, request.timeout_ms - waited_ms - MARGIN_MS)
-        call = Call(arrival.request, request, exchange, self._clock.now() + arrival.time_left_ms)
+        now = self._clock.now()
+        left_ms = min(request.timeout_ms - waited_ms - MARGIN_MS, self._answer_by - now)
+        arrival.time_left_ms = max(1.0, left_ms)
+        call = Call(arrival.request, request, exchange, now + arrival.time_left_ms)
         self._calls[call.number] = call
         self._handle(arrival)
         if call.number in self._calls:
@@ -128,6 +137,10 @@
             call.timer = self._loop.call_later(arrival.time_left_ms / 1000 + 0.001, self._time_is_up, call)
         return call
 
+    def drain(self) -> None:
+        """SIGTERM has come: whatever comes late has its answer before the process is killed."""
+        self._answer_by = self._clock.now() + self._drain_ms
+
     def withdraw(self, call: Call) -> None:
         """The client has left."""
         if self._conclude(call):
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 import time
@@ -33,6 +32,7 @@
 ACCEPT_AT_ONCE = 16  # connections, before those accepted are listened to
 ACCEPT_PAUSE_S = 0.05
 DRAIN_ACCEPT_S, DRAIN_QUIET_S, DRAIN_MOST_S = 0.4, 0.2, 1.0  # how long SIGTERM leaves the door open
+DRAIN_DOOR_S = 2.0  # that, while some stand before it for whom there is no place
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -351,24 +351,25 @@
             self._accepting = False
             self._loop.remove_reader(self._listener.fileno())
 
-    def _accept(self, most: int = ACCEPT_AT_ONCE) -> None:
+    def _accept(self, most: int = ACCEPT_AT_ONCE) -> bool:
+        """Take in who is at the door; true if nobody is there any more."""
         for _ in range(most):
             full = len(self._clients) + self._coming >= self._max_clients
             spare = self._spare() if full else None
             if full and spare is None:
-                self._pause()  # the kernel's queue holds the rest until a connection ends
-                return
+                self._pause()  # the kernel's queue holds the rest until a connection ends or rests
+                return False
             try:
                 sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue  # that one has left; others may stand behind it
             except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    raise
-                log.warning("accepting pauses: %s", error)
+                log.warning("accepting pauses: %s", error)  # out of descriptors, of memory, or worse
                 self._pause()
                 self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
-                return
+                return False
             if spare is not None:
                 self.forget(spare)
                 spare.make_room()
@@ -378,6 +379,7 @@
             task = self._loop.create_task(self._start(sock))
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
+        return False
 
     async def _start(self, sock: socket.socket) -> None:
         try:
@@ -446,15 +448,17 @@
     async def drain(self) -> None:
         """Take what still comes, finish all that was taken, then close the door."""
         self.draining = True
+        self.ingress.drain()
         began = time.monotonic()
         self._close_idle(began)
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
             quiet = now - self._last_accept > DRAIN_QUIET_S
-            if now - began > (DRAIN_ACCEPT_S if quiet else DRAIN_MOST_S):
+            # who is at the door as it closes is reset: with no place for it yet, the door stays open longer
+            if now - began > (DRAIN_ACCEPT_S if quiet else DRAIN_MOST_S) and (
+                    self._accept(BACKLOG) or now - began > DRAIN_DOOR_S):
                 break
-        self._accept(BACKLOG)
         self._pause()
         self._listener.close()
         while self._coming or self._clients:
