Ask a silent agent of discovery by short calls, so that its return is seen within a drain's grace

Seen by reading: a call that fell silent was waited for 1.5 s (HOLD_MS and LATE_S), a connection for 1 s, and the next call was again one that may wait. What an agent has at its return counts as told at once, and the grace of a drain is 1 s, for other customers less (0.8 s in deploy/sites/quayside): with a call under way that the agent has dropped, the list could be learnt up to 1.6 s after it was told.

While it is silent the watch now asks for 1 ms at a time, and takes an agent for silent after half of the grace, 0.5 s at most. A standing watch is as before.

--- a/troutdock/__main__.py
+++ b/troutdock/__main__.py
@@ -33,7 +33,8 @@
         known, endpoints = config.known
         self._ingress.fleet(known, endpoints)
         self._server = Server(self._ingress, Reader(config.settings), half_of_sockets(config))
-        self._discovery = Discovery(config.discovery, config.lists, known.version, self._ingress.fleet)
+        self._discovery = Discovery(config.discovery, config.lists, known.version, self._ingress.fleet,
+                                    config.settings.drain_grace_ms / 1000)
         self._counter_tried = asyncio.Event()
         self._watch: Background | None = None
         self._count: Background | None = None
--- a/troutdock/discovery.py
+++ b/troutdock/discovery.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
+from math import inf
 from typing import Any
 
 from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind
@@ -16,9 +17,10 @@
 log = logging.getLogger("troutdock")
 
 HOLD_MS = 1000  # how long a call of the watch waits for news: only its end shows a silent connection
+BACK_MS = 1  # the same while the agent is silent: what it has at its return counts as told at once
 LATE_S = 0.5  # an answer later than that after the wait: the agent is silent
+LATE_PART, LATE_LEAST_S = 0.5, 0.1  # of a drain's grace, at most: a silent agent's return is seen within it
 PAUSE_S = 0.1  # before a new connection; with the time to connect it stays within the watch's 200 ms
-CONNECT_S = 1.0
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"active": BackendState.READY, "leaving": BackendState.DRAINING, "left": BackendState.GONE}
 ELSEWHERE = 0xFFFF  # the number of a zone or kind that the settings don't name
@@ -66,8 +68,10 @@
 class Discovery:
     """Watches the agent and tells every change."""
 
-    def __init__(self, address: Address, reader: ListReader, version: int, told: Listener) -> None:
+    def __init__(self, address: Address, reader: ListReader, version: int, told: Listener,
+                 grace_s: float = inf) -> None:
         self._address, self._read, self._told = address, reader, told
+        self._late_s = max(LATE_LEAST_S, min(LATE_S, grace_s * LATE_PART))
         self._version: int | None = version  # None: ask for the whole list
         self._down = False
 
@@ -80,7 +84,7 @@
         while True:
             writer = None
             try:
-                async with asyncio.timeout(CONNECT_S):
+                async with asyncio.timeout(self._late_s):
                     reader, writer = await asyncio.open_connection(*self._address)
                 while await self._ask(reader, writer):
                     pass
@@ -95,9 +99,10 @@
 
     async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """One call; true if the connection can take the next."""
-        watch = "" if self._version is None else f"?from={self._version}&hold_ms={HOLD_MS}"
+        hold_ms = BACK_MS if self._down else HOLD_MS
+        watch = "" if self._version is None else f"?from={self._version}&hold_ms={hold_ms}"
         writer.write(f"GET /v1/servers{watch} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
-        async with asyncio.timeout(LATE_S + (HOLD_MS / 1000 if watch else 0.0)):
+        async with asyncio.timeout(self._late_s + (hold_ms / 1000 if watch else 0.0)):
             response = await self._response(reader)
         if response.status != 200:
             self._version = None
