Tell no return time where settings give none, and keep keyed repeats within their window

Seen by reading, as other customers' settings differ: Gateway.refuse told a return time whatever permissions.retry_after said; and a keyed request that may have run was sent again up to 300 ms before its window's end, which holds for a dial time-out of 250 ms alone: with 1.4 s (deploy/sites/quayside) the connection comes up past the window, and the send breaks the rule on duplicates. The time a connection may take now comes from the settings; for the first customer nothing changes.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -44,7 +44,8 @@
 RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
 PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
-RESOLVE, REACH_MS = 16.0, 300.0  # how sharply sends thin out past the patience; a send arrives by then
+RESOLVE = 16.0  # how sharply sends thin out past the patience
+REACH_MS = 50.0  # a send arrives within this and the time that its connection may take to come up
 
 
 class Slowness:
@@ -279,7 +280,7 @@
     def refuse(self, now: float, call: Call) -> None:
         """Final answer: the client is told when to come back."""
         wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
-        self.actions.append(Refuse(call.event.request, wait))
+        self.actions.append(Refuse(call.event.request, wait * self.settings.retry_after))
         self.calls.pop(call.event.request, None)
 
     # ---- what the counter knows of a customer
@@ -518,8 +519,8 @@
     def again(self, now: float, call: Call, patience: float = inf) -> None:
         """The one table of further attempts: by effect, and by what may have run."""
         safe, keyed = call.cls.effect is Effect.SAFE, call.cls.effect is Effect.KEYED
-        harmless = safe or not call.may_have_run
-        allowed = harmless or (keyed and now < call.ran_until - REACH_MS)
+        harmless, reach = safe or not call.may_have_run, self.settings.connect_timeout_ms + REACH_MS
+        allowed = harmless or (keyed and now < call.ran_until - reach)
         refusable = harmless or (keyed and call.cls.group is Group.ALL)
         more = len(call.tried) < self.settings.max_attempts and now < call.give_up - self.settings.tick_ms
         may = allowed and more and self.retries >= 1
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -128,6 +128,7 @@
     fall_multiple: float
     overload_ms: float
     drain_grace_ms: float
+    connect_timeout_ms: float = 250.0
     answer_grace_ms: float = 0.0
     zone: int = 0
     tick_ms: float = 1.0
@@ -151,6 +152,7 @@
         _check(self, {"gateways": 1, "index": 0, "max_attempts": 1, "start_capacity": 1e-6, "cold_ms": 0,
                       "fall_multiple": 1e-6, "overload_ms": 1e-3, "drain_grace_ms": 0, "answer_grace_ms": 0,
                       "zone": 0, "tick_ms": 0, "most_units": 1e-6, "max_retry_after_ms": 0, "meter_ms": 0,
+                      "connect_timeout_ms": 1e-3,
                       "peer_in_per_s": 0, "counter_timeout_ms": 0, "counter_price": 0})
         if self.index >= self.gateways:
             raise ValueError(f"Settings.index: {self.index} is not below gateways ({self.gateways})")
--- a/tamarindfold/wire.py
+++ b/tamarindfold/wire.py
@@ -274,6 +274,7 @@
         max_attempts=r.whole("permissions.most_tries"), start_capacity=r.number("safety.start_capacity"),
         cold_ms=r.number("safety.cold"), fall_multiple=r.number("safety.fall_multiple"),
         overload_ms=r.number("safety.overload_for"), drain_grace_ms=r.number("safety.stop_sending_within"),
+        connect_timeout_ms=r.number("permissions.dial_timeout", 250),
         answer_grace_ms=r.number("safety.grace_to_answer", 0), zone=r.whole("locality", 0),
         tick_ms=r.number("quantum", 1), most_units=r.number("extra.units_top", 1),
         marks_retry=r.truth("clients.marks_retry"), retry_after=r.truth("permissions.retry_after"),
