Take names as clients send them, and refuse times that are none

The settings go through the simulator's text form, where a space or a comma becomes _ (config._plain), and Reader compared headers with that. A dial time-out or idle limit that is no time was taken as it came.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,12 +19,14 @@
 from test_service import read_call
 
 from tamarindfold.interface import (
-    BackendEntry, BackendState, FleetUpdate, ListKind, Outcome, RequestWithdrawn, Send, SetTimer, TimerFired,
+    BackendEntry, BackendState, FleetUpdate, ListKind, Outcome, Plan, Refuse, RequestWithdrawn, Send, SetTimer,
+    TimerFired,
 )
 from troutdock.__main__ import serve
 from troutdock.backends import REST_S, Attempt, Connection, Pool
-from troutdock.config import read_config
+from troutdock.config import ConfigError, read_config
 from troutdock.counter import Counter
+from troutdock.discovery import Discovery, ListReader
 from troutdock.ingress import MARGIN_MS
 from troutdock.server import MAX_PIPELINED
 
@@ -505,3 +507,137 @@
             assert (await client.answer())[0] == 200
             await w.task
     run(test())
+
+
+# ---- the watch of discovery
+
+
+def test_the_return_of_a_silent_agent_is_seen_within_the_grace_of_a_drain() -> None:
+    """What the agent has at its return counts as told at once; a call that may wait for a second would come too late."""
+    async def test() -> None:
+        async with world(silence) as w:
+            await until(lambda: len(w.discovery.requests) == 2)  # the first watch fell silent
+            watch, after = (r.split()[1] for r in w.discovery.requests)
+            assert (watch, after) == (b"/v1/servers?from=5&hold_ms=1000", b"/v1/servers?from=5&hold_ms=1")
+            body = json.dumps({"rev": 6, "all": False, "targets": [target(w.backends[0], "s-0", "leaving")]}).encode()
+            w.discovery.writers[-1].write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            await until(lambda: len(w.discovery.requests) == 3)
+            assert w.discovery.requests[2].split()[1] == b"/v1/servers?from=6&hold_ms=1000"  # a watch again
+            assert (await w.ask(request()))[0] == 429  # the only backend drains
+    run(test())
+
+
+@pytest.mark.parametrize(("grace_s", "late_s"), [(1.0, 0.5), (0.4, 0.2), (60.0, 0.5), (0.0, 0.1)])
+def test_an_agent_is_taken_for_silent_well_within_the_grace_of_a_drain(grace_s: float, late_s: float) -> None:
+    watch = Discovery(("127.0.0.1", 1), ListReader((), ()), 0, lambda *_: None, grace_s)
+    assert watch._late_s == late_s
+
+
+def test_a_list_indented_and_in_pieces_is_read_whole() -> None:
+    async def test() -> None:
+        extra = Peer(answer(b"new"))
+        await extra.start()
+
+        async def pieces(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) == 1:
+                body = json.dumps({"rev": 6, "all": True, "targets": [target(extra, "s-9")]}, indent=4).encode()
+                for byte in b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body):
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+
+        async with world(answer(b"old"), discovery=pieces) as w:
+            await until(lambda: len(w.discovery.requests) == 2)
+            assert (await w.ask(request()))[2] == b"new"
+        extra.stop()
+    run(test())
+
+
+def test_a_move_while_a_list_is_coming_believes_the_new_agent_alone() -> None:
+    """The first half of the old agent's list is in when SIGHUP comes; the rest follows in the same turn of the loop."""
+    async def test() -> None:
+        old, new = Peer(answer(b"old")), Peer(answer(b"new"))
+        for peer in (old, new):
+            await peer.start()
+
+        def listed(peer: Peer, uid: str, rev: int) -> bytes:
+            body = json.dumps({"rev": rev, "all": True, "targets": [target(peer, uid)]}).encode()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+        async def tell(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) == 1:
+                writer.write(listed(new, "s-new", 2))
+
+        agent = Peer(tell)
+        await agent.start()
+        async with world(answer(b"first")) as w:
+            await until(lambda: len(w.discovery.requests) == 1)
+            stale = listed(old, "s-old", 9)
+            w.discovery.writers[0].write(stale[:60])
+            await asyncio.sleep(0.02)
+            config = read_config(json.dumps(w.config | {"discovery": agent.address}))
+            w.discovery.writers[0].write(stale[60:])
+            w.service.reload(config)
+            w.service.reload(config)  # twice in a row
+            await until(lambda: len(agent.requests) >= 2)
+            assert agent.requests[-1].split()[1].startswith(b"/v1/servers?from=2&")
+            assert (await w.ask(request()))[2] == b"new"
+        for peer in (agent, old, new):
+            peer.stop()
+    run(test())
+
+
+def test_a_new_configuration_in_the_midst_of_a_drain_changes_nothing_that_is_owed() -> None:
+    async def test() -> None:
+        async with world(silence) as w:
+            client = await w.client()
+            client.writer.write(request("vat-filing", Request_Timeout=SILENT))
+            await until(lambda: sent(w) == 1)
+            w.stop.set()
+            await until(lambda: w.service._server.draining)
+            for _ in range(2):
+                w.service.reload(read_config(json.dumps(w.config)))
+            w.backends[0].writers[0].write(OK)
+            assert (await client.answer())[0] == 200
+            await w.task
+            w.service.reload(read_config(json.dumps(w.config)))  # after the end no task begins anew
+            watch = w.service._watch._task
+            await until(watch.done)
+    run(test())
+
+
+# ---- what the settings say
+
+
+def test_no_return_time_where_the_settings_give_none() -> None:
+    for allowed in (True, False):
+        g = gateway(plans=(Plan(rate=1, burst=1),), retry_after=allowed)
+        refusals = [a for n in range(5) for a in g.handle(START, arrival(n, units=1.0)) if isinstance(a, Refuse)]
+        assert refusals and all((r.retry_after_ms > 0) is allowed for r in refusals)
+
+
+@pytest.mark.parametrize(("dial_ms", "again"), [(250.0, True), (1400.0, False)])
+def test_a_keyed_request_is_not_repeated_where_its_connection_may_come_up_past_the_window(dial_ms: float, again: bool) -> None:
+    """The window is 3 s from the first send, and 1.6 s are gone: a repeat may take the dial time-out to arrive."""
+    g = gateway(1, 2, 3, connect_timeout_ms=dial_ms)
+    (send,) = (a for a in g.handle(START, arrival(1, cls=2)) if isinstance(a, Send))
+    actions = g.handle(START + 1600, attempt_ended(1, send.backend, Outcome.RESET, took=1600.0))
+    assert any(isinstance(a, Send) for a in actions) is again
+    assert any(isinstance(a, Refuse) for a in actions) is not again
+
+
+def test_names_are_taken_as_clients_send_them() -> None:
+    """Found by playing a variant: every request of the plan "half crate, red" got 400, as it was known as half_crate_red."""
+    async def test() -> None:
+        plan = SETTINGS["plans"][1] | {"name": "half crate, red"}
+        async with world(answer(), settings={"plans": [plan]}) as w:
+            assert (await w.ask(request(Plan="half crate, red")))[0] == 200
+            assert (await w.ask(request(number=2, Plan="half_crate_red")))[0] == 400
+    run(test())
+
+
+@pytest.mark.parametrize("permissions", [{"dial_timeout": -1}, {"dial_timeout": float("nan")}, {"conn_idle": 0},
+                                         {"conn_idle": float("inf")}, {"dial_timeout": "soon"}])
+def test_times_that_are_none_are_a_bad_configuration(permissions: dict[str, Any]) -> None:
+    changed = SETTINGS | {"permissions": SETTINGS["permissions"] | permissions}
+    with pytest.raises(ConfigError):
+        read_config(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": changed}))
--- a/troutdock/config.py
+++ b/troutdock/config.py
@@ -4,8 +4,9 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import Any
 
 from tamarindfold.interface import FleetUpdate, Settings
 from tamarindfold.wire import parse_settings
@@ -67,6 +68,14 @@
     return "_".join(str(value).replace(",", " ").split())
 
 
+def _named(parsed: Settings, raw: Any) -> Settings:
+    """The settings with names as clients send them: on the simulator's wire a space or comma becomes _."""
+    classes = [replace(c, name=str(r.get("name", "")))
+               for c, r in zip(parsed.classes, raw["categories"], strict=True)]
+    plans = [replace(p, name=str(r.get("name", ""))) for p, r in zip(parsed.plans, raw["plans"], strict=True)]
+    return replace(parsed, classes=tuple(classes), plans=tuple(plans))
+
+
 def read_config(text: str) -> Config:
     """Validate all that the ingress uses; ConfigError names what is wrong."""
     try:
@@ -79,6 +88,10 @@
         memory_mb = float(raw.get("limits", {}).get("memory_mb", 64))
         if not MIN_MEMORY_MB <= memory_mb < 1e9:
             raise ConfigError(f"limits.memory_mb: {memory_mb:g} is below {MIN_MEMORY_MB}")
+        parsed = _named(parse_settings("\n".join(flatten(settings))), settings)
+        idle_ms = float(permissions.get("conn_idle", 15_000))
+        if not 0 < idle_ms < 1e12:
+            raise ConfigError(f"permissions.conn_idle: {idle_ms:g} is no idle time of a connection")
         lists = ListReader(settings.get("zones", ()), settings.get("machine_types", ()))
         known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
         return Config(
@@ -89,11 +102,11 @@
             seed=int(raw.get("seed", "0"), 16),
             lists=lists,
             known=lists.read(known, cached=True),
-            settings=parse_settings("\n".join(flatten(settings))),
+            settings=parsed,
             sockets=sockets,
             max_answer=max(MAX_BODY, int(memory_mb * 1024 * 1024 / ANSWERS_HELD)),
-            connect_timeout_s=float(permissions.get("dial_timeout", 250)) / 1000,
-            idle_s=float(permissions.get("conn_idle", 15_000)) / 1000,
+            connect_timeout_s=parsed.connect_timeout_ms / 1000,
+            idle_s=idle_ms / 1000,
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from error
