--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -28,6 +28,7 @@
 LUMP, CROWDED = 0.08, 0.4  # of the burst: reported at once; calling less freely leaves calls out by chance
 ASK_FIRST, ASK_LEAST = 0.5, 0.01  # how freely the counter is called: at start, at least
 ASK_LESS, ASK_MORE = 0.7, 0.04  # what a late and a prompt answer do to that
+ASK_FREE = 0.9  # calling less freely than so, nothing is taken back from an empty store
 LATE_ANSWER = 0.8  # of the counter's time-out: an answer this slow is a sign of a crowded counter
 KEEP, LEARN = 0.9, 0.01  # weight of the past in moving means; how far an answer moves what a class takes
 BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend, toward what
@@ -289,6 +290,8 @@
         """Report own use, or take back what was counted in vain, in whole lumps."""
         lump = LUMP * customer.plan.burst
         lumps = ceil(customer.debt / lump) * lump if lump and self.counting else 0.0
+        if lumps < 0 and customer.store <= 0 and self.asking < ASK_FREE:
+            return  # kept for the next use here: refused tries would fill the line with take-backs
         if lumps and (call or self.random.random() * CROWDED < self.asking):
             customer.debt -= lumps
             self.count(customer, now, lumps, 0.0, call)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -394,3 +394,18 @@
         event.used_percent = used
         g.handle(now + 50, event)
         assert c.share == pytest.approx(share)
+
+
+@pytest.mark.parametrize(("asking", "calls"), [(0.5, 0), (1.0, 1)])
+def test_while_the_counter_is_crowded_nothing_is_taken_back_from_an_empty_store(asking: float, calls: int) -> None:
+    """A fleet's calls that took back what refused tries had counted had a quarter of all calls turned away."""
+    g = gateway(plans=(PLAN,), gateways=4, counter=True, counter_timeout_ms=50.0)
+    g.asking = asking
+    (asked,) = only(g.handle(START, request(1, width=4, units=8.0)), Count)
+    _, age = g.name(START, g.customers[9])
+    used_up = PLAN.burst + age / 1000 * PLAN.rate + asked.amount + 2.0
+    actions = g.handle(START + 10, CountAnswered(asked.name, Outcome.OK, 10.0, used_up))
+    assert only(actions, Refuse)
+    back = only(actions, Count)
+    assert len(back) == calls and all(c.amount < 0 for c in back)
+    assert (g.customers[9].debt < -6.0) == (calls == 0)  # kept for what is used here next
