Force more crossings in tests: lists, drains, counter, and what meets in one turn of the loop

None of these found a fault: a watch that is reset, a cached list newer or older than the agent's, a request that crosses the close of its connection, a client that leaves as a connection comes up, an answer to a half-written request, counter calls that are out at the end or answered at the deadline, and each outcome of an unsafe attempt.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,10 +16,10 @@
 from build import request as arrival
 from loopback import SETTINGS, Client, Peer, answer, request, run, silence, target, until, world
 from test_outcomes import Outcomes
-from test_service import read_call
+from test_service import HEALTH, read_call
 
 from tamarindfold.interface import (
-    BackendEntry, BackendState, FleetUpdate, ListKind, Outcome, Plan, Refuse, RequestWithdrawn, Send, SetTimer,
+    BackendEntry, BackendState, Count, CountAnswered, Fail, FleetUpdate, ListKind, Outcome, Plan, Refuse, RequestWithdrawn, Send, SetTimer,
     TimerFired,
 )
 from troutdock.__main__ import serve
@@ -641,3 +641,147 @@
     changed = SETTINGS | {"permissions": SETTINGS["permissions"] | permissions}
     with pytest.raises(ConfigError):
         read_config(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": changed}))
+
+
+def test_a_watch_that_is_reset_is_opened_anew_where_it_stood() -> None:
+    async def test() -> None:
+        async def then_reset(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) == 1:
+                writer.transport.abort()
+
+        async with world(answer(), discovery=then_reset) as w:
+            await until(lambda: len(w.discovery.requests) == 2)
+            assert w.discovery.connections == 2 and b"from=5&" in w.discovery.requests[1]
+            body = json.dumps({"rev": 6, "all": False, "targets": [target(w.backends[0], "s-0", "leaving")]}).encode()
+            w.discovery.writers[1].write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            await until(lambda: len(w.discovery.requests) == 3)
+            assert (await w.ask(request()))[0] == 429  # the only backend drains
+    run(test())
+
+
+@pytest.mark.parametrize("rev", [3, 9])
+@pytest.mark.parametrize("whole", [True, False])
+def test_what_the_agent_has_goes_before_a_cached_list_newer_or_older(rev: int, whole: bool) -> None:
+    """The cached one is of version 5; changes up to an older one fit no list, so the whole one is asked for."""
+    async def test() -> None:
+        extra = Peer(answer(b"agent"))
+        await extra.start()
+
+        async def tell(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            asked_whole = b"from=" not in data
+            if len(peer.requests) == 1 or asked_whole:
+                targets = [target(extra, "s-9")]
+                if not (whole or asked_whole):
+                    targets.append(target(w.backends[0], "s-0", "left"))
+                body = json.dumps({"rev": rev, "all": whole or asked_whole, "targets": targets}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+        async with world(answer(b"cached"), discovery=tell) as w:
+            await until(lambda: any(b"from=%d&" % rev in r for r in w.discovery.requests))
+            assert [(await w.ask(request(number=n)))[2] for n in range(5)] == [b"agent"] * 5
+            assert any(b"from=" not in r for r in w.discovery.requests) is (rev < 5 and not whole)
+        extra.stop()
+    run(test())
+
+
+# ---- more that meets in one turn of the loop
+
+
+@pytest.mark.parametrize("end_first", [True, False])
+def test_a_request_that_crosses_the_close_of_its_connection_is_answered_or_never_read(end_first: bool) -> None:
+    """The client sends what was not read once more, elsewhere; what was read has its answer."""
+    async def test() -> None:
+        async with world(answer()) as w:
+            client = await w.client()
+            assert (await client.ask(HEALTH))[0] == 200
+            if end_first:
+                w.stop.set()
+                client.writer.write(request())
+            else:
+                client.writer.write(request())
+                w.stop.set()
+            try:
+                got = await client.reader.read()
+            except ConnectionResetError:
+                got = b""
+            await w.task
+            assert sent(w) == got.count(b"HTTP/1.1 200 ") == (b"Connection: close" in got)
+    run(test())
+
+
+def test_a_client_that_leaves_as_the_connection_for_its_request_comes_up_is_not_sent_on(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            class Leaving(Connection):
+                def __init__(self, pool: Pool, sock: socket.socket) -> None:
+                    super().__init__(pool, sock)
+                    for call in list(w.service._ingress._calls.values()):
+                        w.service._ingress.withdraw(call)
+
+            with monkeypatch.context() as patched:
+                patched.setattr("troutdock.backends.Connection", Leaving)
+                client = await w.client()
+                client.writer.write(request("vat-filing", Request_Timeout=SILENT))
+                pools = w.service._ingress.backends._pools.values()
+                await until(lambda: any(pool.idle for pool in pools))  # what came up is kept for others
+            await asyncio.sleep(2 * REST_S)
+            assert sent(w) == 0
+            assert (await w.ask(request("vat-filing", 2)))[0] == 200
+            assert sent(w) == w.backends[0].connections == 1
+    run(test())
+
+
+@pytest.mark.parametrize(("said", "outcome"), [(OK, Outcome.OK), (b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
+                                                                  Outcome.FULL)])
+def test_an_answer_to_a_request_that_is_only_partly_written_ends_its_connection(said: bytes, outcome: Outcome) -> None:
+    """The rest of the request would stand before the next one."""
+    async def test() -> None:
+        async def first_bytes(reader: asyncio.StreamReader) -> bytes:
+            return await reader.readexactly(10)
+
+        async def early(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            peer.script = silence
+            writer.transport.pause_reading()
+            writer.write(said)
+
+        peer = Peer(early, first_bytes)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        got, _ = await outcomes.outcome(b"x" * 50_000_000)
+        assert got is outcome and outcomes.backends.open == 0
+        peer.stop()
+    run(test())
+
+
+def test_the_end_does_not_wait_for_calls_of_the_counter_that_are_out() -> None:
+    async def test() -> None:
+        patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
+        async with world(answer(), counter=silence, read_counter=read_call, settings=patient) as w:
+            w.service._ingress.counter.call(7, 1.0, 1000.0)
+            await until(lambda: len(w.counter.requests) == 1)
+            w.stop.set()
+            await w.task
+            assert len(w.counter.requests) == 1
+    run(test())
+
+
+@pytest.mark.parametrize("deadline_first", [True, False])
+def test_a_counters_answer_and_the_deadline_in_one_turn_give_one_answer(deadline_first: bool) -> None:
+    g = gateway(counter=True, counter_timeout_ms=900.0, plans=(Plan(rate=1, burst=3),), gateways=4)
+    (asked,) = g.handle(START, arrival(1, units=1.0, width=4, left=1000.0))
+    assert isinstance(asked, Count)
+    events = [RequestWithdrawn(1), CountAnswered(asked.name, Outcome.OK, 900.0, asked.amount)]
+    told = [a for e in (events if deadline_first else events[::-1]) for a in g.handle(START + 1000, e)]
+    assert sum(isinstance(a, Send | Refuse | Fail) for a in told) == (not deadline_first)
+    assert not g.calls and not any(call for pending in g.counts.values() for *_, call in pending)
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_an_unsafe_request_goes_out_again_only_where_it_surely_never_ran(outcome: Outcome) -> None:
+    g = gateway(1, 2, 3, second_copies=True)
+    send, *timers = g.handle(START, arrival(1, cls=3))
+    assert isinstance(send, Send) and not timers  # none for a second copy
+    actions = g.handle(START + 5, replace(attempt_ended(1, send.backend, outcome, took=5.0), over=outcome is Outcome.OK))
+    assert any(isinstance(a, Send) for a in actions) is outcome.never_ran
+    assert any(isinstance(a, Fail) for a in actions) is (outcome is not Outcome.OK and not outcome.never_ran)
