--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -785,3 +785,44 @@
     actions = g.handle(START + 5, replace(attempt_ended(1, send.backend, outcome, took=5.0), over=outcome is Outcome.OK))
     assert any(isinstance(a, Send) for a in actions) is outcome.never_ran
     assert any(isinstance(a, Fail) for a in actions) is (outcome is not Outcome.OK and not outcome.never_ran)
+
+
+def test_a_connection_rests_for_longer_than_a_second_answer_takes() -> None:
+    """Such answers came up to 4 ms late, by a clock of whole milliseconds: one that has rested for 7 may still meet one."""
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        await outcomes.outcome()
+        (connection,) = outcomes.backends._pools[1].idle
+        connection.idle_since = asyncio.get_running_loop().time() - 0.007
+        assert outcomes.start().connection is None  # it gets a connection of its own
+        connection.idle_since = asyncio.get_running_loop().time() - 0.02
+        assert outcomes.start().connection is connection
+        await until(lambda: len(outcomes.ended) == 3)
+        peer.stop()
+    run(test())
+
+
+def test_one_that_left_the_door_does_not_keep_those_behind_it_out() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            server, accepts = w.service._server, []
+            server._pause()
+            client = await w.client()
+            listener = server._listener
+
+            class Aborted:
+                def accept(self) -> Any:
+                    accepts.append(1)
+                    if len(accepts) == 1:
+                        raise ConnectionAbortedError
+                    return listener.accept()
+
+                def __getattr__(self, name: str) -> Any:
+                    return getattr(listener, name)
+
+            server._listener = Aborted()
+            assert server._accept() and len(accepts) == 3  # the one behind it, and then nobody
+            assert (await client.ask(request()))[0] == 200
+    run(test())
