Choose a stable subset of the backends for each gateway in place of a window by rank

Cause: a gateway kept to a window of the sorted list, at its own share of the way round. One replaced backend shifts the rank of all behind it, so every window further on moves too.

Change: consistent hashing with bounded loads. Each backend takes three gateways or more by its own hash, up to a bound for each gateway; gateways left with few take further ones. The same list gives the same pairs, whatever came before. Long lists are divided into parts by number (Part), so that the work of one change stays that of some hundred backends. A cold backend's budget is shared by just the gateways that keep to it. A keyed repeat prefers the gateway's own backends of its group. near and cold_room are now called candidates and slow_start_budget.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
-from math import ceil, inf, sqrt
+from math import ceil, gcd, inf, sqrt
 from random import Random
 from typing import Any
 
@@ -38,7 +38,10 @@
 OVERDUE = 4.0  # of what an attempt is expected to take: by then a second copy goes elsewhere
 FORGIVE_MS, TOUCHES = 3000.0, 2.0  # a sign fades to a third in this time, or in so many times between signs
 TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
-NEAR, LOOK = 3, 16  # backends a gateway keeps to at least, so that it knows them; and compares for one send
+USERS, LOOK = 3, 16  # gateways of a backend, and backends of a gateway, at least; compared for one send
+SPREAD = 1.05  # of the mean: backends that a gateway takes at most; tighter, one change moves many others
+PART_BACKENDS, PART_GATEWAYS = 1024, 32  # a part of the fleet has so many at most; and so many at least
+MASK = (1 << 64) - 1  # of a hash
 COLD_PART = 0.8  # of the work that would push over a cold backend of one core, all gateways together
 COLD_FLEET, COLD_OWN = 0.5, 0.6  # of what reports say that warm ones and it can do: it may be half as fast
 BUSY, LEARN_ABLE, LEARN_FLEET = 0.5, 0.2, 0.05  # an idler report tells little; how far one moves what is told
@@ -167,6 +170,119 @@
             return 1.0
         return settings.start_capacity + (1 - settings.start_capacity) * max(0.0, age / settings.cold_ms)
 
+
+
+def mixed(number: int) -> int:
+    """A hash of 64 bits, the finalizer of splitmix64: the same at every gateway."""
+    number = (number ^ number >> 30) * 0xBF58476D1CE4E5B9 & MASK
+    number = (number ^ number >> 27) * 0x94D049BB133111EB & MASK
+    return number ^ number >> 31
+
+
+class Part:
+    """The part of a long list that one gateway keeps, so that what it holds doesn't grow with the fleet.
+
+    Backends and gateways are dealt to as many parts, a power of two. Short lists are one part.
+    """
+
+    def __init__(self, gateways: int, index: int, parts: int = 1) -> None:
+        self.gateways, self.index, self.parts = gateways, index, parts
+
+    @property
+    def divisible(self) -> bool:
+        """Twice as many parts would still have gateways enough for their backends."""
+        return 2 * self.parts * PART_GATEWAYS <= self.gateways
+
+    def holds(self, backend: int) -> bool:
+        return self.parts == 1 or mixed(backend) % self.parts == self.index % self.parts
+
+    def bear(self, listed: int) -> bool:
+        """Divide on until a list of this length is borne; true if that changed the part."""
+        before = self.parts
+        while listed > self.parts * PART_BACKENDS and self.divisible:
+            self.parts *= 2
+        return self.parts != before
+
+    def misfit(self, kept: int) -> bool:
+        """The fleet has grown or shrunk so much that the whole list is to be divided anew."""
+        if kept > 2 * PART_BACKENDS:
+            return self.divisible
+        return self.parts > 1 and kept < PART_BACKENDS / 4
+
+
+class Subset:
+    """The ready backends that each gateway of a part keeps to: evenly, and few change when one backend does.
+
+    Consistent hashing with bounded loads. Each backend, in the order of the hashes, takes the gateways that
+    its own hash names one after another, but those that have enough already; then gateways that were left
+    with few take further backends. The same list gives the same pairs at every gateway, whatever came before.
+    """
+
+    def __init__(self, gateways: int, index: int, parts: int = 1) -> None:
+        self.parts, self.own = parts, index // parts
+        self.gateways = len(range(index % parts, gateways, parts))
+        self.steps = [n for n in range(1, max(2, self.gateways)) if gcd(n, self.gateways) == 1]
+        # of each ready backend, in order: hash, number, first gateway, way to the next, and a draw in [0, 1)
+        self.ready: list[tuple[int, int, int, int, float]] = []
+        self.fresh = False  # members and users are those of the present list
+        self.kept: list[int] = []
+        self.used: dict[int, int] = {}
+
+    def place(self, backend: int, ready: bool) -> None:
+        """A backend is ready from now on, or is not."""
+        number = mixed(backend)
+        draw = mixed(number)
+        step = self.steps[(draw >> 20) % len(self.steps)]
+        place = number, backend, draw % self.gateways, step, (draw >> 40) / (1 << 24)
+        at = bisect_left(self.ready, place)
+        there = self.ready[at:at + 1] == [place]
+        if there != ready:
+            self.ready[at:at + there] = [place] * ready
+            self.fresh = False
+
+    def members(self) -> list[int]:
+        """The backends that this gateway keeps to."""
+        if not self.fresh:
+            pairs, self.used = self.pairs()
+            self.kept, self.fresh = pairs[self.own], True
+        return self.kept
+
+    def users(self, backend: int) -> int:
+        """How many gateways keep to this backend."""
+        self.members()
+        return max(1, self.used.get(backend, 1))
+
+    def pairs(self) -> tuple[list[list[int]], dict[int, int]]:
+        """Each gateway's backends, and how many gateways each backend has."""
+        backends, gateways = len(self.ready), self.gateways
+        mean = max(USERS, USERS * gateways / max(1, backends))  # gateways of a backend
+        most = ceil(SPREAD * max(USERS, backends * mean / gateways) - 1e-9)
+        kept: list[list[int]] = [[] for _ in range(gateways)]
+        used = {}
+        room = [most] * gateways
+        for _, backend, at, step, draw in self.ready:
+            wanted = used[backend] = min(gateways, int(mean + draw))
+            for _ in range(gateways):
+                if room[at]:
+                    room[at] -= 1
+                    kept[at].append(backend)
+                    wanted -= 1
+                    if not wanted:
+                        break
+                at = (at + step) % gateways
+            used[backend] -= wanted
+        least = min(USERS, backends)
+        for number, mine in enumerate(kept):
+            place, tries = number, 0
+            while len(mine) < least:
+                place, tries = mixed(place + 1), tries + 1
+                backend = self.ready[bisect_left(self.ready, (place,)) % backends][1]
+                if backend not in mine and used[backend] <= mean + tries / LOOK:
+                    mine.append(backend)
+                    used[backend] += 1
+        return kept, used
+
+
 class Call:
     """A request not yet answered: what has been tried and what may have run."""
 
@@ -191,7 +307,8 @@
         self.customers: dict[int, Customer] = {}
         self.counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}  # calls not answered
         self.calls: dict[int, Call] = {}
-        self.rings: dict[tuple[Group, int], list[int]] = {(Group.ALL, 0): []}  # ready backends, by group
+        self.subset = Subset(settings.gateways, settings.index)
+        self.groups: dict[tuple[Group, int], list[tuple[int, int]]] = {}  # hash and number of the ready ones
         self.slowness = Slowness()  # of the fleet as a whole
         self.asking, self.retries = ASK_FIRST, RETRY_MOST
         self.crowded_at = -inf  # the last sign of a crowded counter
@@ -348,13 +465,24 @@
 
     def fleet(self, now: float, event: FleetUpdate) -> None:
         """Follow the list; what it does not name as ready gets nothing new from this moment on."""
+        gone: list[int] = []
         if event.kind in (ListKind.FULL, ListKind.CACHED):
-            named = {entry.backend: entry for entry in event.entries}
-            for gone in [n for n in self.backends if n not in named]:
-                self.place(self.backends.pop(gone).entry, False)
+            named = {entry.backend for entry in event.entries}
+            gone = [n for n in self.backends if n not in named]
+        if event.parts != self.subset.parts:
+            part = Part(self.settings.gateways, self.settings.index, event.parts)
+            gone += [n for n in self.backends if not part.holds(n) and n not in gone]
+            ready, self.subset = self.subset.ready, Subset(part.gateways, part.index, part.parts)
+            for _, backend, *_ in ready:
+                self.subset.place(backend, True)
+        for backend in gone:
+            self.place(self.backends.pop(backend).entry, False)
         for entry in event.entries:
-            if (known := self.backends.pop(entry.backend, None)) is not None:
-                self.place(known.entry, False)
+            known = self.backends.get(entry.backend)
+            if known is not None and known.entry == entry:
+                continue
+            if known is not None:
+                self.place(self.backends.pop(entry.backend).entry, False)
             if known is None or entry.up_since_ms > known.entry.up_since_ms:
                 known = Backend(entry, len(self.unit_ms))
             known.entry = entry
@@ -363,14 +491,22 @@
                 self.place(entry, entry.state is BackendState.READY)
 
     def place(self, entry: BackendEntry, ready: bool) -> None:
-        """Keep the rings of ready backends, for each group that drops its repeats."""
-        for key in ((Group.ALL, 0), (Group.ZONE, entry.zone), (Group.CELL, entry.cell)):
-            ring = self.rings.setdefault(key, [])
-            at = bisect_left(ring, entry.backend)
-            there = ring[at:at + 1] == [entry.backend]
-            ring[at:at + there] = [entry.backend] * ready
-            if not ring and key[0] is not Group.ALL:
-                del self.rings[key]
+        """Keep the subset, and the ready backends of each group that drops its repeats."""
+        self.subset.place(entry.backend, ready)
+        place = mixed(entry.backend), entry.backend
+        for key in self.memberships(entry):
+            group = self.groups.setdefault(key, [])
+            if place in group[(at := bisect_left(group, place)):at + 1]:
+                del group[at]
+            if ready:
+                insort(group, place)
+            if not group:
+                del self.groups[key]
+
+    @staticmethod
+    def memberships(entry: BackendEntry) -> tuple[tuple[Group, int], ...]:
+        """The groups of a backend within which repeats are dropped, but for the whole fleet."""
+        return (Group.ZONE, entry.zone), (Group.CELL, entry.cell)
 
     def patience(self, number: int) -> float:
         """The wait that this class may meet: long-aimed cheap work must not fill a pressed fleet."""
@@ -384,16 +520,16 @@
         able = self.mean_work * (backend.entry.size or 1) * backend.warmth(now, self.settings)
         return 1 + backend.load / able
 
-    def width(self, ready: int) -> int:
-        """How many backends this gateway keeps to: each is kept to by NEAR gateways at least."""
-        return min(ready, max(NEAR, ceil(ready * NEAR / self.settings.gateways)))
-
-    def near(self, call: Call) -> list[Backend]:
-        """This gateway's part of the ready backends, or of the group that drops a repeat."""
-        ring = self.rings.get(call.ran_group or (Group.ALL, 0), [])
-        width, start = self.width(len(ring)), self.settings.index * len(ring) // self.settings.gateways
-        picked = range(width) if width <= LOOK else self.random.sample(range(width), LOOK)
-        return [self.backends[ring[(start + i) % len(ring)]] for i in picked]
+    def candidates(self, call: Call) -> list[Backend]:
+        """This gateway's subset of the ready backends, or of the group that drops a repeat."""
+        kept = self.subset.members()
+        if call.ran_group and call.ran_group[0] is not Group.ALL:
+            group = self.groups.get(call.ran_group, [])
+            kept = [n for n in kept if call.ran_group in self.memberships(self.backends[n].entry)]
+            at = bisect_left(group, (mixed(self.settings.index + 1), 0))  # where this gateway goes on
+            others = (n for _, n in group[at:] + group[:at] if n not in kept)
+            kept += [n for n, _ in zip(others, range(USERS - len(kept)), strict=False)]
+        return [self.backends[n] for n in (kept if len(kept) <= LOOK else self.random.sample(kept, LOOK))]
 
     def forecast(self, now: float, backend: Backend, call: Call) -> float:
         """Expected time of a send to this backend; silence bounds it from below.
@@ -405,14 +541,14 @@
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
         return max(call.work * drag * self.pile(now, backend), now - max(sent_at + own, backend.heard_at))
 
-    def cold_room(self, now: float, backend: Backend, work: float) -> bool:
+    def slow_start_budget(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
         # gateways take their turns at different moments; a part below one request is rounded by chance
-        s, warmth, ready = self.settings, backend.warmth(now, self.settings), len(self.rings[Group.ALL, 0])
+        s, warmth = self.settings, backend.warmth(now, self.settings)
         turn = (now / s.overload_ms + s.index / s.gateways) // 1
         if warmth < 1 and backend.cold_turn != turn:
             backend.cold_turn = turn
-            users = max(1.0, s.gateways * self.width(ready) / max(1, ready))
+            users = self.subset.users(backend.entry.backend)
             rate = max(COLD_FLEET * warmth * self.able, COLD_OWN * backend.able)
             able = max(COLD_PART * warmth, rate / 1000 * self.mean_work)
             requests = able * s.fall_multiple * s.overload_ms / users / self.mean_work
@@ -421,8 +557,8 @@
 
     def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
         """The backend with the least expected delay, at random among near ties; None: refuse."""
-        near = [b for b in self.near(call) if self.cold_room(now, b, call.work)]
-        rated = [(self.forecast(now, b, call), b) for b in near if b not in call.tried or len(near) == 1]
+        kept = [b for b in self.candidates(call) if self.slow_start_budget(now, b, call.work)]
+        rated = [(self.forecast(now, b, call), b) for b in kept if b not in call.tried or len(kept) == 1]
         if not rated:
             return None
         least = min(f for f, _ in rated)
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -179,11 +179,12 @@
 
 @dataclass(slots=True)
 class FleetUpdate:
-    """News from the list of backends."""
+    """News from the list of backends; parts: those that a long list is divided into, of which this is one."""
 
     kind: ListKind
     entries: list[BackendEntry]
     version: int = 0
+    parts: int = 1
 
 
 @dataclass(slots=True)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -87,7 +87,7 @@
 class Reckless(Gateway):
     """A gateway that knows no cold backends, to show that the count above can fail."""
 
-    def cold_room(self, now, backend, work) -> bool:
+    def slow_start_budget(self, now, backend, work) -> bool:
         return True
 
 
@@ -101,7 +101,7 @@
     for index in range(300):
         g = gateway(*met, gateways=300, index=index)
         g.handle(START, request(1))
-        for backend in g.near(g.calls[1]):
+        for backend in g.candidates(g.calls[1]):
             met[backend.entry.backend] += 1
     assert min(met.values()) >= 5
     assert max(met.values()) <= 1.5 * min(met.values())
@@ -165,7 +165,7 @@
     for n in range(2, 500):
         g.handle(START, fleet(n, kind=ListKind.FULL))
     assert list(g.backends) == [499]
-    assert sum(len(ring) for ring in g.rings.values()) == 3
+    assert sum(len(group) for group in g.groups.values()) == 2 and len(g.subset.ready) == 1
 
 
 def test_a_keyed_repeat_stays_in_its_group_after_its_backend_left_the_list() -> None:
--- a/tests/test_hold.py
+++ b/tests/test_hold.py
@@ -472,11 +472,11 @@
     assert max(waits) <= 10_000 and len(customer.appointments or ()) <= 20
 
 
-def test_customers_that_came_once_are_soon_forgotten_and_rings_of_empty_groups_go() -> None:
+def test_customers_that_came_once_are_soon_forgotten_and_empty_groups_go() -> None:
     g = Gateway(settings(plans=(Plan(rate=2, burst=8),)), 1)
     for n in range(1, 100):
         g.handle(START, fleet(n))
-    assert len(g.rings) == 3
+    assert len(g.groups) == 2 and len(g.subset.ready) == 1
     for n in range(3000):
         g.handle(START + n * 100, arrival(n, customer=n))
     assert len(g.customers) <= 210
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,162 @@
+"""Which backends a gateway keeps to: evenly, few move when one backend does, and no more than its part of the fleet."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from build import KEYED, SAFE, START, ended, fleet, gateway, request
+
+from tamarindfold.choice import LOOK, PART_BACKENDS, USERS, Part, Subset
+from tamarindfold.interface import BackendEntry, FleetUpdate, ListKind, Outcome, Send
+
+SIZES = [(40, 60), (200, 200), (300, 70), (30, 12), (3, 12), (54, 773), (2, 1), (1, 9)]
+
+
+def some(backends: int, seed: int = 1) -> list[int]:
+    draw = Random(seed)
+    return [draw.getrandbits(48) for _ in range(backends)]
+
+
+def placed(gateways: int, backends: list[int], index: int = 0, parts: int = 1) -> Subset:
+    subset = Subset(gateways, index, parts)
+    for backend in backends:
+        subset.place(backend, True)
+    return subset
+
+
+def pairs(subset: Subset) -> frozenset[tuple[int, int]]:
+    return frozenset((number, backend) for number, kept in enumerate(subset.pairs()[0]) for backend in kept)
+
+
+@pytest.mark.parametrize(("gateways", "backends"), SIZES)
+def test_every_backend_has_enough_gateways_and_every_gateway_enough_backends(gateways: int, backends: int) -> None:
+    kept, used = placed(gateways, some(backends)).pairs()
+    assert min(used.values()) >= min(USERS, gateways)
+    assert max(used.values()) <= max(USERS + 1, 1.4 * min(used.values()))
+    assert min(map(len, kept)) >= min(USERS, backends)
+    assert max(map(len, kept)) <= max(USERS + 1, 1.1 * USERS * backends / gateways + 1)
+    assert all(len(mine) == len(dict.fromkeys(mine)) for mine in kept)
+    counted = dict.fromkeys(used, 0)
+    for mine in kept:
+        for backend in mine:
+            counted[backend] += 1
+    assert counted == used
+
+
+# by rank in a ring it was 14, 77, 84 and 23 here, and grew with the fleet
+@pytest.mark.parametrize(("gateways", "backends", "most"), [(40, 60, 10), (200, 200, 14), (300, 70, 65), (54, 773, 9)])
+def test_a_replaced_backend_moves_few_others(gateways: int, backends: int, most: int) -> None:
+    listed, draw = some(backends), Random(2)
+    subset = placed(gateways, listed)
+    before, new = pairs(subset), 0
+    for _ in range(20):
+        at = draw.randrange(backends)
+        subset.place(listed[at], False)
+        listed[at] = draw.getrandbits(48)
+        subset.place(listed[at], True)
+        now = pairs(subset)
+        new += len(now - before)
+        before = now
+    assert new / 20 <= most
+
+
+def test_the_same_list_gives_the_same_pairs_whatever_came_before() -> None:
+    listed = some(60)
+    direct, roundabout = placed(40, listed), placed(40, some(30, 2))
+    for backend in some(30, 2):
+        roundabout.members()
+        roundabout.place(backend, False)
+    for backend in reversed(listed):
+        roundabout.place(backend, True)
+        roundabout.place(backend, True)  # told twice
+    assert pairs(direct) == pairs(roundabout)
+    assert direct.members() == direct.pairs()[0][0]
+
+
+def test_a_fleet_of_the_planned_size_is_kept_evenly_and_lives_through_the_loss_of_a_zone() -> None:
+    """6,900 gateways, 99,000 backends in 21 zones: each is kept to, and none by much fewer than others."""
+    gateways, listed = 6900, some(99_000)
+    part = Part(gateways, 0)
+    assert part.bear(len(listed))
+    parts: list[list[int]] = [[] for _ in range(part.parts)]
+    for backend in listed:
+        (at,) = [n for n in range(2) if Part(gateways, n, 2).holds(backend)]  # one holds it, whatever the number
+        for n in range(at, part.parts, 2):
+            if Part(gateways, n, part.parts).holds(backend):
+                parts[n].append(backend)
+                break
+    assert sum(map(len, parts)) == len(listed)
+    assert max(map(len, parts)) <= PART_BACKENDS
+    zones = {backend: n % 21 for n, backend in enumerate(listed)}
+    for n in range(0, part.parts, 8):
+        kept, used = placed(gateways, parts[n], n, part.parts).pairs()
+        assert USERS <= min(used.values()) <= max(used.values()) <= USERS + 1
+        assert min(map(len, kept)) >= 20 and max(map(len, kept)) <= 55
+        for mine in kept:
+            assert min(sum(zones[b] != lost for b in mine) for lost in range(21)) >= 0.7 * len(mine)
+
+
+def test_what_one_gateway_holds_does_not_grow_with_the_fleet() -> None:
+    for gateways, backends in [(200, 200), (690, 9900), (6900, 99_000), (20_000, 300_000)]:
+        part = Part(gateways, gateways // 2)
+        part.bear(backends)
+        assert backends / part.parts <= PART_BACKENDS
+        assert gateways / part.parts >= 10 * USERS  # so that backends are spread well within it
+    few = Part(3, 0)
+    assert not few.bear(5000) and few.holds(7)  # three gateways can't spare any
+
+
+def test_a_part_that_fits_no_more_is_told_and_one_at_its_bounds_is_not() -> None:
+    part = Part(20_000, 5)
+    part.bear(99_000)
+    assert part.misfit(2 * PART_BACKENDS + 1) and part.misfit(PART_BACKENDS // 4 - 1)
+    assert not part.misfit(2 * PART_BACKENDS) and not part.misfit(PART_BACKENDS // 4)
+    part = Part(6900, 5)
+    part.bear(99_000)
+    assert not part.misfit(5 * PART_BACKENDS)  # it has as few gateways as a part may have
+    assert not Part(6900, 5).misfit(3) and not Part(3, 0).misfit(5000)
+
+
+def test_a_list_of_more_parts_takes_away_what_this_gateway_does_not_hold() -> None:
+    listed = some(400)
+    g = gateway(*listed, gateways=640, index=9)
+    assert len(g.backends) == 400
+    part = Part(640, 9, 4)
+    held = [b for b in listed if part.holds(b)]
+    g.handle(START, FleetUpdate(ListKind.CHANGES, [BackendEntry(held[0])], parts=4))
+    assert sorted(g.backends) == sorted(held) == sorted(b for _, b, *_ in g.subset.ready)
+    assert 60 <= len(held) <= 140
+    assert [type(a) for a in g.handle(START, request(1))] == [Send]
+
+
+def test_the_budget_of_a_cold_backend_is_shared_among_its_users() -> None:
+    budgets = []
+    for gateways in (2, 40):
+        g = gateway(*range(1, 41), gateways=gateways, index=0, start_capacity=0.5)
+        g.handle(START, fleet(*range(1, 41), kind=ListKind.CHANGES, up=START))
+        (backend, *_) = g.subset.members()
+        g.slow_start_budget(START, g.backends[backend], 1.0)
+        budgets.append((g.backends[backend].cold_left, g.subset.users(backend)))
+    (few, two), (many, more) = budgets
+    assert two == 2 and more >= USERS
+    assert many <= few
+
+
+def test_a_keyed_repeat_finds_others_of_its_group_that_the_gateway_does_not_keep_to() -> None:
+    """Of the 30 backends of a zone a gateway keeps to hardly one: the repeat still has three to choose from."""
+    zones = {n: n % 30 for n in range(1, 901)}
+    for index in range(0, 900, 90):
+        g = gateway(1, gateways=900, index=index, classes=(KEYED,))
+        g.handle(START, FleetUpdate(ListKind.FULL, [BackendEntry(n, zone=z, cell=z) for n, z in zones.items()]))
+        (send,) = [a for a in g.handle(START, request(1)) if isinstance(a, Send)]
+        again = [a for a in g.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50)) if isinstance(a, Send)]
+        assert again and again[0].backend != send.backend and zones[again[0].backend] == zones[send.backend]
+        assert len(g.candidates(g.calls[1])) == USERS
+
+
+def test_a_decision_compares_no_more_backends_in_a_large_part() -> None:
+    g = gateway(*some(1000), gateways=40, classes=(SAFE,))
+    g.handle(START, request(1))
+    assert len(g.subset.members()) > LOOK
+    assert len(g.candidates(g.calls[1])) == LOOK
