Read lists in pieces, keep this ingress's part of them, and back off from those of no use

Cause: a list was held whole, three times over (bytes, JSON, entries), and read in one turn of the loop, up to 4 MiB. Seen at 99,000 listed: 15 MB, refused, and asked for again every 0.1 s (1.7 GB in 12 s), never ready; with the limit lifted 3 s of a held loop and 104 MB. discovery.py: MAX_LIST, _response (the whole body), _ask (json.loads), run (the pause of 0.1 s).

Change: ijson (yajl) reads the answer in pieces of 8 KB, with a turn of the loop after each; of the entries those of this gateway's part are kept (at most 1,024 on average where there are gateways enough); more than 128 are told bit by bit before the whole. Changes are kept by the same part; a fleet that has outgrown or shrunk below it is read anew. The configuration is read likewise, its list second, as the settings tell the part; on SIGHUP with turns of the loop in between. Lists that never end, nest deep or hold a text of 64 KB are given up at bounds of entries, depth and bytes without a value. After bytes of no use the pause doubles with jitter, 0.1 to 4 s (a change counts as told after 6 s); a list of over 64 KB that can't be read is left for a minute, then longer, while the watch goes on from the last good version and takes answers of up to 6 KB.

Ruled out: a parser of our own; json for whole bodies beside a limit on bytes (memory of seven times the list's size).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,7 +26,8 @@
 from troutdock.backends import REST_S, Attempt, Connection, Pool
 from troutdock.config import ConfigError, read_config
 from troutdock.counter import Counter
-from troutdock.discovery import Discovery, ListReader
+from troutdock.discovery import Discovery
+from troutdock.lists import ListReader
 from troutdock.ingress import MARGIN_MS
 from troutdock.server import MAX_PIPELINED
 
--- a/tests/test_hold.py
+++ b/tests/test_hold.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from collections.abc import Generator
 from typing import Any
 
 import pytest
@@ -22,7 +23,8 @@
 from tamarindfold.interface import Outcome, Plan, Refuse, Send
 from troutdock.background import Background
 from troutdock.config import read_config
-from troutdock.discovery import Discovery, ListReader
+from troutdock.discovery import Discovery
+from troutdock.lists import ListReader
 from troutdock.http1 import MAX_BODY
 from troutdock.reports import ReportReader
 
@@ -358,9 +360,14 @@
             def reload(self, config: str) -> None:
                 read.append(config)
 
+        def steps(path: str) -> Generator[None, None, str]:
+            yield
+            return path
+
         async def test() -> None:
-            monkeypatch.setattr("troutdock.__main__.load_config", lambda path: path)
+            monkeypatch.setattr("troutdock.__main__.load_steps", steps)
             reloads.follow(Service(), "the file")  # type: ignore[arg-type]
+            await until(lambda: bool(read))
         run(test())
     finally:
         signal.signal(signal.SIGHUP, before)
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,306 @@
+"""Lists of every length and shape: what is held and asked for stays bounded, and the last good one holds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from loopback import SETTINGS, Peer, Script, run, until
+
+from tamarindfold.choice import PART_BACKENDS
+from tamarindfold.interface import FleetUpdate, ListKind
+from troutdock import discovery, lists
+from troutdock.background import Background
+from troutdock.config import load_config
+from troutdock.discovery import Discovery
+from troutdock.lists import BadList, JsonPieces, ListReader, backend_id
+
+FLEET = 6900  # gateways
+
+
+def entry(number: int, state: str = "active") -> dict[str, Any]:
+    return {"uid": f"s-{number:08x}", "endpoint": f"127.0.{number >> 8 & 255}.{number & 255}:8081", "az": "hall-a",
+            "model": "std-2c", "pod_group": number // 30, "state": state, "capacity_hint": 1.0, "boot_ms": 0}
+
+
+def whole(count: int, rev: int = 41) -> dict[str, Any]:
+    return {"rev": rev, "all": True, "targets": [entry(n) for n in range(count)]}
+
+
+def in_pieces(data: bytes, size: int) -> Iterator[bytes]:
+    return (data[at:at + size] for at in range(0, len(data), size))
+
+
+def read(reader: ListReader, pieces: Any) -> tuple[FleetUpdate, Any]:
+    sink = reader.begin()
+    decoder = JsonPieces(sink)
+    for piece in pieces:
+        decoder.feed(piece)
+    decoder.finish()
+    update, endpoints = sink.result()
+    reader.adopt(sink, update)
+    return update, endpoints
+
+
+@pytest.mark.parametrize("size", [1, 7, 500, 100_000])
+@pytest.mark.parametrize("indent", [None, 4])
+def test_a_list_reads_the_same_in_pieces_of_any_size(size: int, indent: int | None) -> None:
+    raw = whole(20)
+    turned = {key: raw[key] for key in ("targets", "all", "rev")} | {"more": [{"uid": [1, {}]}, None]}
+    raw["targets"][3] |= {"labels": {"uid": "x", "deep": [1, [2]]}, "note": None}
+    expected = read(ListReader((), ()), [json.dumps(raw).encode()])
+    assert len(expected[0].entries) == len(expected[1]) == 20
+    for form in (raw, turned):
+        assert read(ListReader((), ()), in_pieces(json.dumps(form, indent=indent).encode(), size)) == expected
+
+
+def test_of_a_long_list_only_this_gateways_part_is_held_at_any_time() -> None:
+    reader = ListReader((), (), FLEET, 77)
+    sink = reader.begin()
+    decoder, most = JsonPieces(sink), 0
+    for piece in in_pieces(json.dumps(whole(20_000)).encode(), 8192):
+        decoder.feed(piece)
+        most = max(most, sink.held)
+    decoder.finish()
+    update, endpoints = sink.result()
+    reader.adopt(sink, update)
+    assert most <= 1.1 * PART_BACKENDS  # the parts of a fleet are not quite alike
+    assert update.parts == 32
+    assert {e.backend for e in update.entries} == set(endpoints)
+    assert all(sink.part.holds(e.backend) for e in update.entries)
+    others = [read(ListReader((), (), FLEET, n), [json.dumps(whole(2000)).encode()])[1] for n in (0, 1)]
+    assert {*others[0], *others[1]} == {backend_id(f"s-{n:08x}") for n in range(2000)}
+    # and of the changes that follow only those to the part
+    changes = {"rev": 42, "all": False, "targets": [entry(n, "leaving") for n in range(20_000, 20_640)]}
+    changed, _ = read(reader, [json.dumps(changes).encode()])
+    assert changed.parts == 32 and 3 <= len(changed.entries) <= 60
+    assert not reader.misfit
+
+
+def test_a_fleet_that_has_outgrown_or_shrunk_below_its_parts_is_divided_anew() -> None:
+    reader = ListReader((), (), FLEET, 5)
+    read(reader, [json.dumps(whole(1000)).encode()])
+    grown = {"rev": 42, "all": False, "targets": [entry(n) for n in range(1000, 1100)]}
+    read(reader, [json.dumps(grown).encode()])
+    assert not reader.misfit  # one or two hundred more do no harm
+    read(reader, [json.dumps(whole(30_000)).encode()])
+    assert not reader.misfit
+    assert read(reader, [json.dumps(whole(4000)).encode()])[0].parts == 32
+    assert reader.misfit
+    again, _ = read(reader, [json.dumps(whole(4000)).encode()])
+    assert again.parts == 4 and not reader.misfit
+    gone = {"rev": 43, "all": False, "targets": [entry(n, "left") for n in range(3500)]}
+    read(reader, [json.dumps(gone).encode()])
+    assert reader.misfit
+
+
+DEEP = b'{"rev":1,"all":true,"x":' + b"[" * 100_000
+ENDLESS: dict[str, tuple[bytes, bytes]] = {  # how it begins and goes on
+    "space": (b'{"rev":1,', b" " * 8192), "a text": (b'{"rev":"', b"x" * 8192), "depth": (b"", b"[" * 8192),
+    "entries": (b'{"rev":1,"all":true,"targets":[', json.dumps(entry(1)).encode() + b",")}
+
+
+@pytest.mark.parametrize("form", ENDLESS)
+def test_a_list_that_never_ends_is_given_up_after_a_bounded_number_of_pieces(
+        form: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lists, "MAX_ENTRIES", 500)
+    begun, more = ENDLESS[form]
+    decoder = JsonPieces(ListReader((), ()).begin())
+    fed = 0
+    with pytest.raises(BadList) as raised:
+        decoder.feed(begun)
+        for _ in range(1000):
+            fed += 1
+            decoder.feed(more)
+    assert fed <= 501
+    assert len(str(raised.value)) < 400 and "\n" not in str(raised.value)
+
+
+@pytest.mark.parametrize("bad", [
+    b"", b" ", b"\xff\xfe", b"[]", DEEP, json.dumps(whole(50)).encode()[:-1], json.dumps(whole(50)).encode() + b"x",
+    json.dumps(whole(3)).replace('"rev": 41', '"rev": NaN').encode()])
+def test_a_list_that_is_none_takes_nothing_from_the_last(bad: bytes) -> None:
+    reader = ListReader((), ())
+    good, _ = read(reader, [json.dumps(whole(3)).encode()])
+    with pytest.raises(BadList):
+        read(reader, in_pieces(bad, 4096))
+    assert len(reader._numbers) == 3 == len(good.entries)
+
+
+# ---- the watch
+
+
+def reply(body: Any) -> bytes:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data)
+
+
+class Watched:
+    """The watch of a scripted agent, and what it told."""
+
+    def __init__(self, script: Script, gateways: int = 1) -> None:
+        self.agent, self.gateways = Peer(script), gateways
+        self.told: list[FleetUpdate] = []
+
+    async def __aenter__(self) -> Watched:
+        await self.agent.start()
+        reader = ListReader((), (), self.gateways, 0)
+        self.watch = Discovery(("127.0.0.1", self.agent.port), reader, 5, lambda update, _: self.told.append(update))
+        self.task = Background("the watch", self.watch.run)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.task.stop()
+        self.agent.stop()
+
+    @property
+    def asked(self) -> list[bytes]:
+        return [r.split()[1].partition(b"hold")[0] for r in self.agent.requests]
+
+
+WATCH, WHOLE = b"/v1/servers?from=5&", b"/v1/servers"
+
+
+@pytest.fixture
+def hurried(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "PAUSE_S", 0.001)
+
+
+def test_a_long_list_that_cannot_be_read_is_not_asked_for_again_but_changes_are(
+        hurried: None, caplog: Any) -> None:
+    """15 MB of it were asked for every 0.1 s; now the watch goes on from the last good version."""
+    async def test() -> None:
+        spoilt = json.dumps(whole(5000)).encode()[:-9] + b"spoilt!!!"
+
+        async def script(peer: Peer, asked: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) <= 6:
+                writer.write(reply(spoilt))
+            elif len(peer.requests) == 7:
+                writer.write(reply({"rev": 6, "all": False, "targets": [entry(1, "leaving")]}))
+
+        async with Watched(script) as w:
+            await until(lambda: bool(w.told))
+            assert w.told[0].version == 6
+            # the watch, then the whole list, which may hold what it had to say; then none but the watch
+            assert w.asked[:7] == [WATCH] * 7 or w.asked[:7] == [WATCH, WHOLE, *[WATCH] * 5]
+            await until(lambda: len(w.asked) == 8)
+            assert w.asked[7] == b"/v1/servers?from=6&"  # all is well again
+            assert not w.watch._frugal
+    run(test())
+    assert "discovery: BadList: parse error" in caplog.text and "a body of" in caplog.text
+
+
+def test_what_is_taken_of_long_lists_while_they_cannot_be_read_is_bounded(hurried: None) -> None:
+    """Counted where the ingress reads, over the calls of the time that follows."""
+    async def test() -> None:
+        spoilt = json.dumps(whole(5000)).encode()[:-1]
+
+        async def script(peer: Peer, asked: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(reply(spoilt))
+
+        async with Watched(script) as w:
+            await until(lambda: w.watch._frugal)
+            asked, came = len(w.agent.requests), []
+            for n in range(asked + 1, asked + 8):
+                await until(lambda n=n: len(w.agent.requests) >= n + 1)  # type: ignore[misc]
+                came.append(w.watch._came)
+            assert max(came) <= discovery.PIECE
+            assert not w.told
+    run(test())
+
+
+def test_the_pause_after_bytes_of_no_use_doubles_up_to_what_the_rule_on_drains_leaves() -> None:
+    async def test() -> None:
+        watch = Discovery(("127.0.0.1", 1), ListReader((), ()), 5, lambda *_: None)
+        watch._came = 100
+        pauses = [watch._pause(True) for _ in range(12)]
+        for n, pause in enumerate(pauses):
+            most = min(discovery.PAUSE_MOST_S, 0.1 * 2 ** n)
+            assert most / 2 <= pause <= most
+        assert discovery.PAUSE_MOST_S + discovery.LATE_S + 1 < 6  # a change counts as told then
+        assert not watch._frugal  # a short list costs little
+        watch._came = 0
+        assert watch._pause(False) == 0.1  # who says nothing costs nothing
+    run(test())
+
+
+def test_a_long_list_that_broke_off_once_is_asked_for_again_and_one_that_breaks_off_again_is_spared() -> None:
+    async def test() -> None:
+        watch = Discovery(("127.0.0.1", 1), ListReader((), ()), 5, lambda *_: None)
+        watch._came = 15_000_000
+        watch._pause(False)
+        assert not watch._frugal
+        spared = []
+        for _ in range(9):
+            watch._pause(False)
+            spared.append(round(watch._frugal_until - asyncio.get_running_loop().time()))
+        assert spared == [60, 120, 240, 480, 960, 1920, 3840, 5000, 5000]
+        watch.move(("127.0.0.1", 2))
+        assert not watch._frugal
+    run(test())
+
+
+def test_a_list_that_breaks_off_is_asked_for_again_from_the_last_good_version(hurried: None) -> None:
+    async def test() -> None:
+        async def script(peer: Peer, asked: bytes, writer: asyncio.StreamWriter) -> None:
+            said = reply({"rev": 6, "all": False, "targets": [entry(1)]})
+            if len(peer.requests) <= 4:
+                writer.write(said[:-20])
+                writer.close()
+            elif len(peer.requests) == 5:
+                writer.write(said)
+
+        async with Watched(script) as w:
+            await until(lambda: bool(w.told))
+            assert w.asked[:5] == [WATCH] * 5
+    run(test())
+
+
+def test_a_long_list_is_told_bit_by_bit_and_then_as_a_whole() -> None:
+    async def test() -> None:
+        async def script(peer: Peer, asked: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) == 1:
+                writer.write(reply(whole(900, 6)))
+
+        async with Watched(script) as w:
+            await until(lambda: any(update.kind is ListKind.FULL for update in w.told))
+            *bits, last = w.told
+            assert [update.kind for update in bits] == [ListKind.CHANGES] * len(bits)
+            assert max(len(update.entries) for update in bits) <= discovery.TOLD_AT_ONCE
+            assert len(last.entries) == 900
+            assert {e.backend for u in bits for e in u.entries} <= {e.backend for e in last.entries}
+            assert sum(len(u.entries) for u in bits) >= 900 - discovery.TOLD_AT_ONCE
+    run(test())
+
+
+def test_a_misfit_asks_for_the_whole_list() -> None:
+    async def test() -> None:
+        async def script(peer: Peer, asked: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) == 1:
+                writer.write(reply(whole(3000, 6)))
+            elif len(peer.requests) == 2:
+                writer.write(reply({"rev": 7, "all": False, "targets": [entry(n, "left") for n in range(2700)]}))
+            elif len(peer.requests) == 3:
+                writer.write(reply({"rev": 7, "all": True, "targets": [entry(n) for n in range(2700, 3000)]}))
+
+        async with Watched(script, FLEET) as w:
+            await until(lambda: len(w.asked) == 4)
+            assert w.asked == [WATCH, b"/v1/servers?from=6&", WHOLE, b"/v1/servers?from=7&"]
+            assert w.told[-1].parts == 1 and len(w.told[-1].entries) == 300
+    run(test())
+
+
+def test_a_configuration_with_a_long_list_is_read_in_pieces_and_kept_in_part(tmp_path: Any) -> None:
+    """The list stands ahead of the settings that tell which part of it is this ingress's."""
+    path = tmp_path / "config.json"
+    settings = SETTINGS | {"balancers": FLEET, "index": 3}
+    path.write_text(json.dumps({"name": "n3", "known": whole(5000, 17), "listen": "127.0.0.1:0", "seed": "7",
+                                "discovery": "127.0.0.1:1", "settings": settings}))
+    known, endpoints = load_config(str(path)).known
+    assert (known.kind, known.version, known.parts) == (ListKind.CACHED, 17, 8)
+    assert 500 <= len(known.entries) == len(endpoints) <= 750
+    path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS, "known": None}))
+    assert load_config(str(path)).known[0].entries == []
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -18,7 +18,7 @@
 from tamarindfold.interface import BackendState, CountAnswered, ListKind, Outcome
 from troutdock.config import ConfigError, flatten, read_config
 from troutdock.counter import Counter
-from troutdock.discovery import ListReader, backend_id
+from troutdock.lists import ListReader, backend_id
 from troutdock.http1 import MAX_BODY
 
 ROOT = Path(__file__).parent.parent
@@ -214,7 +214,7 @@
         {"uid": "a", "endpoint": "127.0.0.1:80", "az": "y", "model": "m", "pod_group": 3, "state": "leaving",
          "capacity_hint": 1.5, "boot_ms": 1_700_000_000_000},
         {"uid": "b", "endpoint": "127.0.0.2:81", "az": "?", "state": "left"}]}
-    update, endpoints = ListReader(("x", "y"), ("m",)).read(raw)
+    update, endpoints = ListReader(("x", "y"), ("m",)).read(json.dumps(raw).encode())
     first, second = update.entries
     assert (update.kind, update.version) == (ListKind.CHANGES, 9)
     assert (first.backend, first.state, first.zone, first.kind, first.cell, first.size, first.up_since_ms) == (
@@ -229,10 +229,16 @@
     {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "odd"}]},
     {"rev": 1, "all": True, "targets": [{"uid": 5, "endpoint": "1.2.3.4:5", "state": "active"}]},
     {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "boot_ms": 1e999}]},
+    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "boot_ms": 1e300}]},
+    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "capacity_hint": -1}]},
+    {"rev": 1, "all": True, "targets": [["uid", "a"]]}, {"rev": 1, "all": True, "targets": {"uid": "a"}},
+    {"rev": 1, "all": True, "targets": None}, {"rev": [1], "all": True, "targets": []},
+    {"rev": 1, "all": True, "targets": [{"uid": ["a"], "endpoint": "1.2.3.4:5", "state": "active"}]},
+    {"rev": 1, "all": True, "targets": [], "x": [[[[[[[[1]]]]]]]]},
 ])
 def test_a_list_that_is_none_is_not_believed(bad: Any) -> None:
     with pytest.raises(ValueError):
-        ListReader(("x",), ("m",)).read(bad)
+        ListReader(("x",), ("m",)).read(json.dumps(bad).encode())
 
 
 def lists(*answers: Any) -> Any:
--- a/troutdock/__main__.py
+++ b/troutdock/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from troutdock.background import Background
-from troutdock.config import Config, ConfigError, load_config
+from troutdock.config import Config, ConfigError, load_config, load_steps
 from troutdock.discovery import Discovery
 from troutdock.ingress import Ingress, half_of_sockets
 from troutdock.request import Reader
@@ -87,6 +87,7 @@
         self._service: Service | None = None
         self._path = ""
         self._asked = False
+        self._reading: asyncio.Task[None] | None = None
         signal.signal(signal.SIGHUP, lambda *_: self.ask())
 
     def ask(self) -> None:
@@ -94,8 +95,19 @@
         self._asked = self._service is None
         if self._service is None:
             return
+        if self._reading is not None:
+            self._reading.cancel()
+        self._reading = asyncio.get_running_loop().create_task(self._read(self._service))
+
+    async def _read(self, service: Service) -> None:
+        """Piece by piece: the file may hold a long list, which must not hold the loop."""
+        steps = load_steps(self._path)
         try:
-            self._service.reload(load_config(self._path))
+            while True:
+                next(steps)
+                await asyncio.sleep(0)
+        except StopIteration as done:
+            service.reload(done.value)
         except ConfigError as error:
             log.error("the old configuration stays: %s", error)
 
--- a/troutdock/config.py
+++ b/troutdock/config.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
-from tamarindfold.interface import FleetUpdate, Settings
+from ijson.common import ObjectBuilder  # type: ignore[import-untyped]
+
+from tamarindfold.interface import FleetUpdate, ListKind, Settings
 from tamarindfold.wire import parse_settings
 from troutdock.address import Address, parse_address
 from troutdock.http1 import MAX_BODY
-from troutdock.discovery import Endpoints, ListReader
+from troutdock.lists import Endpoints, JsonEvent, JsonPieces, ListReader, ListSink
 
 MIN_SOCKETS = 64
 MIN_MEMORY_MB = 24
+PIECE = 8 * 1024  # bytes of the file that are held at once, and read in one turn of the loop
 ANSWERS_HELD = 48  # of the greatest length, in all of the memory: an answer is held until it is whole
 
 
@@ -76,10 +78,65 @@
     return replace(parsed, classes=tuple(classes), plans=tuple(plans))
 
 
+class _Sink:
+    """Builds the configuration from JSON events, but for its list of backends, which has its own sink."""
+
+    def __init__(self, known: ListSink | None) -> None:
+        self._known, self._builder = known, ObjectBuilder()
+        self._depth, self._in_known = 0, False
+        self.has_known = False
+
+    def send(self, event: JsonEvent) -> None:
+        name, value = event
+        if self._depth == 1 and name == "map_key":
+            self._in_known = value == "known"
+            if self._in_known:
+                return
+        self._depth -= name.startswith("end")
+        if self._in_known and self._depth > 0:
+            self.has_known = self.has_known or name != "null"
+            if self._known is not None:
+                self._known.send(event)
+        else:
+            self._builder.event(name, value)
+        self._depth += name.startswith("start")
+
+    @property
+    def value(self) -> Any:
+        return self._builder.value
+
+
+Steps = Generator[None, None, Config]  # a step for each piece of the file, then the configuration
+
+
+def _fill(sink: _Sink, pieces: Iterable[bytes]) -> Generator[None, None, _Sink]:
+    decoder = JsonPieces(sink)
+    for piece in pieces:
+        decoder.feed(piece)
+        yield
+    decoder.finish()
+    return sink
+
+
+def _run(steps: Steps) -> Config:
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            config: Config = done.value
+            return config
+
+
 def read_config(text: str) -> Config:
     """Validate all that the ingress uses; ConfigError names what is wrong."""
+    return _run(_read(lambda: [text.encode()]))
+
+
+def _read(pieces: Callable[[], Iterable[bytes]]) -> Steps:
+    """The list of backends may be long and stand ahead of the settings, which tell its part: it is second."""
     try:
-        raw = json.loads(text)
+        first = yield from _fill(_Sink(None), pieces())
+        raw = first.value
         settings = raw["settings"]
         permissions = settings.get("permissions", {})
         sockets = int(raw.get("limits", {}).get("sockets", 1024))
@@ -92,8 +149,14 @@
         idle_ms = float(permissions.get("conn_idle", 15_000))
         if not 0 < idle_ms < 1e12:
             raise ConfigError(f"permissions.conn_idle: {idle_ms:g} is no idle time of a connection")
-        lists = ListReader(settings.get("zones", ()), settings.get("machine_types", ()))
-        known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
+        lists = ListReader(settings.get("zones", ()), settings.get("machine_types", ()), parsed.gateways,
+                           parsed.index)
+        known: tuple[FleetUpdate, Endpoints] = FleetUpdate(ListKind.CACHED, []), {}
+        if first.has_known:
+            listed = lists.begin()
+            yield from _fill(_Sink(listed), pieces())
+            known = listed.result(cached=True)
+            lists.adopt(listed, known[0])
         return Config(
             name=str(raw.get("name", "")),
             listen=parse_address(raw["listen"]),
@@ -101,7 +164,7 @@
             counter=parse_address(raw["counter"]) if raw.get("counter") else None,
             seed=int(raw.get("seed", "0"), 16),
             lists=lists,
-            known=lists.read(known, cached=True),
+            known=known,
             settings=parsed,
             sockets=sockets,
             max_answer=max(MAX_BODY, int(memory_mb * 1024 * 1024 / ANSWERS_HELD)),
@@ -114,9 +177,19 @@
         raise ConfigError(" ".join(str(error).split())) from error
 
 
-def load_config(path: str) -> Config:
-    """Read the file; ConfigError if that can't be done."""
+def load_steps(path: str) -> Steps:
+    """Read the file, a piece a step, so that other work can go on; ConfigError if it is of no use."""
+    def pieces() -> Iterator[bytes]:
+        with Path(path).open("rb") as file:
+            while piece := file.read(PIECE):
+                yield piece
+
     try:
-        return read_config(Path(path).read_text(encoding="utf-8"))
+        return (yield from _read(pieces))
     except (OSError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from error
+
+
+def load_config(path: str) -> Config:
+    """Read the file at once; ConfigError if that can't be done."""
+    return _run(load_steps(path))
--- a/troutdock/http1.py
+++ b/troutdock/http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -29,11 +30,17 @@
 
 
 class ResponseReader:
-    """Feed it what a connection brings; it gives each response once that is whole."""
+    """Feed it what a connection brings; it gives each response once that is whole.
 
-    __slots__ = ("_body", "_done", "_headers", "_headers_done", "_max_body", "_parser", "_pending", "_size")
+    taken: gets the bodies of good answers piece by piece, which are not kept then; what it raises makes the
+    response a bad one.
+    """
 
-    def __init__(self, max_body: int) -> None:
+    __slots__ = (
+        "_body", "_done", "_headers", "_headers_done", "_max_body", "_parser", "_pending", "_size", "_taken")
+
+    def __init__(self, max_body: int, taken: Callable[[bytes], None] | None = None) -> None:
+        self._taken = taken
         self._parser = httptools.HttpResponseParser(self)
         self._max_body = max_body
         self._done: Response | None = None
@@ -57,7 +64,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._done is None:
-                raise BadResponse(repr(error.__context__ or error)) from error
+                cause = error.__context__
+                raise BadResponse(str(cause) if isinstance(cause, ValueError | BadResponse) else
+                                  repr(cause or error)) from error
             self._done.keep_alive = False
         done, self._done = self._done, None
         if done is not None:
@@ -100,7 +109,10 @@
         self._size += len(data)
         if self._size > self._max_body:
             raise BadResponse(f"a body of over {self._max_body} bytes")
-        self._body.append(data)
+        if self._taken is None:
+            self._body.append(data)
+        elif self._parser.get_status_code() == 200:
+            self._taken(data)
 
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -18,7 +18,7 @@
 from troutdock.backends import Attempt, Backends
 from troutdock.config import Config
 from troutdock.counter import Counter
-from troutdock.discovery import Endpoints
+from troutdock.lists import Endpoints
 from troutdock.http1 import Response
 from troutdock.reports import ReportReader
 from troutdock.request import BadRequest, Request
--- /dev/null
+++ b/troutdock/lists.py
@@ -0,0 +1,217 @@
+"""Discovery's lists, read in pieces: what an ingress holds of one doesn't grow with the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Any
+
+import ijson  # type: ignore[import-untyped]
+
+from tamarindfold.choice import Part
+from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind
+from troutdock.address import Address, parse_address
+
+MAX_LIST = 64 * 1024 * 1024  # bytes of a list: four times what 99,000 backends take, for indented ones
+MAX_ENTRIES = 1 << 18  # of a list: more than twice as many backends as the largest fleet that is planned
+MAX_DEPTH = 8  # of nested values; a list has three
+MAX_TOKEN = 64 * 1024  # bytes with no value in them: no list has so long a text or so much space
+STATES = {"active": BackendState.READY, "leaving": BackendState.DRAINING, "left": BackendState.GONE}
+ELSEWHERE = 0xFFFF  # the number of a zone or kind that the settings don't name
+
+Endpoints = dict[BackendId, Address]
+JsonEvent = tuple[str, Any]  # of ijson: what begins, ends or stands here, and its value
+
+
+class BadList(ValueError):
+    """What came is no list of backends; none of it is believed."""
+
+
+def backend_id(uid: str) -> BackendId:
+    """The same number for a backend at every ingress and after every restart."""
+    return int.from_bytes(blake2b(uid.encode(), digest_size=6).digest(), "big")
+
+
+class JsonPieces:
+    """JSON that comes in pieces, handed as ijson's events to a sink; BadList if it is none."""
+
+    def __init__(self, sink: Any) -> None:
+        self._sink = sink
+        self._decoder = ijson.basic_parse_coro(self, use_float=True)
+        self._silent = 0  # bytes since the last event
+        self.size = 0  # bytes so far
+
+    def send(self, event: JsonEvent) -> None:
+        """Called by the decoder with each event."""
+        self._silent = 0
+        self._sink.send(event)
+
+    def feed(self, data: bytes) -> None:
+        """The next piece; nothing of it is kept beyond a value that it breaks off in."""
+        self.size += len(data)
+        self._silent += len(data)
+        try:
+            self._decoder.send(data)
+        except ijson.JSONError as error:
+            raise BadList(" ".join(str(error).split())) from error
+        if self._silent > MAX_TOKEN:
+            raise BadList(f"no value in {self._silent} bytes")
+
+    def finish(self) -> None:
+        """All has come; BadList if it is not whole."""
+        try:
+            self._decoder.send(b"")
+        except StopIteration:
+            pass
+        except ijson.JSONError as error:
+            raise BadList(" ".join(str(error).split())) from error
+        finally:
+            self._decoder = None  # it refers back to here
+
+
+class ListSink:
+    """Puts one list together from JSON events: of its entries, those that the ingress's part holds."""
+
+    def __init__(self, reader: ListReader, part: Part) -> None:
+        self._reader, self.part = reader, part
+        self._depth = 0
+        self._key = self._field = ""
+        self._head: dict[str, Any] = {}
+        self._entry: dict[str, Any] | None = None
+        self._listing = False  # within the array of entries
+        self.listed = 0  # entries so far that are not gone
+        self._read = 0  # entries so far
+        self._kept: dict[BackendId, tuple[BackendEntry, Address]] = {}
+
+    def send(self, event: JsonEvent) -> None:
+        """Take the next event; BadList if no list goes on like that."""
+        name, value = event
+        if self._entry is not None and self._depth == 3:
+            if name == "map_key":
+                self._field = value
+                return
+            if not name.startswith(("start", "end")):
+                self._entry[self._field] = value
+                return
+        if name.startswith("start"):
+            self._begin(name == "start_map")
+        elif name.startswith("end"):
+            self._end()
+        elif self._depth == 1:
+            if name == "map_key":
+                self._key = value
+            else:
+                self._head[self._key] = value
+        elif self._depth == 0 or (self._depth == 2 and self._listing):
+            raise BadList(f"{value!r:.40} where an object belongs")
+
+    def _begin(self, is_map: bool) -> None:
+        self._depth += 1
+        if self._depth > MAX_DEPTH:
+            raise BadList("values nested too deep")
+        if self._depth == 1 and not is_map:
+            raise BadList("no object")
+        if self._depth == 2 and self._key == "targets":
+            self._listing = not is_map
+            self._head["targets"] = None if is_map else self._kept
+        elif self._depth == 3 and self._listing:
+            if not is_map:
+                raise BadList("an array where an entry belongs")
+            self._entry = {}
+        elif self._depth == 4 and self._entry is not None:
+            self._entry[self._field] = None  # no field that is known holds one
+
+    def _end(self) -> None:
+        if self._depth == 3 and self._entry is not None:
+            entry, self._entry = self._entry, None
+            self._take(entry)
+        elif self._depth == 2:
+            self._listing = False
+        self._depth -= 1
+
+    def _take(self, raw: dict[str, Any]) -> None:
+        try:
+            number, state = backend_id(raw["uid"]), STATES[raw["state"]]
+            self._read += 1
+            self.listed += state is not BackendState.GONE
+            if self._read > MAX_ENTRIES:
+                raise BadList(f"more than {MAX_ENTRIES} entries")
+            if self.part.holds(number):
+                self._kept[number] = self._reader.entry(number, state, raw), parse_address(raw["endpoint"])
+        except (KeyError, TypeError, AttributeError, OverflowError, ValueError) as error:
+            raise BadList(f"{raw!r:.200}: {error!r}") from error
+        if self.part.bear(self.listed):
+            for number in [n for n in self._kept if not self.part.holds(n)]:
+                del self._kept[number]
+
+    @property
+    def held(self) -> int:
+        """Entries that are held so far."""
+        return len(self._kept)
+
+    def result(self, cached: bool = False) -> tuple[FleetUpdate, Endpoints]:
+        """The list, once all of it has come."""
+        try:
+            kept, whole, version = self._head["targets"], bool(self._head["all"]), int(self._head["rev"])
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise BadList(f"no list of backends: {error!r}") from error
+        if kept is not self._kept:
+            raise BadList("its targets are no array")
+        kind = (ListKind.CACHED if cached else ListKind.FULL) if whole else ListKind.CHANGES
+        return (FleetUpdate(kind, [entry for entry, _ in self._kept.values()], version, self.part.parts),
+                {number: address for number, (_, address) in self._kept.items()})
+
+
+class ListReader:
+    """Reads discovery's lists into the gateway's form, and remembers which part of them is kept.
+
+    gateways and index: of the fleet, as the settings tell them.
+    """
+
+    def __init__(self, zones: Iterable[str], kinds: Iterable[str], gateways: int = 1, index: int = 0) -> None:
+        self._zones = {name: number for number, name in enumerate(zones)}
+        self._kinds = {name: number for number, name in enumerate(kinds)}
+        self._gateways, self._index = gateways, index
+        self._parts = 1
+        self._numbers: dict[BackendId, None] = {}  # the backends kept, as the lists told
+        self.misfit = False  # the whole list is wanted: a part of another size fits the fleet
+
+    def begin(self) -> ListSink:
+        """A list is about to come."""
+        return ListSink(self, Part(self._gateways, self._index, 1 if self.misfit else self._parts))
+
+    def adopt(self, sink: ListSink, update: FleetUpdate) -> None:
+        """A list is believed: later ones are kept by the same part, until another fits the fleet better."""
+        if update.kind is ListKind.CHANGES:
+            for entry in update.entries:
+                if entry.state is BackendState.GONE:
+                    self._numbers.pop(entry.backend, None)
+                else:
+                    self._numbers[entry.backend] = None
+        else:
+            self._numbers = {entry.backend: None for entry in update.entries}
+            self.misfit = False
+        if sink.part.parts != self._parts:
+            self._parts = sink.part.parts
+            self._numbers = {n: None for n in self._numbers if sink.part.holds(n)}
+        self.misfit = self.misfit or sink.part.misfit(len(self._numbers))
+
+    def read(self, data: bytes, cached: bool = False) -> tuple[FleetUpdate, Endpoints]:
+        """A list that is there already, as JSON; BadList if it is none."""
+        sink = self.begin()
+        pieces = JsonPieces(sink)
+        pieces.feed(data)
+        pieces.finish()
+        update, endpoints = sink.result(cached)
+        self.adopt(sink, update)
+        return update, endpoints
+
+    def entry(self, number: BackendId, state: BackendState, raw: dict[str, Any]) -> BackendEntry:
+        """One entry in the gateway's form; ValueError or TypeError if it can't be that."""
+        size, boot_ms = float(raw.get("capacity_hint", 1.0)), float(raw.get("boot_ms", 0))
+        if not (0 <= size < 1e6 and 0 <= boot_ms < 1e15):
+            raise ValueError(f"a backend of size {size}, up since {boot_ms}")
+        # boot_ms is Unix time, and so is the scale of the gateway's clock: see ingress.Clock
+        return BackendEntry(number, state, self._zones.get(raw.get("az", ""), ELSEWHERE),
+                            self._kinds.get(raw.get("model", ""), ELSEWHERE),
+                            int(raw.get("pod_group", 0)), size, boot_ms)
