Test that drains are kept after vain calls to discovery and beside idle clients

Cause: two of the users' terms had no test over sockets. A change counts as told 6 s after discovery had it and could be reached, whatever went wrong with the calls before; and idle clients may fill the descriptors while discovery is down.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,10 +4,15 @@
 
 import asyncio
 import json
+import os
 import re
+import socket
+import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import uvloop
 
@@ -106,6 +111,24 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    async def refuse(self) -> None:
+        """Reset what is open and refuse new connections until listen_again; the port stays this peer's."""
+        self.stop()
+        await self.server.wait_closed()
+        self._kept = keep_port(self.port)
+
+    async def listen_again(self) -> None:
+        await self.start(self.port)
+        self._kept.close()
+
+
+def keep_port(port: int = 0) -> socket.socket:
+    """A port that no other program gets, and where connections are refused until somebody listens there too."""
+    kept = socket.socket()
+    kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    kept.bind(("127.0.0.1", port))
+    return kept
+
 
 class Client:
     """A client's connection."""
@@ -195,3 +218,136 @@
     """Wait for a condition; the test's own limit ends a wait in vain."""
     while not condition():
         await asyncio.sleep(0.005)
+
+
+# ---- discovery's agent
+
+
+def say(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write to whoever may have left: uvloop raises where asyncio's own loop only warns."""
+    if not writer.is_closing():
+        writer.write(data)
+
+
+class Agent:
+    """A script for discovery that follows the protocol page: a call that may wait is held until there is news.
+
+    While there is a trouble, that script meets every call, and first of all those that are held.
+    """
+
+    def __init__(self, leaves_out: bool = False) -> None:
+        self.leaves_out = leaves_out  # answers are whole lists, and these leave out what drains
+        self.version = 5
+        self.entries: dict[str, tuple[int, dict[str, Any]]] = {}  # by uid: since which version, and the target
+        self.trouble: Script | None = None
+        self.held: list[asyncio.Future[None]] = []
+
+    def list(self, *targets: dict[str, Any]) -> None:
+        """What holds from the first version on; no call is answered before."""
+        self.entries = {t["uid"]: (self.version, t) for t in targets}
+
+    def change(self, *targets: dict[str, Any]) -> None:
+        self.version += 1
+        self.entries |= {t["uid"]: (self.version, t) for t in targets}
+        self._wake()
+
+    def suffer(self, trouble: Script) -> None:
+        self.trouble = trouble
+        self._wake()
+
+    def _wake(self) -> None:
+        held, self.held = self.held, []
+        for call in held:
+            if not call.done():
+                call.set_result(None)
+
+    @staticmethod
+    def query(data: bytes) -> tuple[int | None, float]:
+        """The version that a call knows, and the seconds that it may wait."""
+        asked = parse_qs(urlsplit(data.split()[1].decode()).query)
+        return int(asked["from"][0]) if "from" in asked else None, int(asked.get("hold_ms", ["0"])[0]) / 1000
+
+    def response(self, known: int | None) -> bytes:
+        whole = known is None or self.leaves_out
+        told = [t for since, t in self.entries.values()
+                if (not self.leaves_out or t["state"] == "active") and (whole or since > (known or 0))]
+        body = json.dumps({"rev": self.version, "all": whole, "targets": told}, indent=1).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def __call__(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        known, hold_s = self.query(data)
+        await until(lambda: bool(self.entries))
+        if self.trouble is None and known is not None and known >= self.version:
+            call: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self.held.append(call)
+            await asyncio.wait([call], timeout=hold_s)
+            if call in self.held:
+                self.held.remove(call)
+        if self.trouble is not None:
+            await self.trouble(peer, data, writer)
+        else:
+            say(writer, self.response(known))
+
+    # troubles
+
+    async def cut(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Half of an answer, and the connection ends."""
+        say(writer, self.response(None)[:-20])
+        writer.close()
+
+    async def stall(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Half of an answer, on a connection that stays open."""
+        say(writer, self.response(None)[:-20])
+
+    async def late(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Every answer is whole, and comes when its call has been given up."""
+        await asyncio.sleep(self.query(data)[1] + 0.8)
+        say(writer, self.response(self.query(data)[0]))
+
+    async def overrun(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """What there is to tell is told at once; a call that has to wait is never answered."""
+        known = self.query(data)[0]
+        if known is None or known < self.version:
+            say(writer, self.response(known))
+
+
+    def knows(self, peer: Peer) -> bool:
+        """Whoever calls peer has taken in the last version."""
+        return any(self.query(data)[0] == self.version for data in peer.requests)
+
+
+# ---- the ingress as a program of its own
+
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def start_program(config: dict[str, Any], log: Path, descriptors: int | None = None) -> asyncio.subprocess.Process:
+    """python -m troutdock with this configuration, which may hold no more than so many descriptors."""
+    path = log.with_suffix(".json")
+    path.write_text(json.dumps(config))
+    bound = "" if descriptors is None else f"ulimit -n {descriptors} && "
+    with log.open("ab") as errors:
+        return await asyncio.create_subprocess_exec(
+            "sh", "-c", bound + 'exec "$0" -m troutdock', sys.executable, stderr=errors,
+            cwd=Path(__file__).parent.parent, env=os.environ | {"RELAY_CONFIG": str(path)})
+
+
+async def end_program(process: asyncio.subprocess.Process) -> None:
+    """Kill it if it is still there."""
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+
+
+async def ask_once(port: int, data: bytes, seconds: float = 2.0) -> tuple[int, bytes]:
+    """Status and body of the answer on a new connection; 0 if none comes."""
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            try:
+                status, _, body = await Client(reader, writer).ask(data)
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0, b""
+    return status, body
