Test that a usual client is served beside idle ones; two tests fail with 64 descriptors

Cause: no test let idle clients come all at once. Found with these: where there are fewer places for clients than are accepted in one round (16; by reading, below 80 descriptors) the door stays shut for 2 s at a time, though connections without a request could make room. server.py, _accept: those accepted are counted in _coming and stand in no line yet, so the ninth of a round finds the places full and none to spare, and accepting pauses; admit, which puts them in a line, does not resume it. A probe with 40 at the door of 64 descriptors saw: accepting off, 8 clients, all 8 in the line of those without a request, up to 2.25 s, when they had had their time (MESSAGE_S), and so on with the next eight.

Change: five usual clients while discovery is down and five after its return are to be served within their 4 s beside the crowd of the drain's test, and one behind forty idle clients that come within one turn of the loop. They come on a new connection each, and again when that is shut unread.

--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from traceback import extract_tb
 from typing import Any
 
+import pytest
 from loopback import (
     HEALTH, SETTINGS, Agent, Peer, answer, ask_once, end_program, keep_port, request, run, sends, silence, start_program,
     target, until, world,
@@ -197,6 +199,16 @@
         assert len(c.old.requests) == sent and c.process.returncode is None
 
 
+async def serves_beside_a_crowd(begin: Begin, sockets: int, log: Path) -> None:
+    async with Crowded(begin, sockets, log) as c:
+        assert [await serve(c.port, number) for number in range(5)] == [b"old"] * 5
+        await c.end()
+        async with asyncio.timeout(KEPT_S):
+            await until(lambda: c.agent.knows(c.discovery))
+        assert [await serve(c.port, number) for number in range(5, 10)] == [b"new"] * 5
+        assert c.process.returncode is None
+
+
 CROWDS = [("refused", 64), ("silent", 64), ("cut", 64), ("cut and left open", 96), ("refused", 128)]
 
 
@@ -207,3 +219,25 @@
             f"{name}, {sockets} descriptors": keeps_a_drain_beside_a_crowd(TROUBLES[name], sockets, tmp_path / f"{name}-{sockets}.log")
             for name, sockets in CROWDS}) == {}
     run(test())
+
+
+def test_a_usual_client_is_served_beside_idle_ones_that_fill_the_descriptors(tmp_path: Path) -> None:
+    """With discovery down and when it is back: a connection may be shut unread then, but not be left to wait."""
+    async def test() -> None:
+        assert await failures({
+            f"{name}, {sockets} descriptors": serves_beside_a_crowd(TROUBLES[name], sockets, tmp_path / f"{name}-{sockets}.log")
+            for name, sockets in CROWDS}) == {}
+    run(test())
+
+
+def test_a_usual_client_is_served_behind_idle_ones_that_come_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """64 descriptors leave eight places, and forty are at the door before the first is taken in; all stay."""
+    monkeypatch.setattr("troutdock.server.MESSAGE_S", 1000.0)
+
+    async def test() -> None:
+        async with world(answer(b"old"), sockets=64) as w:
+            crowd = [socket.create_connection(w.address) for _ in range(40)]  # the loop does not turn meanwhile
+            assert await serve(w.address[1], 1) == b"old"
+            for idle in crowd:
+                idle.close()
+    run(test())
