Test that an answer of discovery that drips without end is given up in time

Cause: an answer of which something comes again and again was among none of the troubles. A reader that limits only the silence between two pieces would wait for its end for ever.

Measured: passes, two runs of two, 15.4 and 15.8 s with the start. With a limit on each piece in place of that on the whole answer, on a scratch copy, it fails: all five of its worlds stand among those that failed.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -299,6 +299,15 @@
         """Half of an answer, on a connection that stays open."""
         say(writer, self.response(None)[:-20])
 
+    async def drip(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """An answer of which a little more comes again and again, and never the end, until the caller has left."""
+        say(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n")
+        for _ in range(1000):
+            if writer.is_closing():
+                break
+            say(writer, b" ")
+            await asyncio.sleep(0.05)
+
     async def late(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
         """Every answer is whole, and comes when its call has been given up."""
         await asyncio.sleep(self.query(data)[1] + 0.8)
--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -47,6 +47,7 @@
     "silent": suffer(lambda agent: silence),
     "cut": suffer(lambda agent: agent.cut),
     "cut and left open": suffer(lambda agent: agent.stall),
+    "dripping without end": suffer(lambda agent: agent.drip),
     "whole, but no list": suffer(lambda agent: sends(NO_LIST, close=False)),
     "an error": suffer(lambda agent: sends(ERROR, close=False)),
     "answered after it was given up": suffer(lambda agent: agent.late),
