--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -12,8 +12,8 @@
 
 import pytest
 from loopback import (
-    HEALTH, SETTINGS, Agent, Peer, answer, ask_once, end_program, keep_port, request, run, sends, silence, start_program,
-    target, until, world,
+    HEALTH, SETTINGS, Agent, Peer, answer, ask_once, end_program, keep_port, request, run, say, sends, silence,
+    start_program, target, until, world,
 )
 
 # From when discovery has a change and can be reached: until it counts as told, and until a drain has to be kept.
@@ -242,3 +242,45 @@
             for idle in crowd:
                 idle.close()
     run(test())
+
+
+# ---- an agent that is slow
+
+
+def trickle(agent: Agent, pieces: int, pause_s: float) -> Any:
+    """Each answer comes whole, in so many pieces; a call that may wait is held until there is news."""
+    async def script(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        known, hold_s = agent.query(data)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(hold_s):
+                await until(lambda: known is None or known < agent.version)
+        said = agent.response(known)
+        size = len(said) // pieces + 1
+        for start in range(0, len(said), size):
+            say(writer, said[start:start + size])
+            await asyncio.sleep(pause_s)
+    return script
+
+
+async def keeps_a_drain_that_trickles(pieces: int, pause_s: float) -> None:
+    new, agent = Peer(answer(b"new")), Agent()
+    await new.start()
+    async with world(answer(b"old"), discovery=trickle(agent, pieces, pause_s)) as w:
+        (old,) = w.backends
+        agent.list(target(old, "s-0"))
+        await asyncio.sleep(2.0)  # watches end without news, and these answers trickle too
+        agent.change(target(old, "s-0", "leaving"), target(new, "s-1"))
+        client, number = await w.client(), 1
+        async with asyncio.timeout(KEPT_S):
+            while (await client.ask(request(number=number)))[2] != b"new":
+                await asyncio.sleep(0.05)
+                number += 1
+    new.stop()
+
+
+def test_a_list_that_comes_in_pieces_is_told_in_time() -> None:
+    """A call given up because its answer took long is followed by one like it: what comes must be waited for."""
+    async def test() -> None:
+        assert await failures({f"{pieces} pieces, one in {pause_s} s": keeps_a_drain_that_trickles(pieces, pause_s)
+                               for pieces, pause_s in ((8, 0.01), (8, 0.05), (8, 0.1), (20, 0.1))}) == {}
+    run(test())
