Open the door again as soon as accepted connections stand in a line

Cause: with fewer places for clients than connections accepted in a round (16; so below 80 descriptors), those accepted count as coming and stand in no line yet, the next finds no place to spare, and accepting pauses; Server.admit, which puts them in their line, did not resume it. The door stayed shut until a silent client's 2 s were over, then eight more of the crowd came. Probe at 64 descriptors with 40 idle clients: accepting off from 0.0 to 2.25 s with 8 of 8 waiting, again to 4.26 s; the log shows nothing. Ruled out: drains (kept meanwhile), the sockets held back for others.

Change: admit resumes. The two tests of a usual client beside idle ones failed before (one in six of seven runs, the one with a fixed order in five of five) and pass.

--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -403,6 +403,7 @@
         self._coming -= 1
         self._clients[connection] = None
         self.waiting.add(connection)
+        self._resume()  # only now can it make room for the next at the door
 
     def forget(self, connection: ClientConnection) -> None:
         """A connection has ended."""
