Give each piece of a list the time that an answer has, and all of it an end

Cause: a list whose pieces come over 0.25 s or more (half of a drain's grace) was given up each time, and the change in it never told: one time-out for the whole answer (Discovery._response). Streaming had eased that by the bytes that came alone. Ruled out: a limit for each piece without one for all: an answer that drips without end then breaks the 6 s.

Change: a piece may be as late as an answer; all have 3 s beyond the wait, and a second more for each 256 KB.

--- a/troutdock/discovery.py
+++ b/troutdock/discovery.py
@@ -22,7 +22,9 @@
 BACK_MS = 1  # the same while the agent is silent: what it has at its return counts as told at once
 LATE_S = 0.5  # an answer later than that after the wait: the agent is silent
 LATE_PART, LATE_LEAST_S = 0.5, 0.1  # of a drain's grace, at most: a silent agent's return is seen within it
-LEAST_RATE = 256 * 1024  # bytes a second: each piece of an answer earns it so much more time
+# An answer on its way has so long in all, and the longer the more comes, at so many bytes a second; its
+# pieces are late like any answer. One that drips without end is given up in time for another call within 6 s.
+WHOLE_S, LEAST_RATE = 3.0, 256 * 1024
 PIECE = 8 * 1024  # bytes read in one turn of the loop: some sixty entries, one millisecond
 TOLD_AT_ONCE = 128  # entries: two or three milliseconds
 PAUSE_S = 0.1  # before a new connection; with the time to connect it stays within the watch's 200 ms
@@ -158,14 +160,15 @@
 
     async def _response(self, reader: asyncio.StreamReader, parser: ResponseReader,
                         wait_s: float) -> Response:
-        """Read the answer piece by piece, with turns of the loop in between; more of it has more time."""
-        due = asyncio.get_running_loop().time() + wait_s
-        async with asyncio.timeout_at(due) as limit:
+        """Read the answer piece by piece, with turns of the loop in between."""
+        now = asyncio.get_running_loop().time
+        whole = now() + wait_s + WHOLE_S
+        async with asyncio.timeout_at(now() + wait_s) as limit:
             while data := await reader.read(PIECE):
                 self._came += len(data)
                 if (response := parser.feed(data)) is not None:
                     return response
-                due += len(data) / LEAST_RATE
-                limit.reschedule(due)
+                whole += len(data) / LEAST_RATE
+                limit.reschedule(min(whole, now() + self._late_s))
                 await asyncio.sleep(0)
         raise ConnectionResetError(f"closed after {self._came} bytes of an answer that was not whole")
