Hold two backends of other parts for each cell, for repeats that have to stay there

Cause: a keyed class whose group is the cell repeats within the cell of the first attempt alone. Of a cell of thirty the part of an ingress has one backend at most in a long list (99,000 in 128 parts), so such a repeat had nowhere to go but back.

Change: where the settings have such a class and the list is in parts, two backends of other parts are held for each cell of the part, chosen by each ingress's own hash while the list is read, followed through changes, and used for repeats alone (the subset stays of the part). Short lists are as before.

A test finds two for each cell, different ones at another ingress of the part, and their drains told.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -307,6 +307,7 @@
         self.customers: dict[int, Customer] = {}
         self.counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}  # calls not answered
         self.calls: dict[int, Call] = {}
+        self.part = Part(settings.gateways, settings.index)
         self.subset = Subset(settings.gateways, settings.index)
         self.groups: dict[tuple[Group, int], list[tuple[int, int]]] = {}  # hash and number of the ready ones
         self.slowness = Slowness()  # of the fleet as a whole
@@ -469,12 +470,12 @@
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.backend for entry in event.entries}
             gone = [n for n in self.backends if n not in named]
-        if event.parts != self.subset.parts:
-            part = Part(self.settings.gateways, self.settings.index, event.parts)
+        if event.parts != self.part.parts:
+            part = self.part = Part(self.settings.gateways, self.settings.index, event.parts)
             gone += [n for n in self.backends if not part.holds(n) and n not in gone]
             ready, self.subset = self.subset.ready, Subset(part.gateways, part.index, part.parts)
             for _, backend, *_ in ready:
-                self.subset.place(backend, True)
+                self.subset.place(backend, part.holds(backend))
         for backend in gone:
             self.place(self.backends.pop(backend).entry, False)
         for entry in event.entries:
@@ -491,8 +492,11 @@
                 self.place(entry, entry.state is BackendState.READY)
 
     def place(self, entry: BackendEntry, ready: bool) -> None:
-        """Keep the subset, and the ready backends of each group that drops its repeats."""
-        self.subset.place(entry.backend, ready)
+        """Keep the subset, and the ready backends of each group that drops its repeats.
+
+        Those of another part are there for the repeats alone.
+        """
+        self.subset.place(entry.backend, ready and self.part.holds(entry.backend))
         place = mixed(entry.backend), entry.backend
         for key in self.memberships(entry):
             group = self.groups.setdefault(key, [])
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -8,10 +8,12 @@
 from typing import Any
 
 import pytest
+from build import KEYED, START, ended, settings
+from build import request as arrival
 from loopback import SETTINGS, Peer, Script, run, until
 
-from tamarindfold.choice import PART_BACKENDS
-from tamarindfold.interface import FleetUpdate, ListKind
+from tamarindfold.choice import PART_BACKENDS, Gateway, Part
+from tamarindfold.interface import BackendEntry, FleetUpdate, ListKind, Outcome, Send
 from troutdock import discovery, lists
 from troutdock.background import Background
 from troutdock.config import load_config
@@ -80,6 +82,43 @@
     assert not reader.misfit
 
 
+def test_for_each_cell_of_the_part_some_backends_of_other_parts_are_held_and_followed() -> None:
+    """Of the thirty backends of a cell the part has one at most: its keyed repeats need others."""
+    reader = ListReader((), (), FLEET, 77, cells=True)
+    update, _ = read(reader, [json.dumps(whole(33_000)).encode()])
+    sink = reader.begin()
+    inside = [e for e in update.entries if sink.part.holds(e.backend)]
+    beside = [e for e in update.entries if not sink.part.holds(e.backend)]
+    assert update.parts == 64 and len(inside) <= PART_BACKENDS and len(beside) <= lists.COMPANIONS * len(inside)
+    by_cell: dict[int, int] = {}
+    for e in beside:
+        by_cell[e.cell] = by_cell.get(e.cell, 0) + 1
+    assert by_cell == dict.fromkeys({e.cell for e in inside}, lists.COMPANIONS)
+    other = read(ListReader((), (), FLEET, 77 + 64, cells=True), [json.dumps(whole(33_000)).encode()])[0]
+    shared = {e.backend for e in beside} & {e.backend for e in other.entries}
+    assert len(shared) < len(beside) / 4  # ingresses of one part choose different ones
+    # their drains are told, and a whole list keeps to them
+    drains = {"rev": 42, "all": False, "targets": [entry(n, "leaving") for n in range(33_000)]}
+    told, _ = read(reader, [json.dumps(drains).encode()])
+    assert {e.backend for e in update.entries} <= {e.backend for e in told.entries}
+    again, _ = read(reader, [json.dumps(whole(33_000)).encode()])
+    assert {e.backend for e in again.entries} == {e.backend for e in update.entries}
+    assert not reader.misfit
+
+
+def test_backends_of_another_part_are_for_repeats_alone() -> None:
+    g = Gateway(settings(gateways=FLEET, index=0, classes=(KEYED,)), 7)
+    part = Part(FLEET, 0, 64)
+    mine = [n for n in range(1, 5000) if part.holds(n)][:40]
+    others = [n for n in range(1, 5000) if not part.holds(n)][:80]
+    entries = [BackendEntry(n, cell=at % 40) for at, n in enumerate([*mine, *others])]
+    g.handle(START, FleetUpdate(ListKind.FULL, entries, parts=64))
+    assert {n for _, n, *_ in g.subset.ready} == set(mine)
+    (send,) = [a for a in g.handle(START, arrival(1)) if isinstance(a, Send)]
+    again = [a for a in g.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50)) if isinstance(a, Send)]
+    assert send.backend in mine and again[0].backend in others
+
+
 def test_a_fleet_that_has_outgrown_or_shrunk_below_its_parts_is_divided_anew() -> None:
     reader = ListReader((), (), FLEET, 5)
     read(reader, [json.dumps(whole(1000)).encode()])
@@ -296,9 +335,9 @@
 def test_a_configuration_with_a_long_list_is_read_in_pieces_and_kept_in_part(tmp_path: Any) -> None:
     """The list stands ahead of the settings that tell which part of it is this ingress's."""
     path = tmp_path / "config.json"
-    settings = SETTINGS | {"balancers": FLEET, "index": 3}
+    told = SETTINGS | {"balancers": FLEET, "index": 3}
     path.write_text(json.dumps({"name": "n3", "known": whole(5000, 17), "listen": "127.0.0.1:0", "seed": "7",
-                                "discovery": "127.0.0.1:1", "settings": settings}))
+                                "discovery": "127.0.0.1:1", "settings": told}))
     known, endpoints = load_config(str(path)).known
     assert (known.kind, known.version, known.parts) == (ListKind.CACHED, 17, 8)
     assert 500 <= len(known.entries) == len(endpoints) <= 750
--- a/troutdock/config.py
+++ b/troutdock/config.py
@@ -9,7 +9,7 @@
 
 from ijson.common import ObjectBuilder  # type: ignore[import-untyped]
 
-from tamarindfold.interface import FleetUpdate, ListKind, Settings
+from tamarindfold.interface import FleetUpdate, Group, ListKind, Settings
 from tamarindfold.wire import parse_settings
 from troutdock.address import Address, parse_address
 from troutdock.http1 import MAX_BODY
@@ -150,7 +150,7 @@
         if not 0 < idle_ms < 1e12:
             raise ConfigError(f"permissions.conn_idle: {idle_ms:g} is no idle time of a connection")
         lists = ListReader(settings.get("zones", ()), settings.get("machine_types", ()), parsed.gateways,
-                           parsed.index)
+                           parsed.index, any(c.group is Group.CELL for c in parsed.classes))
         known: tuple[FleetUpdate, Endpoints] = FleetUpdate(ListKind.CACHED, []), {}
         if first.has_known:
             listed = lists.begin()
--- a/troutdock/lists.py
+++ b/troutdock/lists.py
@@ -2,24 +2,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from hashlib import blake2b
 from typing import Any
 
 import ijson  # type: ignore[import-untyped]
 
-from tamarindfold.choice import Part
+from tamarindfold.choice import Part, mixed
 from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind
 from troutdock.address import Address, parse_address
 
 MAX_LIST = 64 * 1024 * 1024  # bytes of a list: four times what 99,000 backends take, for indented ones
 MAX_ENTRIES = 1 << 18  # of a list: more than twice as many backends as the largest fleet that is planned
 MAX_DEPTH = 8  # of nested values; a list has three
+COMPANIONS = 2  # backends of other parts that are held for each cell, for repeats that have to stay there
 MAX_TOKEN = 64 * 1024  # bytes with no value in them: no list has so long a text or so much space
 STATES = {"active": BackendState.READY, "leaving": BackendState.DRAINING, "left": BackendState.GONE}
 ELSEWHERE = 0xFFFF  # the number of a zone or kind that the settings don't name
 
 Endpoints = dict[BackendId, Address]
+Kept = tuple[BackendEntry, Address]
 JsonEvent = tuple[str, Any]  # of ijson: what begins, ends or stands here, and its value
 
 
@@ -81,7 +84,8 @@
         self._listing = False  # within the array of entries
         self.listed = 0  # entries so far that are not gone
         self._read = 0  # entries so far
-        self._kept: dict[BackendId, tuple[BackendEntry, Address]] = {}
+        self._kept: dict[BackendId, Kept] = {}
+        self._beside: dict[int, list[tuple[int, Kept]]] = {}  # by cell: those of other parts, by rank
 
     def send(self, event: JsonEvent) -> None:
         """Take the next event; BadList if no list goes on like that."""
@@ -136,18 +140,45 @@
             self.listed += state is not BackendState.GONE
             if self._read > MAX_ENTRIES:
                 raise BadList(f"more than {MAX_ENTRIES} entries")
-            if self.part.holds(number):
+            if self.part.holds(number) or self._reader.companion(number):
                 self._kept[number] = self._reader.entry(number, state, raw), parse_address(raw["endpoint"])
+            elif self._reader.cells:
+                self._stand_by(number, state, int(raw.get("pod_group", 0)), lambda: (
+                    self._reader.entry(number, state, raw), parse_address(raw["endpoint"])))
         except (KeyError, TypeError, AttributeError, OverflowError, ValueError) as error:
             raise BadList(f"{raw!r:.200}: {error!r}") from error
         if self.part.bear(self.listed):
             for number in [n for n in self._kept if not self.part.holds(n)]:
+                kept = self._kept.pop(number)
+                if self._reader.cells:
+                    self._stand_by(number, kept[0].state, kept[0].cell, partial(next, iter([kept])))
+
+    def _stand_by(self, number: BackendId, state: BackendState, cell: int, made: Callable[[], Kept]) -> None:
+        """Hold it for its cell if this ingress's hash puts it before those that are held for that."""
+        others, rank = self._beside.setdefault(cell, []), self._reader.rank(number)
+        if state is BackendState.READY and (len(others) < COMPANIONS or rank < others[-1][0]):
+            others.append((rank, made()))
+            others.sort(key=lambda other: other[0])
+            del others[COMPANIONS:]
+
+    def _accompany(self) -> None:
+        """Of the backends of other parts keep some for each cell that this part has a backend of."""
+        outside: dict[int, list[BackendId]] = {}
+        cells = {entry.cell for number, (entry, _) in self._kept.items() if self.part.holds(number)}
+        for number, (entry, _) in self._kept.items():
+            if not self.part.holds(number):
+                outside.setdefault(entry.cell, []).append(number)
+        for cell, numbers in outside.items():
+            for number in numbers[COMPANIONS if cell in cells else 0:]:
                 del self._kept[number]
+        for cell in cells:
+            for _, kept in self._beside.get(cell, ())[:max(0, COMPANIONS - len(outside.get(cell, ())))]:
+                self._kept[kept[0].backend] = kept
 
     @property
     def held(self) -> int:
         """Entries that are held so far."""
-        return len(self._kept)
+        return len(self._kept) + sum(map(len, self._beside.values()))
 
     def result(self, cached: bool = False) -> tuple[FleetUpdate, Endpoints]:
         """The list, once all of it has come."""
@@ -158,6 +189,8 @@
         if kept is not self._kept:
             raise BadList("its targets are no array")
         kind = (ListKind.CACHED if cached else ListKind.FULL) if whole else ListKind.CHANGES
+        if whole and self.part.parts > 1 and self._reader.cells:
+            self._accompany()
         return (FleetUpdate(kind, [entry for entry, _ in self._kept.values()], version, self.part.parts),
                 {number: address for number, (_, address) in self._kept.items()})
 
@@ -165,36 +198,50 @@
 class ListReader:
     """Reads discovery's lists into the gateway's form, and remembers which part of them is kept.
 
-    gateways and index: of the fleet, as the settings tell them.
+    gateways and index: of the fleet, as the settings tell them; cells: repeats of some class have to stay in
+    the cell of the first attempt.
     """
 
-    def __init__(self, zones: Iterable[str], kinds: Iterable[str], gateways: int = 1, index: int = 0) -> None:
+    def __init__(self, zones: Iterable[str], kinds: Iterable[str], gateways: int = 1, index: int = 0,
+                 cells: bool = False) -> None:
         self._zones = {name: number for number, name in enumerate(zones)}
         self._kinds = {name: number for number, name in enumerate(kinds)}
-        self._gateways, self._index = gateways, index
+        self._gateways, self._index, self.cells = gateways, index, cells
         self._parts = 1
         self._numbers: dict[BackendId, None] = {}  # the backends kept, as the lists told
+        self._inside = 0  # of them, those of this ingress's part
         self.misfit = False  # the whole list is wanted: a part of another size fits the fleet
 
+    def companion(self, number: BackendId) -> bool:
+        """It is held though it is of another part, as of the last list."""
+        return self.cells and number in self._numbers
+
+    def rank(self, number: BackendId) -> int:
+        """The order in which this ingress chooses from other parts; it is its own, so that all are chosen."""
+        return mixed(number ^ mixed(self._index + 1))
+
     def begin(self) -> ListSink:
         """A list is about to come."""
         return ListSink(self, Part(self._gateways, self._index, 1 if self.misfit else self._parts))
 
     def adopt(self, sink: ListSink, update: FleetUpdate) -> None:
         """A list is believed: later ones are kept by the same part, until another fits the fleet better."""
-        if update.kind is ListKind.CHANGES:
-            for entry in update.entries:
-                if entry.state is BackendState.GONE:
-                    self._numbers.pop(entry.backend, None)
-                else:
-                    self._numbers[entry.backend] = None
-        else:
-            self._numbers = {entry.backend: None for entry in update.entries}
-            self.misfit = False
-        if sink.part.parts != self._parts:
-            self._parts = sink.part.parts
-            self._numbers = {n: None for n in self._numbers if sink.part.holds(n)}
-        self.misfit = self.misfit or sink.part.misfit(len(self._numbers))
+        part = sink.part
+        if update.kind is not ListKind.CHANGES:
+            self._numbers, self._inside, self.misfit = {}, 0, False
+        elif part.parts != self._parts:
+            self._numbers = {n: None for n in self._numbers if part.holds(n)}
+            self._inside = len(self._numbers)
+        self._parts = part.parts
+        for entry in update.entries:
+            known, stays = entry.backend in self._numbers, entry.state is not BackendState.GONE
+            if stays and not known:
+                self._numbers[entry.backend] = None
+                self._inside += part.holds(entry.backend)
+            elif known and not stays:
+                del self._numbers[entry.backend]
+                self._inside -= part.holds(entry.backend)
+        self.misfit = self.misfit or part.misfit(self._inside)
 
     def read(self, data: bytes, cached: bool = False) -> tuple[FleetUpdate, Endpoints]:
         """A list that is there already, as JSON; BadList if it is none."""
