Add fleetlab, a scale run of our own with stand-ins, hollow and real ingresses

Cause: nothing here says what an ingress costs at the size to design for (99,000 backends, 6,900 ingresses), nor how its costs grow up to there.

--- /dev/null
+++ b/fleetlab/plan.py
@@ -0,0 +1,59 @@
+"""The size to design for: stated once, with each axis's size there and each figure's limit."""
+
+from __future__ import annotations
+
+INGRESSES = 6_900
+BACKENDS = 99_000
+SERVICES = 3_100
+REQUESTS_PER_S = 830_000  # of all ingresses, at the peak
+ROUTES = 100_000
+TENANTS = 150_000
+REGIONS, ZONES = 7, 21
+ADDED_MS = 7.9  # to a request, for 99 in 100
+CONFIG_CHANGES_PER_DAY = 25_000
+IN_FORCE_S = 4.0  # a change, everywhere
+CONTROL_CPU_PERCENT = 2.3  # of a core, an ingress
+CONTROL_MB = 32.0  # an ingress
+CONTROL_BYTES_PER_S = 3_000.0  # an ingress
+CONTROL_MACHINES = 7
+MACHINES_FAILED_PER_DAY = 540
+MACHINES_REPLACED_PER_DAY = 24_000
+DAY_S = 86_400
+
+# What the point of an axis is at the plan's size. A machine that fails or is replaced changes the list twice:
+# it goes and it comes. One ingress that meets every tenant, and knows every route, is the worst case.
+SIZES: dict[str, float] = {
+    "backends": BACKENDS,
+    "ingresses": INGRESSES,
+    "tenants": TENANTS,
+    "routes": ROUTES,
+    "changes": (CONFIG_CHANGES_PER_DAY + 2 * (MACHINES_FAILED_PER_DAY + MACHINES_REPLACED_PER_DAY)) / DAY_S,
+    "counter": REQUESTS_PER_S / INGRESSES,  # a call for each request
+    "real": BACKENDS,
+}
+
+# The most that a figure may be there; a figure that isn't named has no limit of the plan's.
+LIMITS: dict[str, float] = {
+    "unheld_share": 0.0,
+    "held_mb": CONTROL_MB,
+    "peak_mb": CONTROL_MB,
+    "peak_over_200_mb": CONTROL_MB,
+    "control_cpu_percent": CONTROL_CPU_PERCENT,
+    "control_bytes_per_s": CONTROL_BYTES_PER_S,
+    "told_ms": IN_FORCE_S * 1000,
+    "in_force_s": IN_FORCE_S,
+    "added_p99_ms": ADDED_MS,
+}
+
+POINTS: dict[str, tuple[int, ...]] = {
+    "backends": (200, 2_000, 10_000, 27_000, BACKENDS),
+    "ingresses": (10, 20, 40, 80, 160),
+    "tenants": (1_000, 10_000, 30_000, 100_000),
+    "routes": (3, 30, 300, 3_000),
+    "changes": (0, 1, 4, 16),
+    "counter": (25, 50, 100, 200, 400),
+}
+
+# The largest point that is played, so that a typing error doesn't take the machine.
+MOST: dict[str, int] = {"backends": 200_000, "ingresses": 4_000, "tenants": 300_000, "routes": 10_000,
+                        "changes": 1_000, "counter": 5_000}
