Count a real ingress's rates from when it is ready

Change: the rates count from readiness, or from the start where the ingress is never ready. Measured: the lab's tests of a real ingress and of interrupts pass (4).

--- a/fleetlab/real.py
+++ b/fleetlab/real.py
@@ -41,6 +41,12 @@
             await asyncio.sleep(0.01)
 
 
+def _spent(agent: Agent, pid: int) -> tuple[float, float, int, int]:
+    """The time, the processor time of the ingress, bytes that the agent has written and calls it has had."""
+    calls = agent.whole_calls + agent.watch_calls
+    return asyncio.get_running_loop().time(), cpu_s(pid), agent.bytes_written, calls
+
+
 async def _change(agent: Agent, per_s: float, count: int, seed: int) -> None:
     """The sizes of backends, one at a time: a change that moves nothing else."""
     random, loop = Random(seed), asyncio.get_running_loop()
@@ -77,7 +83,9 @@
                rate: float = REQUESTS_PER_S / INGRESSES, changes_per_s: float = 1.0) -> Figures:
     """The figures of one ingress before count listed backends; known of them stand in its configuration.
 
-    None: not measured. Where the ingress is never ready, only memory, stalls and the agent's bytes are.
+    None: not measured. Where the ingress is never ready, only memory, stalls and the agent's bytes are. The
+    agent's bytes are those it has handed to the system, from when the ingress was ready, or from its start if
+    it never was: of a list that is not read to its end they are more than what was read.
     """
     check_memory([], EXPECTED_MB)
     loop, children = asyncio.get_running_loop(), Children()
@@ -103,12 +111,12 @@
             health = HealthWatch(address)
             tasks.append(asyncio.create_task(health.run()))
             figures: Figures = {"listening_s": served_s}
-            written, calls, at = agent.bytes_written, agent.whole_calls + agent.watch_calls, loop.time()
-            cpu_before = cpu_s(ingress.pid)
+            before = _spent(agent, ingress.pid)
             try:
                 async with asyncio.timeout(seconds):
                     await health.ready.wait()
                 figures["ready_s"] = loop.time() - began
+                before = _spent(agent, ingress.pid)  # what it cost to get ready is not to count as a rate
             except TimeoutError:
                 figures["ready_s"] = None
             if figures["ready_s"] is not None:
@@ -134,12 +142,11 @@
                             "refused": float(clients.statuses[429] + clients.statuses[503]),
                             "unanswered": float(clients.statuses[0]), "lab_stall_ms": stall.worst_ms}
             check_memory(children.pids)
-            minutes = (loop.time() - at) / 60
+            after = _spent(agent, ingress.pid)
+            at, used, written, calls = (b - a for a, b in zip(before, after, strict=True))
             figures |= {"healthz_worst_ms": health.worst_ms, "rss_mb": rss_mb(ingress.pid),
-                        "peak_rss_mb": peak_mb(ingress.pid),
-                        "cpu_percent": (cpu_s(ingress.pid) - cpu_before) / (loop.time() - at) * 100,
-                        "agent_bytes_per_min": (agent.bytes_written - written) / minutes,
-                        "agent_calls_per_min": (agent.whole_calls + agent.watch_calls - calls) / minutes}
+                        "peak_rss_mb": peak_mb(ingress.pid), "cpu_percent": used / at * 100,
+                        "agent_bytes_per_min": written / at * 60, "agent_calls_per_min": calls / at * 60}
         return figures
     finally:
         for task in tasks:
