--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -1,4 +1,4 @@
-"""The command line: sweep, slopes and real."""
+"""The command line: sweep, real, pairs and slopes."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from fleetlab import pairs as fleet_pairs
 from fleetlab import real as real_ingress
 from fleetlab import sweep as sizes
 from fleetlab.agent import Mode
@@ -147,6 +148,34 @@
     Console().print(table)
 
 
+@cli.command()
+@OUT
+@click.option("--sizes", "text", default=",".join(f"{g}x{b}" for g, b in fleet_pairs.SIZES),
+              help="Gateways x backends, with commas between.")
+@click.option("--replacements", default=10, type=click.IntRange(1, 1000), help="Backends replaced in turn.")
+@SEED
+def pairs(out: Path, text: str, replacements: int, seed: int) -> None:
+    """Model which gateways keep to which backends: by rank, as it was, and by subset, as it is."""
+    try:
+        played = [(int(g), int(b)) for g, _, b in (size.partition("x") for size in text.split(","))]
+    except ValueError:
+        raise click.UsageError(f"--sizes: {text!r} is not gateways x backends") from None
+    if len(played) > MOST_POINTS or any(not 1 <= g <= 20_000 or not 1 <= b <= 200_000 for g, b in played):
+        raise click.UsageError(f"--sizes: {text!r} has a size that is too large, or none")
+    out.mkdir(parents=True, exist_ok=True)
+    commit, machine = this_commit(), this_machine()
+    names = fleet_pairs.PairFigures.__struct_fields__
+    table = Table(*(name.replace("_", " ") for name in names), title=f"seed {seed}")
+    for gateways, backends in played:
+        for scheme in fleet_pairs.SCHEMES:
+            found = fleet_pairs.measure(scheme, gateways, backends, seed, replacements)
+            figures: Figures = {name: float(getattr(found, name)) for name in names if name != "scheme"}
+            append(out / f"pairs-{scheme}.jsonl",
+                   Result("pairs", f"pairs-{scheme}", backends, seed, figures, commit, machine))
+            table.add_row(scheme, *(f"{value:,.4g}" for value in figures.values()))
+    Console(width=None if sys.stdout.isatty() else 200).print(table)
+
+
 @cli.command()
 @click.argument("folder", type=click.Path(exists=True, path_type=Path))
 def slopes(folder: Path) -> None:
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -29,7 +29,8 @@
 from troutdock.background import Background
 from troutdock.config import Config, read_config
 from troutdock.counter import Counter
-from troutdock.discovery import Discovery, Endpoints
+from troutdock.discovery import Discovery
+from troutdock.lists import Endpoints
 
 TICK_S = 0.05  # between batches of requests
 ANSWER_MS = 1.0  # what an attempt takes, as the gateway is told
