Begin no attempt for a client that left while the loop was late

Cause: the loop's timers come before its sockets, and it tells a connection's end a turn after reading it. What met the client's close in one turn (a failed attempt, the timer of a second copy, the counter's answer, a dialled connection that was ready) began an attempt, however late the turn.

Change: before an attempt of a request that has waited is sent, or written on a connection that comes up or free, the state of the client's connection is read (TCP_INFO); if it has left, its call is withdrawn. The state shows an end behind unread bytes too, so it takes the peek's place at arrival. An attempt sent on arrival is looked at once, as before.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
+import os
 import re
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
@@ -123,6 +126,36 @@
         return int(head.split()[1]), head, body
 
 
+class HeldClient:
+    """A client on a blocking socket: what it does is known to the kernel at once, while the loop is held too."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address)
+
+    def write(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def leave(self, how: str) -> None:
+        """Close, reset or end the sending; a client that stays does nothing."""
+        if how == "half closed":
+            self.sock.shutdown(socket.SHUT_WR)
+        elif how in ("closed", "reset"):
+            if how == "reset":
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.close()
+
+
+def write_now(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Hand a peer's bytes to the kernel at once; the loop would do it in its next turn."""
+    assert os.write(writer.transport.get_extra_info("socket").fileno(), data) == len(data)
+
+
+def end_now(writer: asyncio.StreamWriter) -> None:
+    """End a peer's connection at once, both ways."""
+    with socket.socket(fileno=os.dup(writer.transport.get_extra_info("socket").fileno())) as sock:
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def request(cls: str = "vat-filing", number: int = 1, **changes: str | None) -> bytes:
     """A client's request; changes name headers with _ for -, None leaves one out."""
     method = "GET" if cls == "ledger-read" else "POST"
--- a/troutdock/backends.py
+++ b/troutdock/backends.py
@@ -213,7 +213,7 @@
             if connection is None and sock is not None:
                 sock.close()
         # its own attempt first: guards against one left waiting with no connection coming up for it
-        if attempt not in self.waiting:
+        if attempt not in self.waiting or not self._backends.wanted(attempt):
             self.offer(connection)
         elif connection.usable():
             self.waiting.remove(attempt)
@@ -249,8 +249,13 @@
             asyncio.get_running_loop().call_later(REST_S + 0.001, self._serve_waiting)
 
     def _serve_waiting(self) -> None:
-        while self.waiting and (connection := self._rested()) is not None:
-            connection.start(self.waiting.popleft())
+        for attempt in list(self.waiting):
+            if not self._backends.wanted(attempt):
+                continue
+            if (connection := self._rested()) is None:
+                return
+            self.waiting.remove(attempt)
+            connection.start(attempt)
 
     def reset_after(self, idle_s: float, took_s: float) -> None:
         """A connection was reset under a request that it got after standing idle."""
@@ -302,11 +307,13 @@
     """All backends that the gateway may name, within a bound on the connections to them."""
 
     def __init__(self, max_open: int, connect_timeout_s: float, idle_s: float, ended: Ended,
-                 max_answer: int = MAX_BODY) -> None:
+                 max_answer: int = MAX_BODY,
+                 wanted: Callable[[Attempt], bool] = lambda attempt: True) -> None:
         self.max_answer = max_answer  # bytes of a body
         self.max_open, self.connect_timeout_s, self._idle_s = max_open, connect_timeout_s, idle_s * IDLE_PART
         self.use_s = self._idle_s  # how long a connection may have stood idle to be used again
         self.ended = ended
+        self.wanted = wanted  # asked before an attempt that has waited is written; gives up one that is not
         self.open = 0  # connections, those coming up among them
         self._pools: dict[BackendId, Pool] = {}
 
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -66,6 +66,9 @@
     def answer(self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
         """Send the final answer."""
 
+    def left(self) -> bool:
+        """The client has gone, whether the loop has learnt that or not."""
+
 
 class Call:
     """A request that still owes its answer, or has attempts out."""
@@ -97,7 +100,7 @@
         self._drain_ms = longest + KILL_MS - KILL_MARGIN_MS
         self._answer_by = inf  # on the gateway's clock: the end of a drain
         self.backends = Backends(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
-                                 self._attempt_ended, config.max_answer)
+                                 self._attempt_ended, config.max_answer, self._wanted)
         self.counter: Counter | None = None
         if config.settings.counter:
             timeout_s = settings.counter_timeout_ms / 1000
@@ -244,7 +247,19 @@
         attempt = Attempt(call, len(call.attempts), action.backend, call.request.payload(left_ms), now,
                           call.request.repeatable)
         call.attempts.append(attempt)
-        self.backends.start(attempt)
+        # one that is sent as it arrives has been looked at just now, and has no timer yet
+        if call.timer is None or self._wanted(attempt):
+            self.backends.start(attempt)
+
+    def _wanted(self, attempt: Attempt) -> bool:
+        """Guards what has waited: in a late turn of the loop a timer may come before the client's end.
+
+        The call is withdrawn where its client has left, and all its attempts with it.
+        """
+        call: Call = attempt.owner
+        if call.exchange.left():
+            self.withdraw(call)
+        return not attempt.over
 
     def _answer(self, call: Call, status: int, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
         """The final answer to a request that is not served."""
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -29,6 +29,7 @@
 LINGER_S = 1.0  # what a client still sends is read and dropped for so long, so that it can read its answer
 FRESH_S = 0.05  # a connection younger than this may be about to bring its request
 BACKLOG = 1024
+TCP_ESTABLISHED = 1  # the state that TCP_INFO begins with, while neither side has ended its sending
 ACCEPT_AT_ONCE = 16  # connections, before those accepted are listened to
 ACCEPT_PAUSE_S = 0.05
 DRAIN_ACCEPT_S, DRAIN_QUIET_S, DRAIN_MOST_S = 0.4, 0.2, 1.0  # how long SIGTERM leaves the door open
@@ -57,6 +58,10 @@
         self.head, self.body = b"\r\n".join(lines), body
         self.connection.flush()
 
+    def left(self) -> bool:
+        """The client has gone."""
+        return self.connection.left()
+
 
 class ClientConnection(asyncio.Protocol):
     """A connection of a client; requests may come in pieces, in a row, or chunked."""
@@ -217,12 +222,13 @@
         self._deaf = True
         self._transport.abort()
 
-    def _left(self) -> bool:
-        """Guards against sending on what waited unread until its client had left; the loop learns it next."""
+    def left(self) -> bool:
+        """Guards against an attempt for a client that has left, before the loop has learnt that.
+
+        The state of the connection tells it behind unread bytes too, where a peek would show just these.
+        """
         try:
-            return not self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
+            return self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
         except OSError:
             return True
 
@@ -267,7 +273,7 @@
         self._received, self._begun = 0, False
         if self._deaf:
             return
-        if self._left():
+        if self.left():
             self._hear_no_more()
             return
         keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
