Let no gateway keep to fewer backends than the mean

Cause: with few gateways the bounded draw leaves some with two thirds of the mean: with 6 gateways before 12 backends one kept to 4, the window by rank to 6.

Change: gateways left with fewer than the mean, rounded up, take further backends.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -216,8 +216,8 @@
 
     Consistent hashing with bounded loads. Each backend, in the order of the hashes, takes the gateways that
     its own hash names one after another, but those that have enough already; then gateways that were left
-    with few take further backends. The same list gives the same pairs at every gateway, whatever came before.
-    A large fleet draws in teams of gateways, which share out the users of each backend.
+    with fewer than the mean take further backends. The same list gives the same pairs at every gateway,
+    whatever came before. A large fleet draws in teams of gateways, which share out a backend's users.
     """
 
     def __init__(self, gateways: int, index: int, parts: int = 1) -> None:
@@ -277,7 +277,7 @@
                         break
                 at = (at + step) % gateways
             used[backend] -= wanted
-        least = min(USERS, backends)
+        least = min(backends, max(USERS, ceil(backends * mean / gateways - 1e-9)))
         for number, mine in enumerate(kept):
             place, tries = number, 0
             while len(mine) < least:
