--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -119,7 +119,7 @@
 @click.option("--mode", default=Mode.GOOD.value, type=click.Choice([mode.value for mode in Mode]),
               help="How discovery answers.")
 @click.option("--seconds", default=10.0, type=SECONDS, help="To get ready in, and of requests then.")
-@click.option("--known", default=0, type=click.IntRange(0, 200), help="Listed in the configuration.")
+@click.option("--known", default=0, type=click.IntRange(0, MOST["backends"]), help="Listed in its file.")
 @click.option("--index", default=0, type=click.IntRange(0, INGRESSES - 1), help="Of the ingress.")
 @click.option("--rate", default=REQUESTS_PER_S / INGRESSES, type=click.FloatRange(1, 2000),
               help="Requests a second.")
