Take nothing from a list update that says the call has failed

Cause: the entries of an update of kind FAILED were believed like any other's (Gateway.fleet).

Change: the old list stands.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -472,6 +472,8 @@
 
     def fleet(self, now: float, event: FleetUpdate) -> None:
         """Follow the list; what it does not name as ready gets nothing new from this moment on."""
+        if event.kind is ListKind.FAILED:
+            return  # the old list stands
         gone: list[int] = []
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.backend for entry in event.entries}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -261,6 +261,13 @@
     play(Gateway(s, 3).handle, s, steps, lambda: Gateway(s, 4).handle)
 
 
+def test_a_failed_call_for_the_list_changes_nothing_whatever_comes_with_it() -> None:
+    """Found by the test above once the numbers that it draws had changed: what drained was sent to again."""
+    s = settings(plans=PLANS, marks_retry=False, counter=True)
+    steps = [("fleet", 7964, 209), ("end", 613, 205), ("fleet", 886, 343), ("ask", 412720, 125)]
+    play(Gateway(s, 3).handle, s, steps)
+
+
 class Broken(Gateway):
     """A gateway with one deliberate fault, to show that the checker can fail."""
 
