End also a process that was being started when a lab run is interrupted

Cause: an interrupt that came between a child's beginning and its being known cancelled its start, and nobody ended it. Seen once: the test of interrupts failed in a full run on a loaded machine and left a process; ten runs side by side did not show it again. That this moment was that failure's cause is likely and not proved.

Change: the start is seen through before the interrupt goes on. A test cancels in just that moment; it failed before.

--- a/fleetlab/children.py
+++ b/fleetlab/children.py
@@ -63,9 +63,14 @@
         if len(self.pids) >= MOST:
             raise RuntimeError(f"{MOST} processes are enough")
         pipe = asyncio.subprocess.PIPE
-        process = await asyncio.create_subprocess_exec(
+        made = asyncio.ensure_future(asyncio.create_subprocess_exec(
             sys.executable, "-m", module, stdin=pipe, stdout=pipe, stderr=pipe,
-            env={**os.environ, **(env or {})}, start_new_session=True)  # a ^C is ours to handle, not theirs
+            env={**os.environ, **(env or {})}, start_new_session=True))  # a ^C is ours to handle, not theirs
+        try:
+            process = await asyncio.shield(made)
+        except asyncio.CancelledError:
+            self._children.append(Child(await made))  # it may run already, and is to be ended like the others
+            raise
         child = Child(process)
         self._children.append(child)
         if first and process.stdin is not None:
--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -283,6 +283,20 @@
     assert not [pid for pid in started if Path(f"/proc/{pid}").exists()]
 
 
+def test_an_interrupt_while_a_process_is_being_started_leaves_none() -> None:
+    """Guards the moment between a process's beginning and its being known; an interrupted run left one under load."""
+    async def test() -> None:
+        before, children = children_of(os.getpid()), Children()
+        starting = asyncio.create_task(children.start("fleetlab.hollow"))
+        await asyncio.sleep(0)
+        starting.cancel()
+        await asyncio.wait([starting])
+        assert starting.cancelled() and len(children.pids) == 1
+        await children.end()
+        assert children_of(os.getpid()) == before
+    run(test())
+
+
 def test_children_that_ignore_their_end_are_killed(monkeypatch: Any) -> None:
     """Guards against a process that SIGTERM does not end; here it stands still."""
     monkeypatch.setattr("fleetlab.children.END_S", 0.1)
