--- a/fleetlab/agent.py
+++ b/fleetlab/agent.py
@@ -43,10 +43,14 @@
     def __init__(self, entries: Sequence[dict[str, Any]], mode: Mode = Mode.GOOD) -> None:
         self.mode = mode
         self.rev = 1
-        self.whole_calls = self.watch_calls = self.whole_lists = self.bytes_written = self.connections = 0
+        self.whole_calls = self.watch_calls = self.whole_lists = self.bytes_written = (
+            self.connections
+        ) = 0
         self._entries = [dict(entry) for entry in entries]
         self._lines = [_encode(entry) for entry in entries]
-        self._changes: deque[tuple[int, int]] = deque(maxlen=KEPT_CHANGES)  # version, number of the entry
+        self._changes: deque[tuple[int, int]] = deque(
+            maxlen=KEPT_CHANGES
+        )  # version, number of the entry
         self._whole: bytes | None = None
         self._news = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -97,7 +101,9 @@
         self.whole_lists += 1
         if self._whole is None:
             both = zip(self._entries, self._lines, strict=True)
-            self._whole = self._list(True, [line for entry, line in both if entry["state"] != "left"])
+            self._whole = self._list(
+                True, [line for entry, line in both if entry["state"] != "left"]
+            )
         return self._whole
 
     def _list(self, whole: bool, lines: Sequence[bytes]) -> bytes:
@@ -111,7 +117,9 @@
         self.connections += 1
         writer.transport.set_write_buffer_limits(high=0)
         connection: socket.socket = writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, PIECE)  # what is written is nearly read
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, PIECE
+        )  # what is written is nearly read
         # a loop sets this by itself only on sockets of its own making: without it a short list waits 40 ms
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -157,10 +165,13 @@
             case _:
                 body = self.body(since)
         length, torn = len(body), self.mode is Mode.TORN
-        await self._write(writer, b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                  b"Content-Length: %d\r\n\r\n" % length)
+        await self._write(
+            writer,
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n" % length,
+        )
         for at in range(0, length // 2 if torn else length, PIECE):
-            await self._write(writer, body[at:min(at + PIECE, length // 2 if torn else length)])
+            await self._write(writer, body[at : min(at + PIECE, length // 2 if torn else length)])
         return not torn
 
     async def _wait(self, query: str) -> int | None:
--- a/fleetlab/backends.py
+++ b/fleetlab/backends.py
@@ -69,8 +69,10 @@
                     self._open -= 1
                 if writer.transport.is_closing():
                     return  # nobody is there any more
-                writer.write(b"HTTP/1.1 200 OK\r\nServer-Load: inflight=%d,queue=0,util=%.2f\r\n"
-                             b"Content-Length: 4\r\n\r\ndone" % (self._open, min(1.0, self._open / 100)))
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nServer-Load: inflight=%d,queue=0,util=%.2f\r\n"
+                    b"Content-Length: 4\r\n\r\ndone" % (self._open, min(1.0, self._open / 100))
+                )
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
             pass
         except asyncio.CancelledError:
--- a/fleetlab/children.py
+++ b/fleetlab/children.py
@@ -20,8 +20,10 @@
         self.process = process
         self.out: deque[bytes] = deque(maxlen=KEPT_LINES)
         self.err: deque[bytes] = deque(maxlen=KEPT_LINES)
-        self._readers = [asyncio.create_task(self._read(process.stdout, self.out)),
-                         asyncio.create_task(self._read(process.stderr, self.err))]
+        self._readers = [
+            asyncio.create_task(self._read(process.stdout, self.out)),
+            asyncio.create_task(self._read(process.stderr, self.err)),
+        ]
 
     @property
     def pid(self) -> int:
@@ -55,7 +57,9 @@
         """Those that still run."""
         return [child.pid for child in self._children if child.running]
 
-    async def start(self, module: str, env: Mapping[str, str] | None = None, first: bytes = b"") -> Child:
+    async def start(
+        self, module: str, env: Mapping[str, str] | None = None, first: bytes = b""
+    ) -> Child:
         """python -m module, with these bytes on its standard input; RuntimeError past the bound on processes.
 
         Its standard input stays open as long as the run lasts: a process that reads it sees the run's end.
@@ -63,13 +67,24 @@
         if len(self.pids) >= MOST:
             raise RuntimeError(f"{MOST} processes are enough")
         pipe = asyncio.subprocess.PIPE
-        made = asyncio.ensure_future(asyncio.create_subprocess_exec(
-            sys.executable, "-m", module, stdin=pipe, stdout=pipe, stderr=pipe,
-            env={**os.environ, **(env or {})}, start_new_session=True))  # a ^C is ours to handle, not theirs
+        made = asyncio.ensure_future(
+            asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                stdin=pipe,
+                stdout=pipe,
+                stderr=pipe,
+                env={**os.environ, **(env or {})},
+                start_new_session=True,
+            )
+        )  # a ^C is ours to handle, not theirs
         try:
             process = await asyncio.shield(made)
         except asyncio.CancelledError:
-            self._children.append(Child(await made))  # it may run already, and is to be ended like the others
+            self._children.append(
+                Child(await made)
+            )  # it may run already, and is to be ended like the others
             raise
         child = Child(process)
         self._children.append(child)
--- a/fleetlab/clients.py
+++ b/fleetlab/clients.py
@@ -44,8 +44,15 @@
     delays, also by those that were sent late because of it. statuses counts answers; 0 stands for none.
     """
 
-    def __init__(self, address: str, rate: float, seed: int = 0, customers: int = 1000, first: int = 0,
-                 spread: int = 3) -> None:
+    def __init__(
+        self,
+        address: str,
+        rate: float,
+        seed: int = 0,
+        customers: int = 1000,
+        first: int = 0,
+        spread: int = 3,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._address, self._rate, self._random = (host, int(port)), rate, Random(seed)
         self._customers, self._set = customers, f"spread={spread},first={first}"
@@ -78,16 +85,22 @@
     def _message(self) -> bytes:
         random = self._random
         number, customer = random.getrandbits(64), random.randrange(self._customers)
-        return (f"GET /r0/1 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {number:016x}\r\n"
-                f"Plan: plus\r\nAccount: {customer:016x}\r\n"
-                f"Request-Timeout: {TIMEOUT_S:.3f}\r\nQuota-Info: units=1,{self._set}\r\n\r\n").encode()
+        return (
+            f"GET /r0/1 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {number:016x}\r\n"
+            f"Plan: plus\r\nAccount: {customer:016x}\r\n"
+            f"Request-Timeout: {TIMEOUT_S:.3f}\r\nQuota-Info: units=1,{self._set}\r\n\r\n"
+        ).encode()
 
     async def _one(self, intended: float, message: bytes) -> None:
         loop, status, stream = asyncio.get_running_loop(), 0, None
         async with self._room:
             try:
                 async with asyncio.timeout_at(intended + TIMEOUT_S + 1):
-                    stream = self._idle.pop() if self._idle else await asyncio.open_connection(*self._address)
+                    stream = (
+                        self._idle.pop()
+                        if self._idle
+                        else await asyncio.open_connection(*self._address)
+                    )
                     status = await ask(stream, message)
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 if stream is not None:
--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -46,9 +46,11 @@
             if not caught:  # a second one must not cut the ending of processes short
                 caught.append(signum)
                 task.cancel()
+
         for signum in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(signum, interrupt, signum)
         return await work
+
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             return runner.run(main())
@@ -56,7 +58,9 @@
         raise Interrupted(caught[0] if caught else signal.SIGINT) from None
 
 
-def _points(context: click.Context, parameter: click.Parameter, text: str | None) -> tuple[int, ...]:
+def _points(
+    context: click.Context, parameter: click.Parameter, text: str | None
+) -> tuple[int, ...]:
     if text is None:
         return ()
     try:
@@ -75,9 +79,16 @@
 
 
 SECONDS = click.FloatRange(0, MOST_SECONDS, min_open=True)
-OUT = click.option("--out", required=True, type=click.Path(path_type=Path), callback=_folder,
-                   help="Folder of the result files; made if need be.")
-SEED = click.option("--seed", default=0, type=click.IntRange(0, 2**31), help="Of lists and requests.")
+OUT = click.option(
+    "--out",
+    required=True,
+    type=click.Path(path_type=Path),
+    callback=_folder,
+    help="Folder of the result files; made if need be.",
+)
+SEED = click.option(
+    "--seed", default=0, type=click.IntRange(0, 2**31), help="Of lists and requests."
+)
 
 
 @click.group(no_args_is_help=False)
@@ -87,11 +98,15 @@
 
 @cli.command()
 @OUT
-@click.option("--axis", "axes", multiple=True, type=click.Choice(list(POINTS)), help="All, if none is named.")
+@click.option(
+    "--axis", "axes", multiple=True, type=click.Choice(list(POINTS)), help="All, if none is named."
+)
 @click.option("--points", callback=_points, help="Sizes, with commas between; needs one --axis.")
 @click.option("--seconds", default=5.0, type=SECONDS, help="Measured at each point.")
 @SEED
-def sweep(out: Path, axes: tuple[str, ...], points: tuple[int, ...], seconds: float, seed: int) -> None:
+def sweep(
+    out: Path, axes: tuple[str, ...], points: tuple[int, ...], seconds: float, seed: int
+) -> None:
     """Play a grid of sizes with hollow ingresses; every result is written as soon as it is there."""
     if points and len(axes) != 1:
         raise click.UsageError("--points needs one --axis")
@@ -107,32 +122,68 @@
             figures = bounded(sizes.play(axis, size, seconds, seed))
         except PastHalf as error:
             note = str(error)
-        append(out / f"{axis}.jsonl", Result("sweep", axis, size, seed, figures, commit, machine, note))
+        append(
+            out / f"{axis}.jsonl", Result("sweep", axis, size, seed, figures, commit, machine, note)
+        )
         shown = {name: round(value, 3) for name, value in figures.items() if value is not None}
         console.print(f"{axis} {size}: {note or shown}", highlight=False, soft_wrap=True)
 
 
 @cli.command()
 @OUT
-@click.option("--backends", default=200, type=click.IntRange(1, MOST["backends"]),
-              help="Listed by discovery.")
-@click.option("--mode", default=Mode.GOOD.value, type=click.Choice([mode.value for mode in Mode]),
-              help="How discovery answers.")
-@click.option("--seconds", default=10.0, type=SECONDS, help="To get ready in, and of requests then.")
-@click.option("--known", default=0, type=click.IntRange(0, MOST["backends"]), help="Listed in its file.")
+@click.option(
+    "--backends", default=200, type=click.IntRange(1, MOST["backends"]), help="Listed by discovery."
+)
+@click.option(
+    "--mode",
+    default=Mode.GOOD.value,
+    type=click.Choice([mode.value for mode in Mode]),
+    help="How discovery answers.",
+)
+@click.option(
+    "--seconds", default=10.0, type=SECONDS, help="To get ready in, and of requests then."
+)
+@click.option(
+    "--known", default=0, type=click.IntRange(0, MOST["backends"]), help="Listed in its file."
+)
 @click.option("--index", default=0, type=click.IntRange(0, INGRESSES - 1), help="Of the ingress.")
-@click.option("--rate", default=REQUESTS_PER_S / INGRESSES, type=click.FloatRange(1, 2000),
-              help="Requests a second.")
-@click.option("--changes", default=1.0, type=click.FloatRange(0, 1000), help="Changes of the list, a second.")
+@click.option(
+    "--rate",
+    default=REQUESTS_PER_S / INGRESSES,
+    type=click.FloatRange(1, 2000),
+    help="Requests a second.",
+)
+@click.option(
+    "--changes", default=1.0, type=click.FloatRange(0, 1000), help="Changes of the list, a second."
+)
 @SEED
-def real(out: Path, backends: int, mode: str, seconds: float, known: int, index: int, rate: float,
-         changes: float, seed: int) -> None:
+def real(
+    out: Path,
+    backends: int,
+    mode: str,
+    seconds: float,
+    known: int,
+    index: int,
+    rate: float,
+    changes: float,
+    seed: int,
+) -> None:
     """Play one real ingress before stand-ins, and measure it from outside."""
     out.mkdir(parents=True, exist_ok=True)
     console, note, figures = Console(stderr=True), "", {}
     try:
-        figures = bounded(real_ingress.compare(backends, Mode(mode), seconds, seed, index=index, known=known,
-                                               rate=rate, changes_per_s=changes))
+        figures = bounded(
+            real_ingress.compare(
+                backends,
+                Mode(mode),
+                seconds,
+                seed,
+                index=index,
+                known=known,
+                rate=rate,
+                changes_per_s=changes,
+            )
+        )
         if figures["ready_s"] is None:
             note = f"never ready within {seconds:g} s"
     except (PastHalf, RuntimeError, TimeoutError) as error:
@@ -150,9 +201,15 @@
 
 @cli.command()
 @OUT
-@click.option("--sizes", "text", default=",".join(f"{g}x{b}" for g, b in fleet_pairs.SIZES),
-              help="Gateways x backends, with commas between.")
-@click.option("--replacements", default=10, type=click.IntRange(1, 1000), help="Backends replaced in turn.")
+@click.option(
+    "--sizes",
+    "text",
+    default=",".join(f"{g}x{b}" for g, b in fleet_pairs.SIZES),
+    help="Gateways x backends, with commas between.",
+)
+@click.option(
+    "--replacements", default=10, type=click.IntRange(1, 1000), help="Backends replaced in turn."
+)
 @SEED
 def pairs(out: Path, text: str, replacements: int, seed: int) -> None:
     """Model which gateways keep to which backends: by rank, as it was, and by subset, as it is."""
@@ -160,7 +217,9 @@
         played = [(int(g), int(b)) for g, _, b in (size.partition("x") for size in text.split(","))]
     except ValueError:
         raise click.UsageError(f"--sizes: {text!r} is not gateways x backends") from None
-    if len(played) > MOST_POINTS or any(not 1 <= g <= 20_000 or not 1 <= b <= 200_000 for g, b in played):
+    if len(played) > MOST_POINTS or any(
+        not 1 <= g <= 20_000 or not 1 <= b <= 200_000 for g, b in played
+    ):
         raise click.UsageError(f"--sizes: {text!r} has a size that is too large, or none")
     out.mkdir(parents=True, exist_ok=True)
     commit, machine = this_commit(), this_machine()
@@ -169,9 +228,13 @@
     for gateways, backends in played:
         for scheme in fleet_pairs.SCHEMES:
             found = fleet_pairs.measure(scheme, gateways, backends, seed, replacements)
-            figures: Figures = {name: float(getattr(found, name)) for name in names if name != "scheme"}
-            append(out / f"pairs-{scheme}.jsonl",
-                   Result("pairs", f"pairs-{scheme}", backends, seed, figures, commit, machine))
+            figures: Figures = {
+                name: float(getattr(found, name)) for name in names if name != "scheme"
+            }
+            append(
+                out / f"pairs-{scheme}.jsonl",
+                Result("pairs", f"pairs-{scheme}", backends, seed, figures, commit, machine),
+            )
             table.add_row(scheme, *(f"{value:,.4g}" for value in figures.values()))
     Console(width=None if sys.stdout.isatty() else 200).print(table)
 
--- a/fleetlab/counter.py
+++ b/fleetlab/counter.py
@@ -104,7 +104,9 @@
         text = b"%.7g" % (total + amount)
         return due, b"$%d\r\n%b\r\n" % (len(text), text)
 
-    async def _write(self, replies: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter) -> None:
+    async def _write(
+        self, replies: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter
+    ) -> None:
         try:
             while True:
                 due, reply = await replies.get()
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -23,8 +23,21 @@
 from fleetlab.site import config_text
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
-    AttemptEnded, BackendState, Count, CountAnswered, Event, Fail, FleetUpdate, ListKind, Outcome, Refuse,
-    RequestArrived, RequestWithdrawn, Send, SetTimer, TimerFired,
+    AttemptEnded,
+    BackendState,
+    Count,
+    CountAnswered,
+    Event,
+    Fail,
+    FleetUpdate,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestWithdrawn,
+    Send,
+    SetTimer,
+    TimerFired,
 )
 from troutdock.background import Background
 from troutdock.config import Config, read_config
@@ -120,12 +133,16 @@
         super().__init__()
         self.received: dict[int, int] = {}
 
-    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None,
-                                **more: Any) -> Any:
+    async def create_connection(
+        self, protocol_factory: Any, host: Any = None, port: Any = None, **more: Any
+    ) -> Any:
         def count(size: int) -> None:
             self.received[port] = self.received.get(port, 0) + size
+
         inner = protocol_factory()
-        transport, _ = await super().create_connection(lambda: _Counted(inner, count), host, port, **more)
+        transport, _ = await super().create_connection(
+            lambda: _Counted(inner, count), host, port, **more
+        )
         return transport, inner
 
 
@@ -147,10 +164,18 @@
         self._events: deque[Event] = deque()
         self._busy = False
         known, _ = config.known
-        self.discovery = Discovery(config.discovery, config.lists, known.version, self.fleet,
-                                   config.settings.drain_grace_ms / 1000)
-        self.counter = (Counter(config.counter, config.settings.counter_timeout_ms / 1000, self._answered)
-                        if config.settings.counter else None)
+        self.discovery = Discovery(
+            config.discovery,
+            config.lists,
+            known.version,
+            self.fleet,
+            config.settings.drain_grace_ms / 1000,
+        )
+        self.counter = (
+            Counter(config.counter, config.settings.counter_timeout_ms / 1000, self._answered)
+            if config.settings.counter
+            else None
+        )
 
     def now(self) -> float:
         """Milliseconds on the scale of Unix time, as the gateway is told them."""
@@ -184,8 +209,11 @@
         number = self.arrived
         self._tries[number] = 0
         self._due.append((self.now() + TIME_LEFT_MS, number))
-        self._handle(RequestArrived(number, customer, 0, cls, units, self.config.settings.index, WIDTH,
-                                    TIME_LEFT_MS))
+        self._handle(
+            RequestArrived(
+                number, customer, 0, cls, units, self.config.settings.index, WIDTH, TIME_LEFT_MS
+            )
+        )
 
     def sweep(self) -> None:
         """Withdraw what has waited for the counter past its time."""
@@ -217,7 +245,9 @@
             case Send(number, backend):
                 self.sent += 1
                 attempt = self._tries.pop(number, 0)
-                self._events.append(AttemptEnded(number, attempt, backend, Outcome.OK, ANSWER_MS, True))
+                self._events.append(
+                    AttemptEnded(number, attempt, backend, Outcome.OK, ANSWER_MS, True)
+                )
             case Refuse(number):
                 self.refused += 1
                 self._tries.pop(number, None)
@@ -234,9 +264,17 @@
 def configs(spec: HollowSpec) -> Iterator[Config]:
     """Each ingress's own configuration, read from its own text; ConfigError if the spec makes none."""
     for index in range(spec.first, spec.first + spec.ingresses):
-        yield read_config(config_text(index=index, gateways=spec.gateways, discovery=spec.discovery,
-                                      counter=spec.counter, seed=spec.seed, classes=spec.classes,
-                                      burst=spec.burst))
+        yield read_config(
+            config_text(
+                index=index,
+                gateways=spec.gateways,
+                discovery=spec.discovery,
+                counter=spec.counter,
+                seed=spec.seed,
+                classes=spec.classes,
+                burst=spec.burst,
+            )
+        )
 
 
 class HollowProcess:
@@ -269,7 +307,11 @@
         except TimeoutError:
             pass
         finally:
-            if driver.done() and not driver.cancelled() and (error := driver.exception()) is not None:
+            if (
+                driver.done()
+                and not driver.cancelled()
+                and (error := driver.exception()) is not None
+            ):
                 raise error
             driver.cancel()
             for task in tasks:
@@ -291,31 +333,46 @@
             before = time.thread_time()
             for ingress in self.ingresses:
                 for _ in range(made, due):
-                    ingress.arrive(self._random.randrange(self.spec.customers),
-                                   self._random.randrange(self.spec.classes))
+                    ingress.arrive(
+                        self._random.randrange(self.spec.customers),
+                        self._random.randrange(self.spec.classes),
+                    )
                 ingress.sweep()
             self._decision_s += time.thread_time() - before
             made = due
 
     def report(self) -> Report:
         """The sums as they stand."""
+
         def total(name: str) -> int:
             return sum(getattr(ingress, name) for ingress in self.ingresses)
+
         received, first = self._loop.received, self.ingresses[0].config
         held = [len(ingress.endpoints) for ingress in self.ingresses]
         told_ms = max(ingress.told_ms for ingress in self.ingresses)
         for ingress in self.ingresses:
             ingress.told_ms = 0.0
         return Report(
-            at_s=self._loop.time() - self._began, ready_s=self._ready_s, entries=sum(held),
+            at_s=self._loop.time() - self._began,
+            ready_s=self._ready_s,
+            entries=sum(held),
             least_entries=min(held),
             discovery_bytes=received.get(first.discovery[1], 0),
             counter_bytes=received.get(first.counter[1], 0) if first.counter else 0,
-            counter_calls=total("counter_calls"), counter_added=total("counter_added"),
-            arrived=total("arrived"), sent=total("sent"), refused=total("refused"), failed=total("failed"),
-            changes=total("changes"), told_ms=told_ms, base_mb=self._base_mb,
-            rss_mb=rss_mb(os.getpid()), peak_mb=peak_mb(os.getpid()),
-            cpu_s=time.process_time() - self._cpu_before, decision_cpu_s=self._decision_s)
+            counter_calls=total("counter_calls"),
+            counter_added=total("counter_added"),
+            arrived=total("arrived"),
+            sent=total("sent"),
+            refused=total("refused"),
+            failed=total("failed"),
+            changes=total("changes"),
+            told_ms=told_ms,
+            base_mb=self._base_mb,
+            rss_mb=rss_mb(os.getpid()),
+            peak_mb=peak_mb(os.getpid()),
+            cpu_s=time.process_time() - self._cpu_before,
+            decision_cpu_s=self._decision_s,
+        )
 
 
 async def _run(spec: HollowSpec, loop: CountingLoop) -> None:
@@ -326,6 +383,7 @@
     def heard() -> None:
         if not os.read(sys.stdin.fileno(), 4096):
             stop.set()
+
     loop.add_reader(sys.stdin.fileno(), heard)
     await HollowProcess(spec, loop).run(stop)
 
--- a/fleetlab/pairs.py
+++ b/fleetlab/pairs.py
@@ -14,7 +14,12 @@
 from fleetlab.plan import ZONES
 from tamarindfold.choice import USERS, Part, Subset
 
-SIZES = ((40, 60), (200, 200), (690, 9900), (6900, 99_000))  # gateways, backends; the last is the plan's
+SIZES = (
+    (40, 60),
+    (200, 200),
+    (690, 9900),
+    (6900, 99_000),
+)  # gateways, backends; the last is the plan's
 SCHEMES = ("rank", "subset")  # as it was, and as it is
 
 
@@ -46,7 +51,9 @@
         width = min(count, max(USERS, ceil(count * USERS / self._gateways)))
         for index in range(self._gateways):
             start = index * count // self._gateways
-            yield (self._ring[start:start + width] + self._ring[:max(0, start + width - count)])[:width]
+            yield (self._ring[start : start + width] + self._ring[: max(0, start + width - count)])[
+                :width
+            ]
 
 
 class BySubset:
@@ -57,9 +64,13 @@
         first.bear(backends)
         self.parts = first.parts
         self._parts = [Part(gateways, index, self.parts) for index in range(self.parts)]
-        self._teams = [[Subset(gateways, index + team * self.parts, self.parts)
-                        for team in range(Subset(gateways, index, self.parts).teams)]
-                       for index in range(self.parts)]
+        self._teams = [
+            [
+                Subset(gateways, index + team * self.parts, self.parts)
+                for team in range(Subset(gateways, index, self.parts).teams)
+            ]
+            for index in range(self.parts)
+        ]
 
     def place(self, backend: int, ready: bool) -> None:
         at = next(number for number, part in enumerate(self._parts) if part.holds(backend))
@@ -93,7 +104,9 @@
     return frozenset((gateway, backend) for gateway, mine in enumerate(kept) for backend in mine)
 
 
-def measure(scheme: str, gateways: int, backends: int, seed: int = 1, replacements: int = 10) -> PairFigures:
+def measure(
+    scheme: str, gateways: int, backends: int, seed: int = 1, replacements: int = 10
+) -> PairFigures:
     """Play replacements of one backend by another, in a fleet whose backends are dealt to the plan's zones.
 
     scheme: one of SCHEMES, ValueError for any other. gateways, backends: counts, one at least.
@@ -124,6 +137,17 @@
         new.append(len(now - before))
         before = now
     widths = [len(mine) for mine in kept]
-    return PairFigures(scheme, gateways, backends, float(np.mean(new)), max(new),
-                       min(users.values()), float(np.mean(list(users.values()))), max(users.values()),
-                       min(widths), float(np.mean(widths)), max(widths), float(min(left)))
+    return PairFigures(
+        scheme,
+        gateways,
+        backends,
+        float(np.mean(new)),
+        max(new),
+        min(users.values()),
+        float(np.mean(list(users.values()))),
+        max(users.values()),
+        min(widths),
+        float(np.mean(widths)),
+        max(widths),
+        float(min(left)),
+    )
--- a/fleetlab/plan.py
+++ b/fleetlab/plan.py
@@ -27,7 +27,8 @@
     "ingresses": INGRESSES,
     "tenants": TENANTS,
     "routes": ROUTES,
-    "changes": (CONFIG_CHANGES_PER_DAY + 2 * (MACHINES_FAILED_PER_DAY + MACHINES_REPLACED_PER_DAY)) / DAY_S,
+    "changes": (CONFIG_CHANGES_PER_DAY + 2 * (MACHINES_FAILED_PER_DAY + MACHINES_REPLACED_PER_DAY))
+    / DAY_S,
     "counter": REQUESTS_PER_S / INGRESSES,  # requests a second, of one or two calls each
     "real": BACKENDS,
 }
@@ -55,5 +56,11 @@
 }
 
 # The largest point that is played, so that a typing error doesn't take the machine.
-MOST: dict[str, int] = {"backends": 200_000, "ingresses": 4_000, "tenants": 300_000, "routes": 10_000,
-                        "changes": 1_000, "counter": 5_000}
+MOST: dict[str, int] = {
+    "backends": 200_000,
+    "ingresses": 4_000,
+    "tenants": 300_000,
+    "routes": 10_000,
+    "changes": 1_000,
+    "counter": 5_000,
+}
--- a/fleetlab/real.py
+++ b/fleetlab/real.py
@@ -36,7 +36,9 @@
                 if (found := _SERVING.search(line)) is not None:
                     return found[1].decode()
             if not ingress.running:
-                last = ingress.err[-1].decode(errors="replace").strip() if ingress.err else "no word"
+                last = (
+                    ingress.err[-1].decode(errors="replace").strip() if ingress.err else "no word"
+                )
                 raise RuntimeError(f"the ingress has ended: {last}")
             await asyncio.sleep(0.01)
 
@@ -80,12 +82,24 @@
     late = backends.requests[busiest] - count
     agent.change(numbers, state="active")
     stopped = last < at + LEAVING_S - 1.0
-    return {"in_force_s": last - at if stopped else None, "leaving_entries": float(len(numbers)),
-            "sent_to_leaving": float(late)}
-
-
-async def play(count: int, mode: Mode, seconds: float, seed: int, *, index: int = 0, known: int = 0,
-               rate: float = REQUESTS_PER_S / INGRESSES, changes_per_s: float = 1.0) -> Figures:
+    return {
+        "in_force_s": last - at if stopped else None,
+        "leaving_entries": float(len(numbers)),
+        "sent_to_leaving": float(late),
+    }
+
+
+async def play(
+    count: int,
+    mode: Mode,
+    seconds: float,
+    seed: int,
+    *,
+    index: int = 0,
+    known: int = 0,
+    rate: float = REQUESTS_PER_S / INGRESSES,
+    changes_per_s: float = 1.0,
+) -> Figures:
     """The figures of one ingress before count listed backends; known of them stand in its configuration.
 
     None: not measured. Where the ingress is never ready, only memory, stalls and the agent's bytes are. The
@@ -107,8 +121,16 @@
     try:
         with tempfile.TemporaryDirectory(prefix="fleetlab-") as folder:
             path = Path(folder) / "config.json"
-            path.write_text(config_text(index=index, gateways=INGRESSES, discovery=agent.address,
-                                        counter=counter.address, seed=seed, known=listed[:known]))
+            path.write_text(
+                config_text(
+                    index=index,
+                    gateways=INGRESSES,
+                    discovery=agent.address,
+                    counter=counter.address,
+                    seed=seed,
+                    known=listed[:known],
+                )
+            )
             began = loop.time()
             ingress = await children.start("troutdock", {"RELAY_CONFIG": str(path)})
             address = await _address(ingress)
@@ -121,7 +143,9 @@
                 async with asyncio.timeout(seconds):
                     await health.ready.wait()
                 figures["ready_s"] = loop.time() - began
-                before = _spent(agent, ingress.pid)  # what it cost to get ready is not to count as a rate
+                before = _spent(
+                    agent, ingress.pid
+                )  # what it cost to get ready is not to count as a rate
             except TimeoutError:
                 figures["ready_s"] = None
             if figures["ready_s"] is not None:
@@ -140,18 +164,28 @@
                 await aside
                 p99, floor = percentile_ms(clients.latency, 99), percentile_ms(direct.latency, 99)
                 total = clients.statuses.total()
-                figures |= {"p50_ms": percentile_ms(clients.latency, 50), "p99_ms": p99,
-                            "direct_p99_ms": floor,
-                            "added_p99_ms": _added(p99, floor),
-                            "requests": float(total), "served": float(clients.statuses[200]),
-                            "refused": float(clients.statuses[429] + clients.statuses[503]),
-                            "unanswered": float(clients.statuses[0]), "lab_stall_ms": stall.worst_ms}
+                figures |= {
+                    "p50_ms": percentile_ms(clients.latency, 50),
+                    "p99_ms": p99,
+                    "direct_p99_ms": floor,
+                    "added_p99_ms": _added(p99, floor),
+                    "requests": float(total),
+                    "served": float(clients.statuses[200]),
+                    "refused": float(clients.statuses[429] + clients.statuses[503]),
+                    "unanswered": float(clients.statuses[0]),
+                    "lab_stall_ms": stall.worst_ms,
+                }
             check_memory(children.pids)
             after = _spent(agent, ingress.pid)
             at, used, written, calls = (b - a for a, b in zip(before, after, strict=True))
-            figures |= {"healthz_worst_ms": health.worst_ms, "rss_mb": rss_mb(ingress.pid),
-                        "peak_rss_mb": peak_mb(ingress.pid), "cpu_percent": used / at * 100,
-                        "agent_bytes_per_min": written / at * 60, "agent_calls_per_min": calls / at * 60}
+            figures |= {
+                "healthz_worst_ms": health.worst_ms,
+                "rss_mb": rss_mb(ingress.pid),
+                "peak_rss_mb": peak_mb(ingress.pid),
+                "cpu_percent": used / at * 100,
+                "agent_bytes_per_min": written / at * 60,
+                "agent_calls_per_min": calls / at * 60,
+            }
         return figures
     finally:
         for task in tasks:
@@ -163,13 +197,31 @@
             await stood.stop()
 
 
-async def compare(count: int, mode: Mode, seconds: float, seed: int, *, index: int = 0, known: int = 0,
-                  rate: float = REQUESTS_PER_S / INGRESSES, changes_per_s: float = 1.0) -> Figures:
+async def compare(
+    count: int,
+    mode: Mode,
+    seconds: float,
+    seed: int,
+    *,
+    index: int = 0,
+    known: int = 0,
+    rate: float = REQUESTS_PER_S / INGRESSES,
+    changes_per_s: float = 1.0,
+) -> Figures:
     """The same, with peak_over_200_mb: the peak over that with 200 listed backends, which is played first."""
-    small = await play(SMALL, Mode.GOOD, min(seconds, 3.0), seed, index=index, known=known, rate=rate,
-                       changes_per_s=changes_per_s)
-    figures = await play(count, mode, seconds, seed, index=index, known=known, rate=rate,
-                         changes_per_s=changes_per_s)
+    small = await play(
+        SMALL,
+        Mode.GOOD,
+        min(seconds, 3.0),
+        seed,
+        index=index,
+        known=known,
+        rate=rate,
+        changes_per_s=changes_per_s,
+    )
+    figures = await play(
+        count, mode, seconds, seed, index=index, known=known, rate=rate, changes_per_s=changes_per_s
+    )
     peak, before = figures.get("peak_rss_mb"), small.get("peak_rss_mb")
     known_peaks = peak is not None and before is not None and figures["ready_s"] is not None
     figures["peak_over_200_mb"] = peak - before if known_peaks and peak and before else None
--- a/fleetlab/results.py
+++ b/fleetlab/results.py
@@ -48,9 +48,20 @@
     """The commit that the code stands at, with + where files differ from it; empty if that is not known."""
     here = Path(__file__).parent
     try:
-        words = [subprocess.run(["git", *arguments], cwd=here, capture_output=True, text=True, timeout=10,
-                                check=True).stdout
-                 for arguments in (["rev-parse", "HEAD"], ["status", "--porcelain", "--untracked-files=no"])]
+        words = [
+            subprocess.run(
+                ["git", *arguments],
+                cwd=here,
+                capture_output=True,
+                text=True,
+                timeout=10,
+                check=True,
+            ).stdout
+            for arguments in (
+                ["rev-parse", "HEAD"],
+                ["status", "--porcelain", "--untracked-files=no"],
+            )
+        ]
     except (OSError, subprocess.SubprocessError):
         return ""
     return words[0].strip() + ("+" if words[1].strip() else "")
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -63,6 +63,19 @@
         else:
             verdict = "met" if least <= limit + ROUNDING else "missed"
         unmeasured = len(found) - len(measured)
-        slopes.append(Slope(axis, figure, points, unmeasured, slope, intercept, residual, at_plan, limit,
-                            size / max(float(np.max(x)), ROUNDING), verdict))
+        slopes.append(
+            Slope(
+                axis,
+                figure,
+                points,
+                unmeasured,
+                slope,
+                intercept,
+                residual,
+                at_plan,
+                limit,
+                size / max(float(np.max(x)), ROUNDING),
+                verdict,
+            )
+        )
     return slopes
--- a/fleetlab/sweep.py
+++ b/fleetlab/sweep.py
@@ -23,8 +23,16 @@
 READY_S = 30.0  # for a list to be held by all, and for the customers to be met
 LIST_POINT = 200  # backends where another axis is played
 A_PROCESS = 40  # hollow ingresses in one process, at most
-ENTRY_KB, INGRESS_MB, PROCESS_MB, TENANT_KB, ROUTE_KB = 2.0, 2.0, 60.0, 2.0, 60.0  # rough, to check memory
-NAMES_AT = ("127.0.0.1:9",)  # no attempt of a hollow ingress goes out, so nobody has to listen there
+ENTRY_KB, INGRESS_MB, PROCESS_MB, TENANT_KB, ROUTE_KB = (
+    2.0,
+    2.0,
+    60.0,
+    2.0,
+    60.0,
+)  # rough, to check memory
+NAMES_AT = (
+    "127.0.0.1:9",
+)  # no attempt of a hollow ingress goes out, so nobody has to listen there
 
 
 class Point(msgspec.Struct, frozen=True):
@@ -53,13 +61,17 @@
         case "changes":
             return Point(changes_per_s=size, ingresses=4)
         case "counter":
-            return Point(rate=size, burst=8.0)  # so small a burst that each request is a call or two
+            return Point(
+                rate=size, burst=8.0
+            )  # so small a burst that each request is a call or two
     raise ValueError(f"{axis} is no axis")
 
 
 def reports(child: Child) -> list[Report]:
     """What a hollow process has reported; what it writes beside that is left out."""
-    return [msgspec.json.decode(line, type=Report) for line in list(child.out) if line.startswith(b"{")]
+    return [
+        msgspec.json.decode(line, type=Report) for line in list(child.out) if line.startswith(b"{")
+    ]
 
 
 def _ready(child: Child) -> bool:
@@ -78,15 +90,32 @@
 
 
 @contextlib.asynccontextmanager
-async def _hollows(children: Children, played: Point, agent: Agent, counter: CounterServer, seed: int,
-                   seconds: float) -> AsyncIterator[list[Child]]:
+async def _hollows(
+    children: Children,
+    played: Point,
+    agent: Agent,
+    counter: CounterServer,
+    seed: int,
+    seconds: float,
+) -> AsyncIterator[list[Child]]:
     hollow = []
     for first in range(0, played.ingresses, A_PROCESS):
         spec = HollowSpec(
-            ingresses=min(A_PROCESS, played.ingresses - first), gateways=max(INGRESSES, played.ingresses),
-            discovery=agent.address, counter=counter.address, first=first, rate=played.rate, meet=played.meet,
-            classes=played.classes, burst=played.burst, seed=seed, seconds=READY_S + seconds + 30)
-        hollow.append(await children.start("fleetlab.hollow", first=msgspec.json.encode(spec) + b"\n"))
+            ingresses=min(A_PROCESS, played.ingresses - first),
+            gateways=max(INGRESSES, played.ingresses),
+            discovery=agent.address,
+            counter=counter.address,
+            first=first,
+            rate=played.rate,
+            meet=played.meet,
+            classes=played.classes,
+            burst=played.burst,
+            seed=seed,
+            seconds=READY_S + seconds + 30,
+        )
+        hollow.append(
+            await children.start("fleetlab.hollow", first=msgspec.json.encode(spec) + b"\n")
+        )
     try:
         yield hollow
     finally:
@@ -101,8 +130,11 @@
     """
     played = point(axis, size)
     kb = played.backends * ENTRY_KB + played.meet * TENANT_KB + played.classes * ROUTE_KB
-    expected = (played.ingresses * (INGRESS_MB + kb / 1024) + played.backends * ENTRY_KB / 1024
-                + (played.ingresses // A_PROCESS + 1) * PROCESS_MB)
+    expected = (
+        played.ingresses * (INGRESS_MB + kb / 1024)
+        + played.backends * ENTRY_KB / 1024
+        + (played.ingresses // A_PROCESS + 1) * PROCESS_MB
+    )
     check_memory([], expected)
     loop, children, changing = asyncio.get_running_loop(), Children(), None
     agent, counter = Agent(entries(played.backends, NAMES_AT, seed)), CounterServer()
@@ -124,8 +156,11 @@
                 check_memory(children.pids)
                 await asyncio.sleep(min(0.5, seconds))
             told = [reports(child) for child in hollow]
-        return _figures(played, [found[max(0, at - 1):] for found, at in zip(told, began, strict=True)],
-                        agent.whole_lists - lists)
+        return _figures(
+            played,
+            [found[max(0, at - 1) :] for found, at in zip(told, began, strict=True)],
+            agent.whole_lists - lists,
+        )
     finally:
         if changing is not None:
             changing.cancel()
@@ -137,13 +172,26 @@
 def _figures(played: Point, told: Sequence[Sequence[Report]], whole_lists: int) -> Figures:
     """Sums over the processes, from the first report of the measured time to the last."""
     held = [found[-1] for found in told if found]
-    needed = min(USERS, played.backends)  # an ingress keeps its part of a long list, and must have so many
+    needed = min(
+        USERS, played.backends
+    )  # an ingress keeps its part of a long list, and must have so many
     unheld = max((1 - min(1.0, r.least_entries / needed) for r in held), default=1.0)
-    figures: Figures = {"unheld_share": unheld,
-                        "held_entries": sum(r.entries for r in held) / played.ingresses,
-                        "whole_lists_given": float(whole_lists)}
-    names = ["ready_s", "held_mb", "peak_mb", "rss_mb", "control_cpu_percent", "control_bytes_per_s",
-             "decision_us", "counter_calls_per_s", "refused_share"] + ["told_ms"] * (played.changes_per_s > 0)
+    figures: Figures = {
+        "unheld_share": unheld,
+        "held_entries": sum(r.entries for r in held) / played.ingresses,
+        "whole_lists_given": float(whole_lists),
+    }
+    names = [
+        "ready_s",
+        "held_mb",
+        "peak_mb",
+        "rss_mb",
+        "control_cpu_percent",
+        "control_bytes_per_s",
+        "decision_us",
+        "counter_calls_per_s",
+        "refused_share",
+    ] + ["told_ms"] * (played.changes_per_s > 0)
     spans = [(found[0], found[-1]) for found in told if len(found) > 1]
     if len(spans) < len(told) or any(last.ready_s is None for _, last in spans):
         return figures | dict.fromkeys(names)
@@ -152,6 +200,7 @@
 
     def rise(name: str) -> float:
         return float(sum(getattr(last, name) - getattr(first, name) for first, last in spans))
+
     arrived, changes = rise("arrived"), rise("changes")
     return figures | {
         "ready_s": max(last.ready_s or 0.0 for _, last in spans),
@@ -163,4 +212,5 @@
         "decision_us": 1e6 * rise("decision_cpu_s") / arrived if arrived else None,
         "counter_calls_per_s": rise("counter_calls") / wall / count,
         "refused_share": rise("refused") / arrived if arrived else None,
-        **({"told_ms": max(r.told_ms for found in told for r in found[1:])} if changes else {})}
+        **({"told_ms": max(r.told_ms for found in told for r in found[1:])} if changes else {}),
+    }
--- a/tamarindfold/benchlink.py
+++ b/tamarindfold/benchlink.py
@@ -24,7 +24,7 @@
         if len(body) - at < wire.RECORD.size:
             raise wire.WireError(f"record {number} at byte {at}: truncated header")
         code, length = wire.RECORD.unpack_from(body, at)
-        fields = body[at + wire.RECORD.size:at + wire.RECORD.size + length]
+        fields = body[at + wire.RECORD.size : at + wire.RECORD.size + length]
         if len(fields) < max(length, wire.INSTANCE.size):
             raise wire.WireError(f"record {number} at byte {at}: truncated fields")
         (instance,) = wire.INSTANCE.unpack_from(fields)
@@ -37,7 +37,9 @@
             elif instance in gateways:
                 gateway = gateways[instance]
                 event = wire.read_event(code, fields, gateway.settings)
-                out += [wire.write_action(instance, action) for action in gateway.handle(now, event)]
+                out += [
+                    wire.write_action(instance, action) for action in gateway.handle(now, event)
+                ]
             else:
                 raise wire.WireError(f"instance {instance} has not been started")
         except ValueError as error:
--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -10,44 +10,108 @@
 from typing import Any
 
 from tamarindfold.interface import (
-    Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
-    FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
-    RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
+    Actions,
+    AttemptEnded,
+    BackendEntry,
+    BackendState,
+    Cancel,
+    Count,
+    CountAnswered,
+    Effect,
+    Event,
+    Fail,
+    FleetUpdate,
+    Group,
+    ListKind,
+    Outcome,
+    Plan,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    RequestWithdrawn,
+    Send,
+    SetTimer,
+    Settings,
+    TimerFired,
 )
 
 # ---- tuned constants
-RAISE, FALL = 1.5, 0.5  # a dry slice grows by half (design page); an over-used one loses half of its growth
-ROOM, SPENT = 0.9, 0.25  # of the burst: a fuller shared store has room for all; an emptier one is over-used
+RAISE, FALL = (
+    1.5,
+    0.5,
+)  # a dry slice grows by half (design page); an over-used one loses half of its growth
+ROOM, SPENT = (
+    0.9,
+    0.25,
+)  # of the burst: a fuller shared store has room for all; an emptier one is over-used
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
-NO_SHOW_MS = 2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
-QUEUE_MS = 10_000.0  # the longest virtual queue: clients that return at once would lengthen it without end
+NO_SHOW_MS = (
+    2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
+)
+QUEUE_MS = (
+    10_000.0  # the longest virtual queue: clients that return at once would lengthen it without end
+)
 FORGET_MS = 20_000.0  # a customer unseen for so long is forgotten, or later if its stores take longer to fill
-SECOND_MS, NAME_TTL_MS = 1000.0, 60_000.0  # how often a slice may grow; the longest life of a counter's name
-OLD_NEWS = 0.15  # of the quota's rate: how fast a told store is believed to refill, when asking is free
+SECOND_MS, NAME_TTL_MS = (
+    1000.0,
+    60_000.0,
+)  # how often a slice may grow; the longest life of a counter's name
+OLD_NEWS = (
+    0.15  # of the quota's rate: how fast a told store is believed to refill, when asking is free
+)
 DRIFT = 0.5  # of the burst: a count this far from the store is put right by a call of its own
-LUMP, CROWDED = 0.08, 0.4  # of the burst: reported at once; calling less freely leaves calls out by chance
+LUMP, CROWDED = (
+    0.08,
+    0.4,
+)  # of the burst: reported at once; calling less freely leaves calls out by chance
 ASK_FIRST, ASK_LEAST = 0.5, 0.01  # how freely the counter is called: at start, at least
 ASK_LESS, ASK_MORE = 0.7, 0.04  # what a late and a prompt answer do to that
 ASK_FREE = 0.9  # calling less freely than so, nothing is taken back from an empty store
 LATE_ANSWER = 0.8  # of the counter's time-out: an answer this slow is a sign of a crowded counter
-KEEP, LEARN = 0.9, 0.01  # weight of the past in moving means; how far an answer moves what a class takes
+KEEP, LEARN = (
+    0.9,
+    0.01,
+)  # weight of the past in moving means; how far an answer moves what a class takes
 BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend, toward what
 LEAP = 1.5  # of what the fleet is held for: a sign counts for that and one more at most
 NEWS_MS = 100.0  # without a sign from the fleet for so long, a backend with nothing from here gets a request
 BROKEN = 3.0  # in place of that where one connection or one spoilt answer may be to blame
 OVERDUE = 4.0  # of what an attempt is expected to take: by then a second copy goes elsewhere
-FORGIVE_MS, TOUCHES = 3000.0, 2.0  # a sign fades to a third in this time, or in so many times between signs
+FORGIVE_MS, TOUCHES = (
+    3000.0,
+    2.0,
+)  # a sign fades to a third in this time, or in so many times between signs
 TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
-USERS, LOOK = 3, 16  # gateways of a backend, and backends of a gateway, at least; compared for one send
+USERS, LOOK = (
+    3,
+    16,
+)  # gateways of a backend, and backends of a gateway, at least; compared for one send
 SPREAD = 1.05  # of the mean: backends that a gateway takes at most; tighter, one change moves many others
-PART_BACKENDS, PART_GATEWAYS = 1024, 32  # a part of the fleet has so many at most; and so many at least
-TEAM = 512  # gateways whose subsets are drawn together, at most: one change costs a millisecond or two
+PART_BACKENDS, PART_GATEWAYS = (
+    1024,
+    32,
+)  # a part of the fleet has so many at most; and so many at least
+TEAM = (
+    512  # gateways whose subsets are drawn together, at most: one change costs a millisecond or two
+)
 MASK = (1 << 64) - 1  # of a hash
-COLD_PART = 0.8  # of the work that would push over a cold backend of one core, all gateways together
-COLD_FLEET, COLD_OWN = 0.5, 0.6  # of what reports say that warm ones and it can do: it may be half as fast
-BUSY, LEARN_ABLE, LEARN_FLEET = 0.5, 0.2, 0.05  # an idler report tells little; how far one moves what is told
+COLD_PART = (
+    0.8  # of the work that would push over a cold backend of one core, all gateways together
+)
+COLD_FLEET, COLD_OWN = (
+    0.5,
+    0.6,
+)  # of what reports say that warm ones and it can do: it may be half as fast
+BUSY, LEARN_ABLE, LEARN_FLEET = (
+    0.5,
+    0.2,
+    0.05,
+)  # an idler report tells little; how far one moves what is told
 RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
-PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
+PATIENCE, CHEAP_PATIENCE = (
+    0.33,
+    0.25,
+)  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
 RESOLVE = 16.0  # how sharply sends thin out past the patience
 REACH_MS = 50.0  # a send arrives within this and the time that its connection may take to come up
@@ -75,11 +139,34 @@
     """One customer's slice of its quota here, and the virtual queue of those it was refused for."""
 
     __slots__ = (  # many customers come but once, and each is remembered for a while
-        "answers", "appointments", "cap_tokens", "debt", "dry", "end_of_queue_time", "even", "filled_at",
-        "followed_at", "number", "plan", "share", "store", "tokens", "told_at", "unit_squares", "unit_sum")
-
-    def __init__(self, plan: Plan, width: int, now: float, number: int = 0, debt: float = 0.0,
-                 unspent_since: float = inf) -> None:
+        "answers",
+        "appointments",
+        "cap_tokens",
+        "debt",
+        "dry",
+        "end_of_queue_time",
+        "even",
+        "filled_at",
+        "followed_at",
+        "number",
+        "plan",
+        "share",
+        "store",
+        "tokens",
+        "told_at",
+        "unit_squares",
+        "unit_sum",
+    )
+
+    def __init__(
+        self,
+        plan: Plan,
+        width: int,
+        now: float,
+        number: int = 0,
+        debt: float = 0.0,
+        unspent_since: float = inf,
+    ) -> None:
         self.plan, self.even, self.number = plan, 1 / width, number
         self.share, self.tokens = self.even, plan.burst * self.even
         # a restarted gateway cannot know what it spent of the ceiling before, only that nothing went since
@@ -89,7 +176,10 @@
         self.appointments: deque[float] | None = None  # until it is refused
         self.answers, self.unit_sum, self.unit_squares = 0, 0.0, 0.0
         self.debt = debt  # own use that is not counted yet; below nought: counted, but not used
-        self.store, self.told_at = plan.burst, -inf  # the shared store as the counter's last answer showed it
+        self.store, self.told_at = (
+            plan.burst,
+            -inf,
+        )  # the shared store as the counter's last answer showed it
         self.followed_at, self.dry = now, False
 
     def refill(self, now: float) -> None:
@@ -117,7 +207,9 @@
             self.end_of_queue_time = max(self.end_of_queue_time, back_at)
         else:
             back_at = self.end_of_queue_time = self.end_of_queue_time + queue_interval
-        if back_at > now + QUEUE_MS:  # nobody waits so long: it takes no place that others would stand behind
+        if (
+            back_at > now + QUEUE_MS
+        ):  # nobody waits so long: it takes no place that others would stand behind
             self.end_of_queue_time = min(self.end_of_queue_time, now + QUEUE_MS)
             return QUEUE_MS
         self.appointments.append(back_at)
@@ -161,7 +253,9 @@
         self.out: dict[tuple[int, int], Sent] = {}
         self.slowness = [Slowness() for _ in range(classes)]
         self.heard_at = -inf  # its last answer, on any connection
-        self.able = 0.0  # requests a second that it could do by its reports, believed little by little
+        self.able = (
+            0.0  # requests a second that it could do by its reports, believed little by little
+        )
         self.cold_turn, self.cold_left = -1.0, 0.0  # the work it may still get in this window
 
     def warmth(self, now: float, settings: Settings) -> float:
@@ -169,8 +263,9 @@
         age = now - self.entry.up_since_ms
         if not self.entry.up_since_ms or age >= settings.cold_ms:
             return 1.0
-        return settings.start_capacity + (1 - settings.start_capacity) * max(0.0, age / settings.cold_ms)
-
+        return settings.start_capacity + (1 - settings.start_capacity) * max(
+            0.0, age / settings.cold_ms
+        )
 
 
 def mixed(number: int) -> int:
@@ -241,9 +336,9 @@
         step = self.steps[(draw >> 20) % len(self.steps)]
         place = number, backend, draw % self.gateways, step, (draw >> 40) / (1 << 24)
         at = bisect_left(self.ready, place)
-        there = self.ready[at:at + 1] == [place]
+        there = self.ready[at : at + 1] == [place]
         if there != ready:
-            self.ready[at:at + there] = [place] * ready
+            self.ready[at : at + there] = [place] * ready
             self.fresh = False
 
     def members(self) -> list[int]:
@@ -292,8 +387,9 @@
 class Call:
     """A request not yet answered: what has been tried and what may have run."""
 
-    def __init__(self, event: RequestArrived, cls: RequestClass, customer: Customer, now: float,
-                 work: float) -> None:
+    def __init__(
+        self, event: RequestArrived, cls: RequestClass, customer: Customer, now: float, work: float
+    ) -> None:
         self.event, self.cls, self.customer, self.work = event, cls, customer, work
         self.give_up, self.aim = now + event.time_left_ms, now + min(cls.aim_ms, event.time_left_ms)
         self.tried: list[Backend] = []
@@ -311,26 +407,44 @@
         self.counting = settings.counter and not settings.meter_ms
         self.backends: dict[int, Backend] = {}
         self.customers: dict[int, Customer] = {}
-        self.counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}  # calls not answered
+        self.counts: dict[
+            int, deque[tuple[Customer, float, float, Call | None]]
+        ] = {}  # calls not answered
         self.calls: dict[int, Call] = {}
         self.part = Part(settings.gateways, settings.index)
         self.subset = Subset(settings.gateways, settings.index)
-        self.groups: dict[tuple[Group, int], list[tuple[int, int]]] = {}  # hash and number of the ready ones
+        self.groups: dict[
+            tuple[Group, int], list[tuple[int, int]]
+        ] = {}  # hash and number of the ready ones
         self.slowness = Slowness()  # of the fleet as a whole
         self.asking, self.retries = ASK_FIRST, RETRY_MOST
         self.crowded_at = -inf  # the last sign of a crowded counter
-        self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
+        self.unit_ms = [
+            cls.aim_ms / 10 for cls in settings.classes
+        ]  # time a unit takes on an idle backend
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
-        self.forget_ms = max([FORGET_MS] + [1000 * full / rate for p in settings.plans for full, rate in
-                                            ((p.burst, p.rate), (p.ceiling_burst, p.ceiling_rate)) if rate])
+        self.forget_ms = max(
+            [FORGET_MS]
+            + [
+                1000 * full / rate
+                for p in settings.plans
+                for full, rate in ((p.burst, p.rate), (p.ceiling_burst, p.ceiling_rate))
+                if rate
+            ]
+        )
         self.able = 0.0  # requests a second that a warm backend could do
         fields = settings.report_fields
         self.told = [fields.index(name) for name in ("throughput", "utilization") if name in fields]
         self.started = inf  # when the first event came
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
-            RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
-            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, TimerFired: self.overdue}
+            RequestArrived: self.arrived,
+            AttemptEnded: self.ended,
+            CountAnswered: self.count_answered,
+            FleetUpdate: self.fleet,
+            RequestWithdrawn: self.withdrawn,
+            TimerFired: self.overdue,
+        }
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -348,8 +462,13 @@
         """The customer of a request; one long unseen is dropped: a fresh one does as well."""
         known = self.customers.pop(event.customer, None)
         if known is None:
-            plan, width = self.settings.plans[event.plan], max(1, min(event.width, self.settings.gateways))
-            debt = -self.random.random() * LUMP * plan.burst  # so that rare reports are right on average
+            plan, width = (
+                self.settings.plans[event.plan],
+                max(1, min(event.width, self.settings.gateways)),
+            )
+            debt = (
+                -self.random.random() * LUMP * plan.burst
+            )  # so that rare reports are right on average
             known = Customer(plan, width, now, event.customer, debt, self.started)
         self.customers[event.customer] = known  # the longest unseen stand first
         known.refill(now)
@@ -363,7 +482,9 @@
         """The bucket decides; what it cannot tell is asked, what it refuses gets a return time."""
         customer, marks = self.customer(now, event), self.settings.marks_retry
         plan, work = customer.plan, self.unit_ms[event.cls] * max(event.units, 0.01)
-        call = self.calls[event.request] = Call(event, self.settings.classes[event.cls], customer, now, work)
+        call = self.calls[event.request] = Call(
+            event, self.settings.classes[event.cls], customer, now, work
+        )
         if event.retry and marks and customer.appointments:
             customer.appointments.popleft()
         self.retries = min(RETRY_MOST, self.retries + RETRY_PART)
@@ -384,10 +505,14 @@
             customer.debt += event.units  # hold the try and ask for its units, one try a lump
             return self.settle(now, customer, call)
         if self.counting or customer.tokens >= plan.burst * customer.share:
-            return self.admit(now, call, True)  # a full bucket does, or a large request never would pass
+            return self.admit(
+                now, call, True
+            )  # a full bucket does, or a large request never would pass
         self.refuse(now, call)
 
-    def admit(self, now: float, call: Call, inside: bool, counted: bool = False, held: bool = False) -> None:
+    def admit(
+        self, now: float, call: Call, inside: bool, counted: bool = False, held: bool = False
+    ) -> None:
         """Send what the quota lets pass, unless the fleet is pressed: a held try was held as it was not."""
         event, customer = call.event, call.customer
         patience = inf if held else self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE)
@@ -404,7 +529,9 @@
 
     def refuse(self, now: float, call: Call) -> None:
         """Final answer: the client is told when to come back."""
-        wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
+        wait = call.customer.return_time(
+            now, call.event.units, NO_SHOW_MS * self.settings.marks_retry
+        )
         self.actions.append(Refuse(call.event.request, wait * self.settings.retry_after))
         self.calls.pop(call.event.request, None)
 
@@ -420,7 +547,9 @@
             customer.debt -= lumps
             self.count(customer, now, lumps, 0.0, call)
 
-    def count(self, customer: Customer, now: float, use: float, drift: float, call: Call | None) -> None:
+    def count(
+        self, customer: Customer, now: float, use: float, drift: float, call: Call | None
+    ) -> None:
         """Call the counter: for use (a held try's units among it), or to put the name right by drift."""
         name, _ = self.name(now, customer)
         self.counts.setdefault(name, deque()).append((customer, use, drift, call))
@@ -428,7 +557,9 @@
 
     def name(self, now: float, customer: Customer) -> tuple[int, float]:
         """The customer's name of this minute and its age; customers change theirs at different moments."""
-        turn, age = divmod(now + customer.number * 2654435761 % 2**32 / 2**32 * NAME_TTL_MS, NAME_TTL_MS)
+        turn, age = divmod(
+            now + customer.number * 2654435761 % 2**32 / 2**32 * NAME_TTL_MS, NAME_TTL_MS
+        )
         return int(turn) << 33 | customer.number, age
 
     def count_answered(self, now: float, event: CountAnswered) -> None:
@@ -465,7 +596,9 @@
             self.admit(now, held, True, True, True) if granted else self.refuse(now, held)
         if customer.debt <= 0:
             self.settle(now, customer)
-        if abs(gain) > DRIFT * customer.plan.burst:  # of two gateways that put it right the later takes back
+        if (
+            abs(gain) > DRIFT * customer.plan.burst
+        ):  # of two gateways that put it right the later takes back
             self.count(customer, now, min(gain, 0.0), max(gain, 0.0), None)
 
     # ---- backends
@@ -508,7 +641,7 @@
         place = mixed(entry.backend), entry.backend
         for key in self.memberships(entry):
             group = self.groups.setdefault(key, [])
-            if place in group[(at := bisect_left(group, place)):at + 1]:
+            if place in group[(at := bisect_left(group, place)) : at + 1]:
                 del group[at]
             if ready:
                 insort(group, place)
@@ -538,10 +671,15 @@
         if call.ran_group and call.ran_group[0] is not Group.ALL:
             group = self.groups.get(call.ran_group, [])
             kept = [n for n in kept if call.ran_group in self.memberships(self.backends[n].entry)]
-            at = bisect_left(group, (mixed(self.settings.index + 1), 0))  # where this gateway goes on
+            at = bisect_left(
+                group, (mixed(self.settings.index + 1), 0)
+            )  # where this gateway goes on
             others = (n for _, n in group[at:] + group[:at] if n not in kept)
             kept += [n for n, _ in zip(others, range(USERS - len(kept)), strict=False)]
-        return [self.backends[n] for n in (kept if len(kept) <= LOOK else self.random.sample(kept, LOOK))]
+        return [
+            self.backends[n]
+            for n in (kept if len(kept) <= LOOK else self.random.sample(kept, LOOK))
+        ]
 
     def forecast(self, now: float, backend: Backend, call: Call) -> float:
         """Expected time of a send to this backend; silence bounds it from below.
@@ -551,7 +689,9 @@
         """
         drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
-        return max(call.work * drag * self.pile(now, backend), now - max(sent_at + own, backend.heard_at))
+        return max(
+            call.work * drag * self.pile(now, backend), now - max(sent_at + own, backend.heard_at)
+        )
 
     def slow_start_budget(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
@@ -572,7 +712,9 @@
     def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
         """The backend with the least expected delay, at random among near ties; None: refuse."""
         kept = [b for b in self.candidates(call) if self.slow_start_budget(now, b, call.work)]
-        rated = [(self.forecast(now, b, call), b) for b in kept if b not in call.tried or len(kept) == 1]
+        rated = [
+            (self.forecast(now, b, call), b) for b in kept if b not in call.tried or len(kept) == 1
+        ]
         if not rated:
             return None
         least = min(f for f, _ in rated)
@@ -583,9 +725,14 @@
         first = patience < inf and not call.tried
         late = (wait + call.work - self.mean_work) / max(1.0, call.aim - now) if first else 0.0
         over = max(1.0, wait / patience, late)
-        if over > 1 and not best.out and now - self.slowness.at > NEWS_MS and call.work < call.aim - now:
+        if (
+            over > 1
+            and not best.out
+            and now - self.slowness.at > NEWS_MS
+            and call.work < call.aim - now
+        ):
             return best  # nobody would learn that the jam is over if all were refused
-        return best if self.random.random() <= over ** -RESOLVE else None
+        return best if self.random.random() <= over**-RESOLVE else None
 
     def group(self, backend: Backend, cls: RequestClass) -> tuple[Group, int]:
         """The backends that drop each other's repeats of this class."""
@@ -675,7 +822,10 @@
         harmless, reach = safe or not call.may_have_run, self.settings.connect_timeout_ms + REACH_MS
         allowed = harmless or (keyed and now < call.ran_until - reach)
         refusable = harmless or (keyed and call.cls.group is Group.ALL)
-        more = len(call.tried) < self.settings.max_attempts and now < call.give_up - self.settings.tick_ms
+        more = (
+            len(call.tried) < self.settings.max_attempts
+            and now < call.give_up - self.settings.tick_ms
+        )
         may = allowed and more and self.retries >= 1
         if may and (backend := self.choose(now, call, patience)) is not None:
             self.retries -= 1
@@ -711,9 +861,15 @@
         elif overdue or event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             # it may fail just this class; a process that has died refuses new connections too
             own = overdue or event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)
-            mild = overdue or event.outcome is Outcome.RESET or (heard and event.outcome is Outcome.TIMEOUT)
+            mild = (
+                overdue
+                or event.outcome is Outcome.RESET
+                or (heard and event.outcome is Outcome.TIMEOUT)
+            )
             for c in [cls] if own else range(len(self.unit_ms)):
                 backend.slowness[c].sign(now, BROKEN if mild else max(DREAD, took), BLAME, fleet)
-        if event.outcome in (Outcome.OK, Outcome.FULL) or (event.outcome is Outcome.TIMEOUT and not heard):
+        if event.outcome in (Outcome.OK, Outcome.FULL) or (
+            event.outcome is Outcome.TIMEOUT and not heard
+        ):
             seen = DREAD / 2 if event.outcome is Outcome.FULL else took
             self.slowness.sign(now, min(seen, fleet * LEAP + 1), 1 - KEEP)
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -66,8 +66,14 @@
     """Raise ValueError naming the first field that is not a number of at least the given size."""
     for name, least in at_least.items():
         value = getattr(what, name)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < float("inf"):
-            raise ValueError(f"{type(what).__name__}.{name}: {value!r} is not a number of at least {least:g}")
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, int | float)
+            or not least <= value < float("inf")
+        ):
+            raise ValueError(
+                f"{type(what).__name__}.{name}: {value!r} is not a number of at least {least:g}"
+            )
 
 
 def _check_types(what: object, kinds: dict[str, type]) -> None:
@@ -91,7 +97,9 @@
     name: str = ""
 
     def __post_init__(self) -> None:
-        _check(self, {"aim_ms": 1e-3, "deadline_ms": 1e-3, "worth": 0, "window_ms": 0, "late_worth": 0})
+        _check(
+            self, {"aim_ms": 1e-3, "deadline_ms": 1e-3, "worth": 0, "window_ms": 0, "late_worth": 0}
+        )
         _check_types(self, {"effect": Effect, "group": Group})
 
 
@@ -149,13 +157,33 @@
     report_fields: tuple[str, ...] = ()
 
     def __post_init__(self) -> None:
-        _check(self, {"gateways": 1, "index": 0, "max_attempts": 1, "start_capacity": 1e-6, "cold_ms": 0,
-                      "fall_multiple": 1e-6, "overload_ms": 1e-3, "drain_grace_ms": 0, "answer_grace_ms": 0,
-                      "zone": 0, "tick_ms": 0, "most_units": 1e-6, "max_retry_after_ms": 0, "meter_ms": 0,
-                      "connect_timeout_ms": 1e-3,
-                      "peer_in_per_s": 0, "counter_timeout_ms": 0, "counter_price": 0})
+        _check(
+            self,
+            {
+                "gateways": 1,
+                "index": 0,
+                "max_attempts": 1,
+                "start_capacity": 1e-6,
+                "cold_ms": 0,
+                "fall_multiple": 1e-6,
+                "overload_ms": 1e-3,
+                "drain_grace_ms": 0,
+                "answer_grace_ms": 0,
+                "zone": 0,
+                "tick_ms": 0,
+                "most_units": 1e-6,
+                "max_retry_after_ms": 0,
+                "meter_ms": 0,
+                "connect_timeout_ms": 1e-3,
+                "peer_in_per_s": 0,
+                "counter_timeout_ms": 0,
+                "counter_price": 0,
+            },
+        )
         if self.index >= self.gateways:
-            raise ValueError(f"Settings.index: {self.index} is not below gateways ({self.gateways})")
+            raise ValueError(
+                f"Settings.index: {self.index} is not below gateways ({self.gateways})"
+            )
         for name in ("classes", "plans"):
             if not getattr(self, name):
                 raise ValueError(f"Settings.{name}: at least one is needed")
@@ -269,8 +297,17 @@
     total: float
 
 
-Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
-         | ProbeEnded | PeerMessage | CountAnswered)
+Event = (
+    FleetUpdate
+    | RequestArrived
+    | AnswerBegan
+    | AttemptEnded
+    | RequestWithdrawn
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
+    | CountAnswered
+)
 
 
 # ---- actions
--- a/tamarindfold/wire.py
+++ b/tamarindfold/wire.py
@@ -8,9 +8,35 @@
 from typing import Any
 
 from tamarindfold.interface import (
-    Action, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
-    Event, Fail, FleetUpdate, Group, ListKind, Log, Outcome, PeerMessage, Plan, Probe, ProbeEnded, Refuse,
-    RequestArrived, RequestClass, RequestWithdrawn, Send, SetTimer, Settings, Tell, TimerFired,
+    Action,
+    AnswerBegan,
+    AttemptEnded,
+    BackendEntry,
+    BackendState,
+    Cancel,
+    Count,
+    CountAnswered,
+    Effect,
+    Event,
+    Fail,
+    FleetUpdate,
+    Group,
+    ListKind,
+    Log,
+    Outcome,
+    PeerMessage,
+    Plan,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    RequestWithdrawn,
+    Send,
+    SetTimer,
+    Settings,
+    Tell,
+    TimerFired,
 )
 
 
@@ -60,14 +86,18 @@
     return shape.unpack(body)
 
 
-def _counted(shape: Struct, body: bytes, item_size: int, what: str) -> tuple[tuple[Any, ...], bytes]:
+def _counted(
+    shape: Struct, body: bytes, item_size: int, what: str
+) -> tuple[tuple[Any, ...], bytes]:
     """Unpack a record whose last fixed field counts the items that follow."""
     if len(body) < shape.size:
         raise WireError(f"{what}: {len(body)} bytes of fields, at least {shape.size} expected")
     head = shape.unpack_from(body)
-    rest = body[shape.size:]
+    rest = body[shape.size :]
     if len(rest) != head[-1] * item_size:
-        raise WireError(f"{what}: {len(rest)} bytes follow, {head[-1]} items of {item_size} bytes announced")
+        raise WireError(
+            f"{what}: {len(rest)} bytes follow, {head[-1]} items of {item_size} bytes announced"
+        )
     return head, rest
 
 
@@ -96,16 +126,33 @@
     entries = []
     for address, port, zone, kind, cell, state, size, up in _ENTRY.iter_unpack(rest):
         ready = _choice(BackendState, state, "VIEW availability")
-        entries.append(BackendEntry(_backend(address, port), ready, zone, kind, cell,
-                                    _number(size, "VIEW size"), _number(up, "VIEW up_since")))
+        entries.append(
+            BackendEntry(
+                _backend(address, port),
+                ready,
+                zone,
+                kind,
+                cell,
+                _number(size, "VIEW size"),
+                _number(up, "VIEW up_since"),
+            )
+        )
     return FleetUpdate(_choice(ListKind, form, "VIEW form"), entries, serial)
 
 
 def _read_accept(body: bytes) -> Event:
     _, call, units, first, width, cls, left, customer, plan, bits = _fixed(_ACCEPT, body, "ACCEPT")
-    return RequestArrived(call, customer, plan, cls, _number(units, "ACCEPT price_units"),
-                          int(_number(first, "ACCEPT set_from")), int(_number(width, "ACCEPT width", 1)),
-                          _number(left, "ACCEPT time_left"), bool(bits & RETRY_BIT))
+    return RequestArrived(
+        call,
+        customer,
+        plan,
+        cls,
+        _number(units, "ACCEPT price_units"),
+        int(_number(first, "ACCEPT set_from")),
+        int(_number(width, "ACCEPT width", 1)),
+        _number(left, "ACCEPT time_left"),
+        bool(bits & RETRY_BIT),
+    )
 
 
 def _read_begun(body: bytes) -> Event:
@@ -116,9 +163,17 @@
 def _read_ended(body: bytes) -> Event:
     head, rest = _counted(_ENDED, body, 4, "COMPLETED")
     _, call, n, address, port, verdict, spent, over, used, units, _ = head
-    return AttemptEnded(call, n, _backend(address, port), _choice(Outcome, verdict, "COMPLETED verdict"),
-                        _number(spent, "COMPLETED spent"), bool(over), used - 1.0 if used else None,
-                        float(units), _floats(rest, "COMPLETED telemetry"))
+    return AttemptEnded(
+        call,
+        n,
+        _backend(address, port),
+        _choice(Outcome, verdict, "COMPLETED verdict"),
+        _number(spent, "COMPLETED spent"),
+        bool(over),
+        used - 1.0 if used else None,
+        float(units),
+        _floats(rest, "COMPLETED telemetry"),
+    )
 
 
 def _read_withdrawn(body: bytes) -> Event:
@@ -131,8 +186,12 @@
 
 def _read_probed(body: bytes) -> Event:
     (_, address, port, verdict, spent, _), rest = _counted(_PROBED, body, 4, "STATUS_BACK")
-    return ProbeEnded(_backend(address, port), _choice(Outcome, verdict, "STATUS_BACK verdict"),
-                      _number(spent, "STATUS_BACK spent"), _floats(rest, "STATUS_BACK telemetry"))
+    return ProbeEnded(
+        _backend(address, port),
+        _choice(Outcome, verdict, "STATUS_BACK verdict"),
+        _number(spent, "STATUS_BACK spent"),
+        _floats(rest, "STATUS_BACK telemetry"),
+    )
 
 
 def _read_peer(body: bytes) -> Event:
@@ -149,8 +208,15 @@
 
 
 _READERS: dict[int, Callable[[bytes], Event]] = {
-    1050: _read_view, 1060: _read_accept, 1070: _read_begun, 1030: _read_ended, 1020: _read_withdrawn,
-    1090: _read_fired, 1010: _read_probed, 1040: _read_peer, 1100: _read_counted,
+    1050: _read_view,
+    1060: _read_accept,
+    1070: _read_begun,
+    1030: _read_ended,
+    1020: _read_withdrawn,
+    1090: _read_fired,
+    1010: _read_probed,
+    1040: _read_peer,
+    1100: _read_counted,
 }
 
 
@@ -161,8 +227,10 @@
         raise WireError(f"unknown event code {code}")
     event = reader(body)
     if isinstance(event, RequestArrived):
-        for what, number, known in (("band", event.cls, len(settings.classes)),
-                                    ("tariff", event.plan, len(settings.plans))):
+        for what, number, known in (
+            ("band", event.cls, len(settings.classes)),
+            ("tariff", event.plan, len(settings.plans)),
+        ):
             if number >= known:
                 raise WireError(f"ACCEPT {what}: {number} is not below {known}")
     return event
@@ -181,7 +249,9 @@
     """One action as a record."""
     match action:
         case Send(call, backend, timeout):
-            return _OUT_SEND.pack(1070, 26, instance, call, timeout, backend >> 16, backend & 0xFFFF)
+            return _OUT_SEND.pack(
+                1070, 26, instance, call, timeout, backend >> 16, backend & 0xFFFF
+            )
         case Refuse(call, retry_after):
             return _OUT_REFUSE.pack(1100, 20, instance, call, retry_after)
         case Count(name, amount, ttl):
@@ -260,28 +330,62 @@
         effect = r.text(c + "idempotency")
         if effect not in _EFFECTS:
             raise WireError(f"settings: {c}idempotency: {effect!r} is unknown")
-        classes.append(RequestClass(
-            r.number(c + "aim"), r.number(c + "hard_limit"), r.number(c + "points"), _EFFECTS[effect],
-            _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"),
-            r.number(c + "dedup_window", 0), r.number(c + "late_worth", 0), r.text(c + "name", "")))
-    plans = [Plan(r.number(p + "per_second"), r.number(p + "peak_units"), r.whole(p + "at_once", 0),
-                  r.number(p + "price", 1), r.number(p + "over_worth", 0), r.number(p + "excess_cost", 0),
-                  r.number(p + "cap_rate", 0), r.number(p + "ceiling_burst", 0), r.number(p + "tolerance", 0),
-                  r.text(p + "name", "")) for p in r.items("plans")]
+        classes.append(
+            RequestClass(
+                r.number(c + "aim"),
+                r.number(c + "hard_limit"),
+                r.number(c + "points"),
+                _EFFECTS[effect],
+                _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"),
+                r.number(c + "dedup_window", 0),
+                r.number(c + "late_worth", 0),
+                r.text(c + "name", ""),
+            )
+        )
+    plans = [
+        Plan(
+            r.number(p + "per_second"),
+            r.number(p + "peak_units"),
+            r.whole(p + "at_once", 0),
+            r.number(p + "price", 1),
+            r.number(p + "over_worth", 0),
+            r.number(p + "excess_cost", 0),
+            r.number(p + "cap_rate", 0),
+            r.number(p + "ceiling_burst", 0),
+            r.number(p + "tolerance", 0),
+            r.text(p + "name", ""),
+        )
+        for p in r.items("plans")
+    ]
     reported = r.text("telemetry.via", "off") != "off" and r.text("telemetry.fields", "")
     return Settings(
-        gateways=r.whole("balancers"), index=r.whole("index"), classes=tuple(classes), plans=tuple(plans),
-        max_attempts=r.whole("permissions.most_tries"), start_capacity=r.number("safety.start_capacity"),
-        cold_ms=r.number("safety.cold"), fall_multiple=r.number("safety.fall_multiple"),
-        overload_ms=r.number("safety.overload_for"), drain_grace_ms=r.number("safety.stop_sending_within"),
+        gateways=r.whole("balancers"),
+        index=r.whole("index"),
+        classes=tuple(classes),
+        plans=tuple(plans),
+        max_attempts=r.whole("permissions.most_tries"),
+        start_capacity=r.number("safety.start_capacity"),
+        cold_ms=r.number("safety.cold"),
+        fall_multiple=r.number("safety.fall_multiple"),
+        overload_ms=r.number("safety.overload_for"),
+        drain_grace_ms=r.number("safety.stop_sending_within"),
         connect_timeout_ms=r.number("permissions.dial_timeout", 250),
-        answer_grace_ms=r.number("safety.grace_to_answer", 0), zone=r.whole("locality", 0),
-        tick_ms=r.number("quantum", 1), most_units=r.number("extra.units_top", 1),
-        marks_retry=r.truth("clients.marks_retry"), retry_after=r.truth("permissions.retry_after"),
+        answer_grace_ms=r.number("safety.grace_to_answer", 0),
+        zone=r.whole("locality", 0),
+        tick_ms=r.number("quantum", 1),
+        most_units=r.number("extra.units_top", 1),
+        marks_retry=r.truth("clients.marks_retry"),
+        retry_after=r.truth("permissions.retry_after"),
         max_retry_after_ms=r.number("permissions.max_retry_after", 0),
-        second_copies=r.truth("permissions.parallel_tries"), cancel=r.truth("permissions.cancel"),
-        probes=r.truth("permissions.probes"), peers=r.truth("permissions.may_tell"),
-        peer_in_per_s=r.number("extra.peer_intake", 0), counter=r.truth("extra.has_counter"),
-        counter_timeout_ms=r.number("extra.count_wait", 0), counter_price=r.number("extra.counter_price", 0),
-        meter_ms=r.number("extra.meter", 0), settled_after=r.truth("extra.cost_after"),
-        report_fields=tuple(reported.split(",")) if reported else ())
+        second_copies=r.truth("permissions.parallel_tries"),
+        cancel=r.truth("permissions.cancel"),
+        probes=r.truth("permissions.probes"),
+        peers=r.truth("permissions.may_tell"),
+        peer_in_per_s=r.number("extra.peer_intake", 0),
+        counter=r.truth("extra.has_counter"),
+        counter_timeout_ms=r.number("extra.count_wait", 0),
+        counter_price=r.number("extra.counter_price", 0),
+        meter_ms=r.number("extra.meter", 0),
+        settled_after=r.truth("extra.cost_after"),
+        report_fields=tuple(reported.split(",")) if reported else (),
+    )
--- a/tests/build.py
+++ b/tests/build.py
@@ -7,8 +7,18 @@
 
 from tamarindfold import Gateway
 from tamarindfold.interface import (
-    AttemptEnded, BackendEntry, BackendState, Effect, FleetUpdate, Group, ListKind, Outcome, Plan, RequestArrived,
-    RequestClass, Settings,
+    AttemptEnded,
+    BackendEntry,
+    BackendState,
+    Effect,
+    FleetUpdate,
+    Group,
+    ListKind,
+    Outcome,
+    Plan,
+    RequestArrived,
+    RequestClass,
+    Settings,
 )
 
 SAFE = RequestClass(1500, 6000, 3, Effect.SAFE)
@@ -20,14 +30,31 @@
 
 
 def settings(**changes: Any) -> Settings:
-    base = Settings(gateways=2, index=0, classes=(SAFE, KEYED, KEYED_ALL, UNSAFE), plans=(OPEN,), max_attempts=3,
-                    start_capacity=0.2, cold_ms=10_000, fall_multiple=2, overload_ms=3000, drain_grace_ms=250,
-                    max_retry_after_ms=500, most_units=4, tick_ms=2, cancel=True)
+    base = Settings(
+        gateways=2,
+        index=0,
+        classes=(SAFE, KEYED, KEYED_ALL, UNSAFE),
+        plans=(OPEN,),
+        max_attempts=3,
+        start_capacity=0.2,
+        cold_ms=10_000,
+        fall_multiple=2,
+        overload_ms=3000,
+        drain_grace_ms=250,
+        max_retry_after_ms=500,
+        most_units=4,
+        tick_ms=2,
+        cancel=True,
+    )
     return replace(base, **changes)
 
 
-def fleet(*ids: int, state: BackendState = BackendState.READY, kind: ListKind = ListKind.FULL,
-          up: float = 0.0) -> FleetUpdate:
+def fleet(
+    *ids: int,
+    state: BackendState = BackendState.READY,
+    kind: ListKind = ListKind.FULL,
+    up: float = 0.0,
+) -> FleetUpdate:
     return FleetUpdate(kind, [BackendEntry(i, state, cell=i % 2, up_since_ms=up) for i in ids])
 
 
@@ -37,11 +64,25 @@
     return made
 
 
-def request(number: int, cls: int = 0, customer: int = 9, plan: int = 0, units: float = 1.0, width: int = 2,
-            left: float = 4000.0, retry: bool = False) -> RequestArrived:
+def request(
+    number: int,
+    cls: int = 0,
+    customer: int = 9,
+    plan: int = 0,
+    units: float = 1.0,
+    width: int = 2,
+    left: float = 4000.0,
+    retry: bool = False,
+) -> RequestArrived:
     return RequestArrived(number, customer, plan, cls, units, 0, width, left, retry)
 
 
-def ended(number: int, backend: int, outcome: Outcome = Outcome.OK, attempt: int = 0, took: float = 100.0,
-          units: float = 0.0) -> AttemptEnded:
+def ended(
+    number: int,
+    backend: int,
+    outcome: Outcome = Outcome.OK,
+    attempt: int = 0,
+    took: float = 100.0,
+    units: float = 0.0,
+) -> AttemptEnded:
     return AttemptEnded(number, attempt, backend, outcome, took, outcome is Outcome.OK, None, units)
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -6,8 +6,23 @@
 from dataclasses import dataclass, field
 
 from tamarindfold.interface import (
-    Action, AttemptEnded, BackendState, Cancel, Effect, Event, Fail, FleetUpdate, Group, ListKind, Outcome, Refuse,
-    RequestArrived, RequestClass, RequestWithdrawn, Send, Settings,
+    Action,
+    AttemptEnded,
+    BackendState,
+    Cancel,
+    Effect,
+    Event,
+    Fail,
+    FleetUpdate,
+    Group,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    RequestWithdrawn,
+    Send,
+    Settings,
 )
 
 
@@ -50,7 +65,9 @@
     def observe(self, now: float, event: Event) -> None:
         match event:
             case RequestArrived():
-                self.tries[event.request] = Try(event, self.settings.classes[event.cls], now + event.time_left_ms)
+                self.tries[event.request] = Try(
+                    event, self.settings.classes[event.cls], now + event.time_left_ms
+                )
             case RequestWithdrawn():
                 self.tries[event.request].closed = True
             case AttemptEnded() if event.request in self.tries:
@@ -85,27 +102,44 @@
         if isinstance(action, Send):
             self.judge_send(now, action, t, risky)
             return
-        self.need(now <= t.give_up + self.settings.answer_grace_ms, f"request {action.request}: answered too late")
+        self.need(
+            now <= t.give_up + self.settings.answer_grace_ms,
+            f"request {action.request}: answered too late",
+        )
         if isinstance(action, Refuse) and risky:
-            good = t.cls.effect is Effect.SAFE or (t.cls.effect is Effect.KEYED and t.cls.group is Group.ALL)
+            good = t.cls.effect is Effect.SAFE or (
+                t.cls.effect is Effect.KEYED and t.cls.group is Group.ALL
+            )
             self.need(good, f"request {action.request}: refused though it may have run")
         t.closed = True
 
     def judge_send(self, now: float, action: Send, t: Try, risky: list[tuple[float, int]]) -> None:
         out = any(o is None for _, _, o in t.sends)
-        self.need(not out or self.settings.second_copies, f"request {action.request}: two attempts at once")
-        self.need(len(t.sends) < self.settings.max_attempts, f"request {action.request}: too many attempts")
+        self.need(
+            not out or self.settings.second_copies,
+            f"request {action.request}: two attempts at once",
+        )
+        self.need(
+            len(t.sends) < self.settings.max_attempts,
+            f"request {action.request}: too many attempts",
+        )
         self.need(action.backend in self.named, f"request {action.request}: to an unknown backend")
         since = self.told.get(action.backend)
-        self.need(since is None or now <= since + self.settings.drain_grace_ms,
-                  f"request {action.request}: to a draining backend")
+        self.need(
+            since is None or now <= since + self.settings.drain_grace_ms,
+            f"request {action.request}: to a draining backend",
+        )
         if risky and t.cls.effect is Effect.UNSAFE:
             raise RuleBroken(f"request {action.request}: unsafe, sent again though it may have run")
         if risky and t.cls.effect is Effect.KEYED:
             sent, first = risky[0]
-            self.need(now < sent + t.cls.window_ms, f"request {action.request}: keyed, past its window")
-            self.need(self.group(action.backend, t.cls) == self.group(first, t.cls),
-                      f"request {action.request}: keyed, outside its group")
+            self.need(
+                now < sent + t.cls.window_ms, f"request {action.request}: keyed, past its window"
+            )
+            self.need(
+                self.group(action.backend, t.cls) == self.group(first, t.cls),
+                f"request {action.request}: keyed, outside its group",
+            )
         if not t.sends:
             self.draw_ceiling(now, t.event)
         t.sends.append((now, action.backend, None))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -21,23 +21,87 @@
 from troutdock.config import read_config
 
 SETTINGS: dict[str, Any] = {
-    "balancers": 3, "index": 0, "locality": 0, "quantum": 2.0, "zones": ["hall-a", "hall-b"], "machine_types": ["std-2c"],
+    "balancers": 3,
+    "index": 0,
+    "locality": 0,
+    "quantum": 2.0,
+    "zones": ["hall-a", "hall-b"],
+    "machine_types": ["std-2c"],
     "categories": [
-        {"name": "ledger-read", "aim": 1500.0, "hard_limit": 4000.0, "points": 2.0, "idempotency": "pure", "group": "all",
-         "dedup_window": 5000.0, "late_worth": 0.2, "streaming": False},
-        {"name": "payment-book", "aim": 1000.0, "hard_limit": 4000.0, "points": 5.0, "idempotency": "token", "group": "all",
-         "dedup_window": 3000.0, "late_worth": 0.0, "streaming": False},
-        {"name": "vat-filing", "aim": 750.0, "hard_limit": 1500.0, "points": 5.0, "idempotency": "side_effect",
-         "group": "all", "dedup_window": 5000.0, "late_worth": 0.0, "streaming": False}],
+        {
+            "name": "ledger-read",
+            "aim": 1500.0,
+            "hard_limit": 4000.0,
+            "points": 2.0,
+            "idempotency": "pure",
+            "group": "all",
+            "dedup_window": 5000.0,
+            "late_worth": 0.2,
+            "streaming": False,
+        },
+        {
+            "name": "payment-book",
+            "aim": 1000.0,
+            "hard_limit": 4000.0,
+            "points": 5.0,
+            "idempotency": "token",
+            "group": "all",
+            "dedup_window": 3000.0,
+            "late_worth": 0.0,
+            "streaming": False,
+        },
+        {
+            "name": "vat-filing",
+            "aim": 750.0,
+            "hard_limit": 1500.0,
+            "points": 5.0,
+            "idempotency": "side_effect",
+            "group": "all",
+            "dedup_window": 5000.0,
+            "late_worth": 0.0,
+            "streaming": False,
+        },
+    ],
     "plans": [
-        {"name": "basis", "per_second": 1.0, "peak_units": 8.0, "price": 0.72, "over_worth": 0.0, "excess_cost": 0.5},
-        {"name": "plus", "per_second": 100.0, "peak_units": 1000.0, "price": 1.6, "over_worth": 0.0, "excess_cost": 0.6}],
-    "permissions": {"most_tries": 3, "dial_timeout": 250.0, "conn_idle": 30000.0, "retry_after": True, "cancel": True,
-                    "max_retry_after": 500.0, "parallel_tries": True, "probes": False},
-    "safety": {"start_capacity": 0.2, "cold": 15000.0, "fall_multiple": 2.0, "overload_for": 3000.0,
-               "stop_sending_within": 500.0, "grace_to_answer": 8.0},
+        {
+            "name": "basis",
+            "per_second": 1.0,
+            "peak_units": 8.0,
+            "price": 0.72,
+            "over_worth": 0.0,
+            "excess_cost": 0.5,
+        },
+        {
+            "name": "plus",
+            "per_second": 100.0,
+            "peak_units": 1000.0,
+            "price": 1.6,
+            "over_worth": 0.0,
+            "excess_cost": 0.6,
+        },
+    ],
+    "permissions": {
+        "most_tries": 3,
+        "dial_timeout": 250.0,
+        "conn_idle": 30000.0,
+        "retry_after": True,
+        "cancel": True,
+        "max_retry_after": 500.0,
+        "parallel_tries": True,
+        "probes": False,
+    },
+    "safety": {
+        "start_capacity": 0.2,
+        "cold": 15000.0,
+        "fall_multiple": 2.0,
+        "overload_for": 3000.0,
+        "stop_sending_within": 500.0,
+        "grace_to_answer": 8.0,
+    },
     "extra": {"has_counter": False, "count_wait": 50.0, "units_top": 8, "cost_after": True},
-    "clients": {"marks_retry": True}, "telemetry": {"via": "off", "fields": []}, "tiers": ["ledger-fleet"],
+    "clients": {"marks_retry": True},
+    "telemetry": {"via": "off", "fields": []},
+    "tiers": ["ledger-fleet"],
 }
 
 Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
@@ -51,17 +115,23 @@
 
 def answer(body: bytes = b"done", status: int = 200, head: bytes = b"") -> Script:
     """A script that answers every request alike."""
+
     async def script(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
-        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), head, body))
+        writer.write(
+            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), head, body)
+        )
+
     return script
 
 
 def sends(data: bytes, close: bool = True) -> Script:
     """A script that writes just these bytes."""
+
     async def script(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(data)
         if close:
             writer.close()
+
     return script
 
 
@@ -79,7 +149,11 @@
 class Peer:
     """A server that does with each request what its script says, and keeps what it was sent."""
 
-    def __init__(self, script: Script, read: Callable[[asyncio.StreamReader], Awaitable[bytes]] = read_message) -> None:
+    def __init__(
+        self,
+        script: Script,
+        read: Callable[[asyncio.StreamReader], Awaitable[bytes]] = read_message,
+    ) -> None:
         self.script, self.read = script, read
         self.requests: list[bytes] = []
         self.connections = 0
@@ -181,22 +255,42 @@
     """A client's request; changes name headers with _ for -, None leaves one out."""
     method = "GET" if cls == "ledger-read" else "POST"
     headers: dict[str, str | None] = {
-        "Host": "service.internal", "Request-Id": f"{number:016x}", "Plan": "plus", "Account": "0000000000000009",
-        "Request-Timeout": "1.500", "Quota-Info": "units=2,spread=2,first=0"}
+        "Host": "service.internal",
+        "Request-Id": f"{number:016x}",
+        "Plan": "plus",
+        "Account": "0000000000000009",
+        "Request-Timeout": "1.500",
+        "Quota-Info": "units=2,spread=2,first=0",
+    }
     if cls == "payment-book":
         headers["Idempotency-Key"] = "ab" * 16
     body = changes.pop("body", "" if method == "GET" else "receipt") or ""
     if method == "POST":
         headers["Content-Length"] = str(len(body))
-    headers |= {name.replace("_", "-"): value for name, value in changes.items() if name not in ("method", "path")}
-    lines = [f"{changes.get('method') or method} {changes.get('path') or '/' + cls + '/7?year=3'} HTTP/1.1"]
+    headers |= {
+        name.replace("_", "-"): value
+        for name, value in changes.items()
+        if name not in ("method", "path")
+    }
+    lines = [
+        f"{changes.get('method') or method} {changes.get('path') or '/' + cls + '/7?year=3'} HTTP/1.1"
+    ]
     lines += [f"{name}: {value}" for name, value in headers.items() if value is not None]
     return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
 
 
 def target(peer: Peer, uid: str, state: str = "active", **changes: Any) -> dict[str, Any]:
-    return {"uid": uid, "endpoint": peer.address, "az": "hall-a", "model": "std-2c", "pod_group": 0, "state": state,
-            "capacity_hint": 1.0, "boot_ms": 0, **changes}
+    return {
+        "uid": uid,
+        "endpoint": peer.address,
+        "az": "hall-a",
+        "model": "std-2c",
+        "pod_group": 0,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+        **changes,
+    }
 
 
 class World:
@@ -216,8 +310,14 @@
 
 
 @asynccontextmanager
-async def world(*scripts: Script, counter: Script | None = None, read_counter: Any = None, sockets: int = 1024,
-                discovery: Script = silence, settings: dict[str, Any] | None = None) -> Any:
+async def world(
+    *scripts: Script,
+    counter: Script | None = None,
+    read_counter: Any = None,
+    sockets: int = 1024,
+    discovery: Script = silence,
+    settings: dict[str, Any] | None = None,
+) -> Any:
     """An ingress with a backend for each script, known to it from the start."""
     async with AsyncExitStack() as stack:
         w = World(stack)
@@ -227,9 +327,19 @@
             await peer.start()
             stack.callback(peer.stop)
         used = json.loads(json.dumps(SETTINGS)) | (settings or {})
-        config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": w.discovery.address, "seed": "07",
-                  "limits": {"sockets": sockets}, "settings": used,
-                  "known": {"rev": 5, "all": True, "targets": [target(b, f"s-{n}") for n, b in enumerate(w.backends)]}}
+        config = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": w.discovery.address,
+            "seed": "07",
+            "limits": {"sockets": sockets},
+            "settings": used,
+            "known": {
+                "rev": 5,
+                "all": True,
+                "targets": [target(b, f"s-{n}") for n, b in enumerate(w.backends)],
+            },
+        }
         if counter is not None:
             w.counter = Peer(counter, read_counter)
             await w.counter.start()
@@ -237,7 +347,9 @@
             config["counter"] = w.counter.address
             used["extra"]["has_counter"] = True
         serving: asyncio.Future[Service] = asyncio.get_running_loop().create_future()
-        w.task = asyncio.create_task(serve(read_config(json.dumps(config)), w.stop, serving.set_result))
+        w.task = asyncio.create_task(
+            serve(read_config(json.dumps(config)), w.stop, serving.set_result)
+        )
         await asyncio.wait({w.task, serving}, return_when=asyncio.FIRST_COMPLETED)
         w.service, w.config = await serving, config
         w.address = w.service.address
@@ -269,7 +381,9 @@
     def __init__(self, leaves_out: bool = False) -> None:
         self.leaves_out = leaves_out  # answers are whole lists, and these leave out what drains
         self.version = 5
-        self.entries: dict[str, tuple[int, dict[str, Any]]] = {}  # by uid: since which version, and the target
+        self.entries: dict[
+            str, tuple[int, dict[str, Any]]
+        ] = {}  # by uid: since which version, and the target
         self.trouble: Script | None = None
         self.held: list[asyncio.Future[None]] = []
 
@@ -296,12 +410,17 @@
     def query(data: bytes) -> tuple[int | None, float]:
         """The version that a call knows, and the seconds that it may wait."""
         asked = parse_qs(urlsplit(data.split()[1].decode()).query)
-        return int(asked["from"][0]) if "from" in asked else None, int(asked.get("hold_ms", ["0"])[0]) / 1000
+        return int(asked["from"][0]) if "from" in asked else None, int(
+            asked.get("hold_ms", ["0"])[0]
+        ) / 1000
 
     def response(self, known: int | None) -> bytes:
         whole = known is None or self.leaves_out
-        told = [t for since, t in self.entries.values()
-                if (not self.leaves_out or t["state"] == "active") and (whole or since > (known or 0))]
+        told = [
+            t
+            for since, t in self.entries.values()
+            if (not self.leaves_out or t["state"] == "active") and (whole or since > (known or 0))
+        ]
         body = json.dumps({"rev": self.version, "all": whole, "targets": told}, indent=1).encode()
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
@@ -350,7 +469,6 @@
         if known is None or known < self.version:
             say(writer, self.response(known))
 
-
     def knows(self, peer: Peer) -> bool:
         """Whoever calls peer has taken in the last version."""
         return any(self.query(data)[0] == self.version for data in peer.requests)
@@ -361,15 +479,23 @@
 HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
-async def start_program(config: dict[str, Any], log: Path, descriptors: int | None = None) -> asyncio.subprocess.Process:
+async def start_program(
+    config: dict[str, Any], log: Path, descriptors: int | None = None
+) -> asyncio.subprocess.Process:
     """python -m troutdock with this configuration, which may hold no more than so many descriptors."""
     path = log.with_suffix(".json")
     path.write_text(json.dumps(config))
     bound = "" if descriptors is None else f"ulimit -n {descriptors} && "
     with log.open("ab") as errors:
         return await asyncio.create_subprocess_exec(
-            "sh", "-c", bound + 'exec "$0" -m troutdock', sys.executable, stderr=errors,
-            cwd=Path(__file__).parent.parent, env=os.environ | {"RELAY_CONFIG": str(path)})
+            "sh",
+            "-c",
+            bound + 'exec "$0" -m troutdock',
+            sys.executable,
+            stderr=errors,
+            cwd=Path(__file__).parent.parent,
+            env=os.environ | {"RELAY_CONFIG": str(path)},
+        )
 
 
 async def end_program(process: asyncio.subprocess.Process) -> None:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -16,7 +16,17 @@
 
 import pytest
 from loopback import (
-    SETTINGS, HeldClient, Peer, answer, end_now, request, run, silence, until, world, write_now,
+    SETTINGS,
+    HeldClient,
+    Peer,
+    answer,
+    end_now,
+    request,
+    run,
+    silence,
+    until,
+    world,
+    write_now,
 )
 from test_service import read_call
 
@@ -62,7 +72,13 @@
         yield w
 
 
-def meet(client: HeldClient, how: str, event: Callable[[], object], gone_first: bool, hold_s: float = HOLD_S) -> None:
+def meet(
+    client: HeldClient,
+    how: str,
+    event: Callable[[], object],
+    gone_first: bool,
+    hold_s: float = HOLD_S,
+) -> None:
     """Hold the loop while the client leaves and the event comes."""
     if gone_first:
         client.leave(how)
@@ -82,7 +98,9 @@
     await until(lambda: not any(c.request.id == b"%016x" % NUMBER for c in ingress._calls.values()))
     for backend in w.backends:
         backend.script = answer()
-    assert (await w.ask(ask(number=900)))[0] == 200  # whatever was written before it has come by now
+    assert (await w.ask(ask(number=900)))[
+        0
+    ] == 200  # whatever was written before it has come by now
     assert len(attempts(w)) == before
     assert NUMBER not in [int(c.request.id, 16) for c in ingress._calls.values()]
 
@@ -94,7 +112,8 @@
 @either_order
 @pytest.mark.parametrize("event", ["it grants", "it is lost"])
 def test_what_the_counter_lets_go_is_not_sent_for_a_client_that_left_in_that_turn(
-        how: str, gone_first: bool, event: str) -> None:
+    how: str, gone_first: bool, event: str
+) -> None:
     run(_counter(how, gone_first, event))
 
 
@@ -106,7 +125,9 @@
 
 async def _counter(how: str, gone_first: bool, event: str) -> None:
     async def count(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
-        total[0] += float(call.split()[2])  # as a counter would: else the gateway puts it right again and again
+        total[0] += float(
+            call.split()[2]
+        )  # as a counter would: else the gateway puts it right again and again
         if not held:
             writer.write(reply())
 
@@ -121,13 +142,23 @@
         held.append(True)
         client = HeldClient(w.address)
         gateway, calls = w.service._ingress._gateway, len(w.counter.requests)
-        client.write(ask("vat-filing", Plan="basis", Account="0000000000000077", Quota_Info="units=6,spread=3,first=0"))
+        client.write(
+            ask(
+                "vat-filing",
+                Plan="basis",
+                Account="0000000000000077",
+                Quota_Info="units=6,spread=3,first=0",
+            )
+        )
         await until(lambda: any(call for asked in gateway.counts.values() for *_, call in asked))
         await until(lambda: len(w.counter.requests) > calls)
         assert not attempts(w)
         writer = w.counter.writers[0]
-        happen = {"it grants": lambda: write_now(writer, reply()), "it is lost": lambda: end_now(writer),
-                  "it is silent": lambda: None}[event]
+        happen = {
+            "it grants": lambda: write_now(writer, reply()),
+            "it is lost": lambda: end_now(writer),
+            "it is silent": lambda: None,
+        }[event]
         held.clear()
         meet(client, how, happen, gone_first, 1.1 if event == "it is silent" else HOLD_S)
         await expect(w, how, 0)
@@ -139,18 +170,23 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("event", ["turned away", "spoilt", "ended"])
-def test_no_further_attempt_follows_one_that_fails_as_its_client_leaves(how: str, gone_first: bool, event: str) -> None:
+def test_no_further_attempt_follows_one_that_fails_as_its_client_leaves(
+    how: str, gone_first: bool, event: str
+) -> None:
     async def test() -> None:
         async with warm() as w:
             client = HeldClient(w.address)
             client.write(ask())
             await until(lambda: len(attempts(w)) == 1)
             (writer,) = attempts(w)[0].writers
-            happen = {"turned away": lambda: write_now(writer, TURNED_AWAY),
-                      "spoilt": lambda: write_now(writer, b"noise that is no answer\r\n\r\n"),
-                      "ended": lambda: end_now(writer)}[event]
+            happen = {
+                "turned away": lambda: write_now(writer, TURNED_AWAY),
+                "spoilt": lambda: write_now(writer, b"noise that is no answer\r\n\r\n"),
+                "ended": lambda: end_now(writer),
+            }[event]
             meet(client, how, happen, gone_first)
             await expect(w, how, 1)
+
     run(test())
 
 
@@ -168,8 +204,11 @@
 
 @each_way_to_go
 @pytest.mark.parametrize("late", [True, False])
-def test_no_second_copy_follows_for_a_client_that_left_before_its_timer(how: str, late: bool) -> None:
+def test_no_second_copy_follows_for_a_client_that_left_before_its_timer(
+    how: str, late: bool
+) -> None:
     """In a late turn of the loop timers come before any socket is looked at."""
+
     async def test() -> None:
         async with warm(settings=soon_overdue()) as w:
             client = HeldClient(w.address)
@@ -181,6 +220,7 @@
                 wait_s = HOLD_S
             meet(client, how, lambda: None, True, wait_s)
             await expect(w, how, 1)
+
     run(test())
 
 
@@ -215,7 +255,8 @@
 @pytest.mark.parametrize("moment", ["connected", "ready"])
 @pytest.mark.parametrize("which", ["first", "further", "second copy"])
 def test_a_connection_that_comes_up_as_its_client_leaves_carries_no_attempt(
-        how: str, moment: str, which: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, moment: str, which: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """A connection dialled is no attempt: that begins with its bytes, a turn of the loop or two later."""
     dial = Dial(monkeypatch, moment)
 
@@ -239,6 +280,7 @@
                 write_now(attempts(w)[0].writers[0], TURNED_AWAY)
             await until(lambda: dial.at is None)
             await expect(w, how, before)
+
     run(test())
 
 
@@ -249,8 +291,10 @@
 @either_order
 @pytest.mark.parametrize("behind", [b"", ask(number=501), ask(number=501)[:40]])
 def test_what_stands_behind_others_is_not_sent_as_they_are_answered_and_its_client_leaves(
-        how: str, gone_first: bool, behind: bytes) -> None:
+    how: str, gone_first: bool, behind: bytes
+) -> None:
     """More that the client sent may stand unread before its end."""
+
     async def test() -> None:
         async with warm(MAX_PIPELINED) as w:
             client = HeldClient(w.address)
@@ -265,13 +309,16 @@
             meet(client, how, lambda: write_now(first.writers[-1], OK), gone_first)
             await asyncio.sleep(2 * REST_S)  # a connection that it could have
             await expect(w, how, 0)
+
     run(test())
 
 
 @each_way_to_go
 @pytest.mark.parametrize("where", ["unread", "at the door"])
 @pytest.mark.parametrize("behind", [b"", ask(number=501), ask(number=501)[:40]])
-def test_what_came_and_was_not_read_before_its_client_left_is_not_sent(how: str, where: str, behind: bytes) -> None:
+def test_what_came_and_was_not_read_before_its_client_left_is_not_sent(
+    how: str, where: str, behind: bytes
+) -> None:
     async def test() -> None:
         async with warm() as w:
             client = HeldClient(w.address) if where == "unread" else None
@@ -280,15 +327,23 @@
             client = client or HeldClient(w.address)
             client.write(ask() + behind)
             meet(client, how, lambda: None, True)
-            await until(lambda: how == "stays" or not any(
-                c._sock.fileno() >= 0 and c.left() for c in w.service._server._clients))
+            await until(
+                lambda: (
+                    how == "stays"
+                    or not any(
+                        c._sock.fileno() >= 0 and c.left() for c in w.service._server._clients
+                    )
+                )
+            )
             await expect(w, how, 0)
+
     run(test())
 
 
 @each_way_to_go
 def test_unread_bytes_before_its_end_do_not_hide_that_a_client_left(how: str) -> None:
     """A further request of the client stands unread before its end, so that a peek would show no end."""
+
     async def test() -> None:
         async with warm() as w:
             client = HeldClient(w.address)
@@ -298,4 +353,5 @@
             client.write(ask(number=501)[:40])
             meet(client, how, lambda: write_now(writer, TURNED_AWAY), False)
             await expect(w, how, 1)
+
     run(test())
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -17,20 +17,40 @@
 
 from tamarindfold import Gateway
 from tamarindfold.interface import (
-    AttemptEnded, BackendEntry, BackendState, Effect, Event, Fail, FleetUpdate, ListKind, Outcome, Refuse,
-    RequestClass, Send,
+    AttemptEnded,
+    BackendEntry,
+    BackendState,
+    Effect,
+    Event,
+    Fail,
+    FleetUpdate,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
 )
 
 CLASSES = (RequestClass(1200, 4000, 3, Effect.SAFE), RequestClass(1800, 4000, 5, Effect.SAFE))
 UNIT_MS = (60.0, 108.0)  # what a unit of each class takes on average, on a warm core of speed 1
-LARGE, LARGE_PART = 8.0, 0.12  # units of a large request, and how many are large; the others have one unit
+LARGE, LARGE_PART = (
+    8.0,
+    0.12,
+)  # units of a large request, and how many are large; the others have one unit
 MEAN_MS = sum(UNIT_MS) / 2 * (1 + LARGE_PART * (LARGE - 1))
-SHAPE = 2.0  # of the gamma distribution that work is drawn from: a little more even than exponential
+SHAPE = (
+    2.0  # of the gamma distribution that work is drawn from: a little more even than exponential
+)
 NET_MS = 1.0  # one way
-REPORT_MS, NOISE = 400.0, 0.1  # a load report is measured over this time at least; how far it may be wrong
+REPORT_MS, NOISE = (
+    400.0,
+    0.1,
+)  # a load report is measured over this time at least; how far it may be wrong
 QUEUE_PER_CORE = 20
 EVENTS = 300_000  # far more than any play here has
-FLOOR = 0.1  # of the work that a cold backend can do: one that gets less is left out rather than spared
+FLOOR = (
+    0.1  # of the work that a cold backend can do: one that gets less is left out rather than spared
+)
 SEEDS = (1, 2)
 
 
@@ -129,9 +149,14 @@
         times = [t for t, _ in self.came]
         sums = [0.0, *accumulate(weight(job) for _, job in self.came)]
         begins = [t - self.scene.overload_ms for t in times]
-        return max((
-            (sums[i + 1] - sums[bisect_left(times, begin)]) / self.allowed(begin)
-            for i, begin in enumerate(begins) if begin < self.up_since + self.scene.cold_ms), default=0.0)
+        return max(
+            (
+                (sums[i + 1] - sums[bisect_left(times, begin)]) / self.allowed(begin)
+                for i, begin in enumerate(begins)
+                if begin < self.up_since + self.scene.cold_ms
+            ),
+            default=0.0,
+        )
 
     def used(self, end: float) -> float:
         """The work that came since its start, of what it could do by then."""
@@ -158,26 +183,52 @@
         self.offered = self.served = 0
         names = self.random.sample(range(1, 10_000), scene.backends)
         self.servers = {n: Server(n, scene, self.random.uniform(0.85, 1.15)) for n in names}
-        self.cold = [self.servers[n] for n in names[:scene.cold]]
-        warm = names[scene.cold:]
+        self.cold = [self.servers[n] for n in names[: scene.cold]]
+        warm = names[scene.cold :]
         self.gap_ms = MEAN_MS / scene.cores / scene.load / sum(self.servers[n].speed for n in warm)
         self.gateways = [
-            Gateway(settings(**{
-                "gateways": scene.gateways, "index": index, "classes": CLASSES, "plans": (OPEN,), "max_attempts": 2,
-                "start_capacity": scene.start_capacity, "cold_ms": scene.cold_ms,
-                "fall_multiple": scene.fall_multiple, "overload_ms": scene.overload_ms, "most_units": LARGE,
-                "report_fields": ("backlog", "throughput", "utilization"), **told}), self.random.getrandbits(32))
-            for index in range(scene.gateways)]
-        self.shares = list(accumulate(self.random.choice((0.5, 0.5, 1.0, 2.0)) for _ in self.gateways))
-        self.list_backends(warm, names[:scene.cold:2], names[1:scene.cold:2], 0.0 if hide_start else self.boot)
+            Gateway(
+                settings(
+                    **{
+                        "gateways": scene.gateways,
+                        "index": index,
+                        "classes": CLASSES,
+                        "plans": (OPEN,),
+                        "max_attempts": 2,
+                        "start_capacity": scene.start_capacity,
+                        "cold_ms": scene.cold_ms,
+                        "fall_multiple": scene.fall_multiple,
+                        "overload_ms": scene.overload_ms,
+                        "most_units": LARGE,
+                        "report_fields": ("backlog", "throughput", "utilization"),
+                        **told,
+                    }
+                ),
+                self.random.getrandbits(32),
+            )
+            for index in range(scene.gateways)
+        ]
+        self.shares = list(
+            accumulate(self.random.choice((0.5, 0.5, 1.0, 2.0)) for _ in self.gateways)
+        )
+        self.list_backends(
+            warm,
+            names[: scene.cold : 2],
+            names[1 : scene.cold : 2],
+            0.0 if hide_start else self.boot,
+        )
         for server in self.cold:
             self.at(self.boot, server.start, self.boot)
         self.at(START, self.arrive)
 
-    def list_backends(self, warm: list[int], new: list[int], back: list[int], up_since: float) -> None:
+    def list_backends(
+        self, warm: list[int], new: list[int], back: list[int], up_since: float
+    ) -> None:
         """What each gateway is told of the list of backends, and when."""
         at_first = FleetUpdate(ListKind.FULL, [BackendEntry(n) for n in [*warm, *back]])
-        drained = FleetUpdate(ListKind.CHANGES, [BackendEntry(n, BackendState.DRAINING) for n in back])
+        drained = FleetUpdate(
+            ListKind.CHANGES, [BackendEntry(n, BackendState.DRAINING) for n in back]
+        )
         gone = FleetUpdate(ListKind.CHANGES, [BackendEntry(n, BackendState.GONE) for n in back])
         started = [BackendEntry(n, up_since_ms=up_since) for n in [*new, *back]]
         by_changes = FleetUpdate(ListKind.CHANGES, started)
@@ -208,10 +259,14 @@
         index = self.random.choices(range(len(self.gateways)), cum_weights=self.shares)[0]
         units = LARGE if self.random.random() < LARGE_PART else 1.0
         size = UNIT_MS[cls] * units / MEAN_MS
-        job = self.jobs[number] = Job(index, size, size * self.random.gammavariate(SHAPE, 1 / SHAPE))
+        job = self.jobs[number] = Job(
+            index, size, size * self.random.gammavariate(SHAPE, 1 / SHAPE)
+        )
         self.offered += 1
         self.at(self.now + CLASSES[cls].deadline_ms, self.give_up, job, number)
-        self.tell(index, request(number, cls, number % 997, units=units, left=CLASSES[cls].deadline_ms))
+        self.tell(
+            index, request(number, cls, number % 997, units=units, left=CLASSES[cls].deadline_ms)
+        )
 
     def tell(self, index: int, event: Event) -> None:
         """Hand an event to a gateway and carry out what it wants."""
@@ -255,18 +310,24 @@
         if number in self.jobs:
             self.served += outcome is Outcome.OK
             noise = self.random.uniform(1 - NOISE, 1 + NOISE)
-            self.end_attempt(job, number, outcome, outcome is Outcome.OK, server.measured(self.now, noise))
+            self.end_attempt(
+                job, number, outcome, outcome is Outcome.OK, server.measured(self.now, noise)
+            )
 
     def give_up(self, job: Job, number: int) -> None:
         if number in self.jobs:
             self.end_attempt(job, number, Outcome.TIMEOUT, True, ())
 
-    def end_attempt(self, job: Job, number: int, outcome: Outcome, over: bool, report: tuple[float, ...]) -> None:
+    def end_attempt(
+        self, job: Job, number: int, outcome: Outcome, over: bool, report: tuple[float, ...]
+    ) -> None:
         if over:
             del self.jobs[number]
         took = self.now - job.sent_at
-        self.tell(job.gateway, AttemptEnded(
-            number, job.attempts - 1, job.backend, outcome, took, over, report=report))
+        self.tell(
+            job.gateway,
+            AttemptEnded(number, job.attempts - 1, job.backend, outcome, took, over, report=report),
+        )
 
 
 def fullest(play: Play) -> float:
@@ -291,13 +352,17 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("name", SCENES)
-def test_cold_backends_stand_and_are_used_under_what_all_gateways_send(name: str, seed: int) -> None:
+def test_cold_backends_stand_and_are_used_under_what_all_gateways_send(
+    name: str, seed: int
+) -> None:
     """Guards the ramp of a cold backend for the whole fleet: beyond N only 2 x root of N + 2 are put down to chance."""
     play = Play(SCENES[name], seed).run()
     worst, used = fullest(play), [server.used(play.end) for server in play.cold]
     drawn = max(server.fullest(lambda job: job.drawn) for server in play.cold)
-    print(f"{name}, seed {seed}: fullest window {worst:.2f} of what is allowed ({drawn:.2f} by drawn work), used "
-          f"{min(used):.2f} to {max(used):.2f}, answered {play.served / play.offered:.2f} of {play.offered}")
+    print(
+        f"{name}, seed {seed}: fullest window {worst:.2f} of what is allowed ({drawn:.2f} by drawn work), used "
+        f"{min(used):.2f} to {max(used):.2f}, answered {play.served / play.offered:.2f} of {play.offered}"
+    )
     assert worst <= 1
     assert min(used) >= FLOOR
 
--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -12,8 +12,23 @@
 
 import pytest
 from loopback import (
-    HEALTH, SETTINGS, Agent, Peer, answer, ask_once, end_program, keep_port, request, run, say, sends, silence,
-    start_program, target, until, world,
+    HEALTH,
+    SETTINGS,
+    Agent,
+    Peer,
+    answer,
+    ask_once,
+    end_program,
+    keep_port,
+    request,
+    run,
+    say,
+    sends,
+    silence,
+    start_program,
+    target,
+    until,
+    world,
 )
 
 # From when discovery has a change and can be reached: until it counts as told, and until a drain has to be kept.
@@ -28,8 +43,11 @@
 async def failures(cases: dict[str, Awaitable[None]]) -> dict[str, str]:
     """What went wrong, by the name of the case; all of them run side by side."""
     ends = await asyncio.gather(*cases.values(), return_exceptions=True)
-    return {name: f"{end!r} from line {[f.lineno for f in extract_tb(end.__traceback__) if f.filename == __file__][-1]}"
-            for name, end in zip(cases, ends, strict=True) if end is not None}
+    return {
+        name: f"{end!r} from line {[f.lineno for f in extract_tb(end.__traceback__) if f.filename == __file__][-1]}"
+        for name, end in zip(cases, ends, strict=True)
+        if end is not None
+    }
 
 
 async def refuse(agent: Agent, peer: Peer) -> None:
@@ -39,6 +57,7 @@
 def suffer(trouble: Callable[[Agent], Any]) -> Begin:
     async def begin(agent: Agent, peer: Peer) -> None:
         agent.suffer(trouble(agent))
+
     return begin
 
 
@@ -63,6 +82,7 @@
     if not peer.server.is_serving():
         await peer.listen_again()
 
+
 # How long a trouble lasts, and whether whole lists leave out what drains. The long ones are of several lengths, so that
 # pauses which double without end (from 0.2 s on, say) have just begun one that is too long at the end of some.
 LASTING = ((0.3, False), (0.3, True), (8.0, False), (9.0, True), (13.0, False))
@@ -101,10 +121,21 @@
     Each trouble begins while a call is held. The short ones guard what the ingress does about the call that was
     open, the long ones what it does after it has called in vain again and again.
     """
+
     async def test() -> None:
-        assert await failures({
-            f"{name}, for {seconds} s, {'whole lists' if leaves_out else 'changes'}": keeps_a_drain(begin, seconds, leaves_out)
-            for name, begin in TROUBLES.items() for seconds, leaves_out in LASTING}) == {}
+        assert (
+            await failures(
+                {
+                    f"{name}, for {seconds} s, {'whole lists' if leaves_out else 'changes'}": keeps_a_drain(
+                        begin, seconds, leaves_out
+                    )
+                    for name, begin in TROUBLES.items()
+                    for seconds, leaves_out in LASTING
+                }
+            )
+            == {}
+        )
+
     run(test())
 
 
@@ -156,10 +187,19 @@
                 await peer.start()
                 stack.callback(peer.stop)
             self.agent.list(target(self.old, "s-0"))
-            self.process = await start_program({
-                "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address, "seed": "07",
-                "limits": {"sockets": self.sockets}, "settings": SETTINGS,
-                "known": {"rev": 5, "all": True, "targets": [target(self.old, "s-0")]}}, self._log, self.sockets)
+            self.process = await start_program(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "discovery": self.discovery.address,
+                    "seed": "07",
+                    "limits": {"sockets": self.sockets},
+                    "settings": SETTINGS,
+                    "known": {"rev": 5, "all": True, "targets": [target(self.old, "s-0")]},
+                },
+                self._log,
+                self.sockets,
+            )
             stack.push_async_callback(end_program, self.process)
             while (await ask_once(self.port, HEALTH))[0] != 200:
                 await asyncio.sleep(0.05)
@@ -174,7 +214,9 @@
 
     async def end(self) -> None:
         """Discovery can be reached again, and tells that the old backend drains and a new one is there."""
-        await end(self.agent, self.discovery, target(self.old, "s-0", "leaving"), target(self.new, "s-1"))
+        await end(
+            self.agent, self.discovery, target(self.old, "s-0", "leaving"), target(self.new, "s-1")
+        )
 
     async def __aexit__(self, *_: object) -> None:
         await self._stack.aclose()
@@ -183,7 +225,11 @@
 async def serve(port: int, number: int) -> bytes:
     """The answer to a usual client: one that is shut unread comes again, one whose time is up does not."""
     async with asyncio.timeout(4.0):
-        while (got := await ask_once(port, request("ledger-read", number, Request_Timeout="4.000"), 4.0))[0] == 0:
+        while (
+            got := await ask_once(
+                port, request("ledger-read", number, Request_Timeout="4.000"), 4.0
+            )
+        )[0] == 0:
             await asyncio.sleep(0.05)
     assert got[0] == 200, got
     return got[1]
@@ -213,34 +259,63 @@
 CROWDS = [("refused", 64), ("silent", 64), ("cut", 64), ("cut and left open", 96), ("refused", 128)]
 
 
-def test_idle_clients_that_fill_the_descriptors_keep_no_drain_from_being_kept(tmp_path: Path) -> None:
+def test_idle_clients_that_fill_the_descriptors_keep_no_drain_from_being_kept(
+    tmp_path: Path,
+) -> None:
     """The ingress must get its connection to discovery back, whatever idle clients hold."""
+
     async def test() -> None:
-        assert await failures({
-            f"{name}, {sockets} descriptors": keeps_a_drain_beside_a_crowd(TROUBLES[name], sockets, tmp_path / f"{name}-{sockets}.log")
-            for name, sockets in CROWDS}) == {}
+        assert (
+            await failures(
+                {
+                    f"{name}, {sockets} descriptors": keeps_a_drain_beside_a_crowd(
+                        TROUBLES[name], sockets, tmp_path / f"{name}-{sockets}.log"
+                    )
+                    for name, sockets in CROWDS
+                }
+            )
+            == {}
+        )
+
     run(test())
 
 
-def test_a_usual_client_is_served_beside_idle_ones_that_fill_the_descriptors(tmp_path: Path) -> None:
+def test_a_usual_client_is_served_beside_idle_ones_that_fill_the_descriptors(
+    tmp_path: Path,
+) -> None:
     """With discovery down and when it is back: a connection may be shut unread then, but not be left to wait."""
+
     async def test() -> None:
-        assert await failures({
-            f"{name}, {sockets} descriptors": serves_beside_a_crowd(TROUBLES[name], sockets, tmp_path / f"{name}-{sockets}.log")
-            for name, sockets in CROWDS}) == {}
+        assert (
+            await failures(
+                {
+                    f"{name}, {sockets} descriptors": serves_beside_a_crowd(
+                        TROUBLES[name], sockets, tmp_path / f"{name}-{sockets}.log"
+                    )
+                    for name, sockets in CROWDS
+                }
+            )
+            == {}
+        )
+
     run(test())
 
 
-def test_a_usual_client_is_served_behind_idle_ones_that_come_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_usual_client_is_served_behind_idle_ones_that_come_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """64 descriptors leave eight places, and forty are at the door before the first is taken in; all stay."""
     monkeypatch.setattr("troutdock.server.MESSAGE_S", 1000.0)
 
     async def test() -> None:
         async with world(answer(b"old"), sockets=64) as w:
-            crowd = [socket.create_connection(w.address) for _ in range(40)]  # the loop does not turn meanwhile
+            crowd = [
+                socket.create_connection(w.address) for _ in range(40)
+            ]  # the loop does not turn meanwhile
             assert await serve(w.address[1], 1) == b"old"
             for idle in crowd:
                 idle.close()
+
     run(test())
 
 
@@ -249,6 +324,7 @@
 
 def trickle(agent: Agent, pieces: int, pause_s: float) -> Any:
     """Each answer comes whole, in so many pieces; a call that may wait is held until there is news."""
+
     async def script(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
         known, hold_s = agent.query(data)
         with suppress(TimeoutError):
@@ -257,8 +333,9 @@
         said = agent.response(known)
         size = len(said) // pieces + 1
         for start in range(0, len(said), size):
-            say(writer, said[start:start + size])
+            say(writer, said[start : start + size])
             await asyncio.sleep(pause_s)
+
     return script
 
 
@@ -280,7 +357,18 @@
 
 def test_a_list_that_comes_in_pieces_is_told_in_time() -> None:
     """A call given up because its answer took long is followed by one like it: what comes must be waited for."""
+
     async def test() -> None:
-        assert await failures({f"{pieces} pieces, one in {pause_s} s": keeps_a_drain_that_trickles(pieces, pause_s)
-                               for pieces, pause_s in ((8, 0.01), (8, 0.05), (8, 0.1), (20, 0.1))}) == {}
+        assert (
+            await failures(
+                {
+                    f"{pieces} pieces, one in {pause_s} s": keeps_a_drain_that_trickles(
+                        pieces, pause_s
+                    )
+                    for pieces, pause_s in ((8, 0.01), (8, 0.05), (8, 0.1), (20, 0.1))
+                }
+            )
+            == {}
+        )
+
     run(test())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,13 +20,28 @@
 REPORTS = ("backlog", "throughput", "utilization")
 
 
-def cold_work(gateways: int, warm: int, cold: int, seconds: int, kind: type[Gateway] = Gateway,
-              report: tuple[float, ...] = (), units: tuple[float, ...] = (1.0,), tries: int = 4) -> list[list[float]]:
+def cold_work(
+    gateways: int,
+    warm: int,
+    cold: int,
+    seconds: int,
+    kind: type[Gateway] = Gateway,
+    report: tuple[float, ...] = (),
+    units: tuple[float, ...] = (1.0,),
+    tries: int = 4,
+) -> list[list[float]]:
     """When each cold backend got work (once a unit), all starting at once under a flood through every gateway."""
     got: list[list[float]] = [[] for _ in range(cold)]
     for index in range(gateways):
-        base = gateway(gateways=gateways, index=index, classes=(SAFE,), start_capacity=0.2, cold_ms=1e6,
-                       most_units=8, report_fields=REPORTS).settings
+        base = gateway(
+            gateways=gateways,
+            index=index,
+            classes=(SAFE,),
+            start_capacity=0.2,
+            cold_ms=1e6,
+            most_units=8,
+            report_fields=REPORTS,
+        ).settings
         g = kind(base, index)
         g.handle(START, fleet(*range(1, warm + 1)))
         g.handle(START, fleet(*range(1000, 1000 + cold), kind=ListKind.CHANGES, up=START))
@@ -41,15 +56,22 @@
                     cold_one = send.backend >= 1000
                     if cold_one:
                         got[send.backend - 1000] += [now] * int(size)
-                    g.handle(now, replace(ended(number, send.backend, took=WORK_MS * size), report=report))
+                    g.handle(
+                        now,
+                        replace(ended(number, send.backend, took=WORK_MS * size), report=report),
+                    )
     return got
 
 
 @pytest.mark.parametrize(("gateways", "warm", "cold"), [(2, 6, 3), (60, 20, 10), (200, 2, 30)])
-def test_all_gateways_together_keep_within_a_cold_backends_budget(gateways: int, warm: int, cold: int) -> None:
+def test_all_gateways_together_keep_within_a_cold_backends_budget(
+    gateways: int, warm: int, cold: int
+) -> None:
     """A part of a 300th of a request is rounded by chance: not everybody sends, and not nobody."""
     got = cold_work(gateways, warm, cold, 9)
-    limit = 2 * 0.2 * 3000 * 3  # fall multiple x capacity x window, on three cores as the bench's servers have
+    limit = (
+        2 * 0.2 * 3000 * 3
+    )  # fall multiple x capacity x window, on three cores as the bench's servers have
     for when in got:
         for begin in when:
             assert sum(begin <= t < begin + 3000 for t in when) * WORK_MS < limit
@@ -57,7 +79,9 @@
 
 
 @pytest.mark.parametrize("units", [(1.0,), (1.0, 1.0, 1.0, 1.0, 8.0)])
-def test_a_cold_budget_of_parts_of_a_request_is_not_overdrawn_by_small_requests(units: tuple[float, ...]) -> None:
+def test_a_cold_budget_of_parts_of_a_request_is_not_overdrawn_by_small_requests(
+    units: tuple[float, ...],
+) -> None:
     """Found on join+vast: a chance that fits the mean request let small ones through three times too often."""
     got = cold_work(60, 20, 10, 30, units=units)
     budget = 0.8 * 2 * 0.2 * 30_000  # of each in thirty seconds, with no reports
@@ -67,7 +91,9 @@
 def test_cold_backends_get_what_their_reports_show_that_they_can_do() -> None:
     """Without, they idle beside warm ones that drown; with, they are still not pushed over."""
     unknown = cold_work(60, 2, 30, 30)
-    told = cold_work(60, 2, 30, 30, report=(0.0, 2.0, 0.5))  # four requests a second: a fifth of three cores
+    told = cold_work(
+        60, 2, 30, 30, report=(0.0, 2.0, 0.5)
+    )  # four requests a second: a fifth of three cores
     assert sum(map(len, told)) > 1.3 * sum(map(len, unknown))
     limit = 2 * 0.2 * 3000 * 3
     for when in told:
@@ -129,6 +155,7 @@
     """Counted in backends looked at, not in seconds."""
     looked = {}
     for backends in (10, 1000):
+
         class Counting(Gateway):
             seen = 0
 
@@ -155,7 +182,12 @@
         for send in sends(g, now, n, cls):
             bad = send.backend == 1 and cls == 1
             got[cls] += send.backend == 1 and n > 100
-            g.handle(now, ended(n, send.backend, Outcome.ERROR if bad else Outcome.OK, took=150.0 + 150.0 * cls))
+            g.handle(
+                now,
+                ended(
+                    n, send.backend, Outcome.ERROR if bad else Outcome.OK, took=150.0 + 150.0 * cls
+                ),
+            )
     assert got[1] < 40  # of 550, a fifth of which would be 110
     assert got[0] > 60
 
@@ -172,7 +204,9 @@
     g = gateway(1, 2, 3, 4)
     (send,) = sends(g, START, 1, cls=1)
     g.handle(START + 1, fleet(*[n for n in (1, 2, 3, 4) if n != send.backend]))
-    again = [a for a in g.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50)) if isinstance(a, Send)]
+    again = [
+        a
+        for a in g.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50))
+        if isinstance(a, Send)
+    ]
     assert again and again[0].backend % 2 == send.backend % 2  # its cell
-
-
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -24,8 +24,16 @@
 
 
 def entry(number: int, state: str = "active") -> dict[str, Any]:
-    return {"uid": f"s-{number:08x}", "endpoint": f"127.0.{number >> 8 & 255}.{number & 255}:8081", "az": "hall-a",
-            "model": "std-2c", "pod_group": number // 30, "state": state, "capacity_hint": 1.0, "boot_ms": 0}
+    return {
+        "uid": f"s-{number:08x}",
+        "endpoint": f"127.0.{number >> 8 & 255}.{number & 255}:8081",
+        "az": "hall-a",
+        "model": "std-2c",
+        "pod_group": number // 30,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
 
 
 def whole(count: int, rev: int = 41) -> dict[str, Any]:
@@ -33,7 +41,7 @@
 
 
 def in_pieces(data: bytes, size: int) -> Iterator[bytes]:
-    return (data[at:at + size] for at in range(0, len(data), size))
+    return (data[at : at + size] for at in range(0, len(data), size))
 
 
 def read(reader: ListReader, pieces: Any) -> tuple[FleetUpdate, Any]:
@@ -51,12 +59,17 @@
 @pytest.mark.parametrize("indent", [None, 4])
 def test_a_list_reads_the_same_in_pieces_of_any_size(size: int, indent: int | None) -> None:
     raw = whole(20)
-    turned = {key: raw[key] for key in ("targets", "all", "rev")} | {"more": [{"uid": [1, {}]}, None]}
+    turned = {key: raw[key] for key in ("targets", "all", "rev")} | {
+        "more": [{"uid": [1, {}]}, None]
+    }
     raw["targets"][3] |= {"labels": {"uid": "x", "deep": [1, [2]]}, "note": None}
     expected = read(ListReader((), ()), [json.dumps(raw).encode()])
     assert len(expected[0].entries) == len(expected[1]) == 20
     for form in (raw, turned):
-        assert read(ListReader((), ()), in_pieces(json.dumps(form, indent=indent).encode(), size)) == expected
+        assert (
+            read(ListReader((), ()), in_pieces(json.dumps(form, indent=indent).encode(), size))
+            == expected
+        )
 
 
 def test_of_a_long_list_only_this_gateways_part_is_held_at_any_time() -> None:
@@ -73,10 +86,16 @@
     assert update.parts == 32
     assert {e.backend for e in update.entries} == set(endpoints)
     assert all(sink.part.holds(e.backend) for e in update.entries)
-    others = [read(ListReader((), (), FLEET, n), [json.dumps(whole(2000)).encode()])[1] for n in (0, 1)]
+    others = [
+        read(ListReader((), (), FLEET, n), [json.dumps(whole(2000)).encode()])[1] for n in (0, 1)
+    ]
     assert {*others[0], *others[1]} == {backend_id(f"s-{n:08x}") for n in range(2000)}
     # and of the changes that follow only those to the part
-    changes = {"rev": 42, "all": False, "targets": [entry(n, "leaving") for n in range(20_000, 20_640)]}
+    changes = {
+        "rev": 42,
+        "all": False,
+        "targets": [entry(n, "leaving") for n in range(20_000, 20_640)],
+    }
     changed, _ = read(reader, [json.dumps(changes).encode()])
     assert changed.parts == 32 and 3 <= len(changed.entries) <= 60
     assert not reader.misfit
@@ -89,12 +108,18 @@
     sink = reader.begin()
     inside = [e for e in update.entries if sink.part.holds(e.backend)]
     beside = [e for e in update.entries if not sink.part.holds(e.backend)]
-    assert update.parts == 64 and len(inside) <= PART_BACKENDS and len(beside) <= lists.COMPANIONS * len(inside)
+    assert (
+        update.parts == 64
+        and len(inside) <= PART_BACKENDS
+        and len(beside) <= lists.COMPANIONS * len(inside)
+    )
     by_cell: dict[int, int] = {}
     for e in beside:
         by_cell[e.cell] = by_cell.get(e.cell, 0) + 1
     assert by_cell == dict.fromkeys({e.cell for e in inside}, lists.COMPANIONS)
-    other = read(ListReader((), (), FLEET, 77 + 64, cells=True), [json.dumps(whole(33_000)).encode()])[0]
+    other = read(
+        ListReader((), (), FLEET, 77 + 64, cells=True), [json.dumps(whole(33_000)).encode()]
+    )[0]
     shared = {e.backend for e in beside} & {e.backend for e in other.entries}
     assert len(shared) < len(beside) / 4  # ingresses of one part choose different ones
     # their drains are told, and a whole list keeps to them
@@ -115,7 +140,11 @@
     g.handle(START, FleetUpdate(ListKind.FULL, entries, parts=64))
     assert {n for _, n, *_ in g.subset.ready} == set(mine)
     (send,) = [a for a in g.handle(START, arrival(1)) if isinstance(a, Send)]
-    again = [a for a in g.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50)) if isinstance(a, Send)]
+    again = [
+        a
+        for a in g.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50))
+        if isinstance(a, Send)
+    ]
     assert send.backend in mine and again[0].backend in others
 
 
@@ -138,13 +167,17 @@
 
 DEEP = b'{"rev":1,"all":true,"x":' + b"[" * 100_000
 ENDLESS: dict[str, tuple[bytes, bytes]] = {  # how it begins and goes on
-    "space": (b'{"rev":1,', b" " * 8192), "a text": (b'{"rev":"', b"x" * 8192), "depth": (b"", b"[" * 8192),
-    "entries": (b'{"rev":1,"all":true,"targets":[', json.dumps(entry(1)).encode() + b",")}
+    "space": (b'{"rev":1,', b" " * 8192),
+    "a text": (b'{"rev":"', b"x" * 8192),
+    "depth": (b"", b"[" * 8192),
+    "entries": (b'{"rev":1,"all":true,"targets":[', json.dumps(entry(1)).encode() + b","),
+}
 
 
 @pytest.mark.parametrize("form", ENDLESS)
 def test_a_list_that_never_ends_is_given_up_after_a_bounded_number_of_pieces(
-        form: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(lists, "MAX_ENTRIES", 500)
     begun, more = ENDLESS[form]
     decoder = JsonPieces(ListReader((), ()).begin())
@@ -158,9 +191,19 @@
     assert len(str(raised.value)) < 400 and "\n" not in str(raised.value)
 
 
-@pytest.mark.parametrize("bad", [
-    b"", b" ", b"\xff\xfe", b"[]", DEEP, json.dumps(whole(50)).encode()[:-1], json.dumps(whole(50)).encode() + b"x",
-    json.dumps(whole(3)).replace('"rev": 41', '"rev": NaN').encode()])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"",
+        b" ",
+        b"\xff\xfe",
+        b"[]",
+        DEEP,
+        json.dumps(whole(50)).encode()[:-1],
+        json.dumps(whole(50)).encode() + b"x",
+        json.dumps(whole(3)).replace('"rev": 41', '"rev": NaN').encode(),
+    ],
+)
 def test_a_list_that_is_none_takes_nothing_from_the_last(bad: bytes) -> None:
     reader = ListReader((), ())
     good, _ = read(reader, [json.dumps(whole(3)).encode()])
@@ -187,7 +230,9 @@
     async def __aenter__(self) -> Watched:
         await self.agent.start()
         reader = ListReader((), (), self.gateways, 0)
-        self.watch = Discovery(("127.0.0.1", self.agent.port), reader, 5, lambda update, _: self.told.append(update))
+        self.watch = Discovery(
+            ("127.0.0.1", self.agent.port), reader, 5, lambda update, _: self.told.append(update)
+        )
         self.task = Background("the watch", self.watch.run)
         return self
 
@@ -209,8 +254,10 @@
 
 
 def test_a_long_list_that_cannot_be_read_is_not_asked_for_again_but_changes_are(
-        hurried: None, caplog: Any) -> None:
+    hurried: None, caplog: Any
+) -> None:
     """15 MB of it were asked for every 0.1 s; now the watch goes on from the last good version."""
+
     async def test() -> None:
         spoilt = json.dumps(whole(5000)).encode()[:-9] + b"spoilt!!!"
 
@@ -228,12 +275,14 @@
             await until(lambda: len(w.asked) == 8)
             assert w.asked[7] == b"/v1/servers?from=6&"  # all is well again
             assert not w.watch._frugal
+
     run(test())
     assert "discovery: BadList: parse error" in caplog.text and "a body of" in caplog.text
 
 
 def test_what_is_taken_of_long_lists_while_they_cannot_be_read_is_bounded(hurried: None) -> None:
     """Counted where the ingress reads, over the calls of the time that follows."""
+
     async def test() -> None:
         spoilt = json.dumps(whole(5000)).encode()[:-1]
 
@@ -248,6 +297,7 @@
                 came.append(w.watch._came)
             assert max(came) <= discovery.PIECE
             assert not w.told
+
     run(test())
 
 
@@ -257,16 +307,19 @@
         watch._came = 100
         pauses = [watch._pause(True) for _ in range(12)]
         for n, pause in enumerate(pauses):
-            most = min(discovery.PAUSE_MOST_S, 0.1 * 2 ** n)
+            most = min(discovery.PAUSE_MOST_S, 0.1 * 2**n)
             assert most / 2 <= pause <= most
         assert discovery.PAUSE_MOST_S + discovery.LATE_S + 1 < 6  # a change counts as told then
         assert not watch._frugal  # a short list costs little
         watch._came = 0
         assert watch._pause(False) == 0.1  # who says nothing costs nothing
+
     run(test())
 
 
-def test_a_long_list_that_broke_off_once_is_asked_for_again_and_one_that_breaks_off_again_is_spared() -> None:
+def test_a_long_list_that_broke_off_once_is_asked_for_again_and_one_that_breaks_off_again_is_spared() -> (
+    None
+):
     async def test() -> None:
         watch = Discovery(("127.0.0.1", 1), ListReader((), ()), 5, lambda *_: None)
         watch._came = 15_000_000
@@ -279,10 +332,13 @@
         assert spared == [60, 120, 240, 480, 960, 1920, 3840, 5000, 5000]
         watch.move(("127.0.0.1", 2))
         assert not watch._frugal
+
     run(test())
 
 
-def test_a_list_that_breaks_off_is_asked_for_again_from_the_last_good_version(hurried: None) -> None:
+def test_a_list_that_breaks_off_is_asked_for_again_from_the_last_good_version(
+    hurried: None,
+) -> None:
     async def test() -> None:
         async def script(peer: Peer, asked: bytes, writer: asyncio.StreamWriter) -> None:
             said = reply({"rev": 6, "all": False, "targets": [entry(1)]})
@@ -295,6 +351,7 @@
         async with Watched(script) as w:
             await until(lambda: bool(w.told))
             assert w.asked[:5] == [WATCH] * 5
+
     run(test())
 
 
@@ -312,6 +369,7 @@
             assert len(last.entries) == 900
             assert {e.backend for u in bits for e in u.entries} <= {e.backend for e in last.entries}
             assert sum(len(u.entries) for u in bits) >= 900 - discovery.TOLD_AT_ONCE
+
     run(test())
 
 
@@ -321,14 +379,21 @@
             if len(peer.requests) == 1:
                 writer.write(reply(whole(3000, 6)))
             elif len(peer.requests) == 2:
-                writer.write(reply({"rev": 7, "all": False, "targets": [entry(n, "left") for n in range(2700)]}))
+                writer.write(
+                    reply(
+                        {"rev": 7, "all": False, "targets": [entry(n, "left") for n in range(2700)]}
+                    )
+                )
             elif len(peer.requests) == 3:
-                writer.write(reply({"rev": 7, "all": True, "targets": [entry(n) for n in range(2700, 3000)]}))
+                writer.write(
+                    reply({"rev": 7, "all": True, "targets": [entry(n) for n in range(2700, 3000)]})
+                )
 
         async with Watched(script, FLEET) as w:
             await until(lambda: len(w.asked) == 4)
             assert w.asked == [WATCH, b"/v1/servers?from=6&", WHOLE, b"/v1/servers?from=7&"]
             assert w.told[-1].parts == 1 and len(w.told[-1].entries) == 300
+
     run(test())
 
 
@@ -336,10 +401,29 @@
     """The list stands ahead of the settings that tell which part of it is this ingress's."""
     path = tmp_path / "config.json"
     told = SETTINGS | {"balancers": FLEET, "index": 3}
-    path.write_text(json.dumps({"name": "n3", "known": whole(5000, 17), "listen": "127.0.0.1:0", "seed": "7",
-                                "discovery": "127.0.0.1:1", "settings": told}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n3",
+                "known": whole(5000, 17),
+                "listen": "127.0.0.1:0",
+                "seed": "7",
+                "discovery": "127.0.0.1:1",
+                "settings": told,
+            }
+        )
+    )
     known, endpoints = load_config(str(path)).known
     assert (known.kind, known.version, known.parts) == (ListKind.CACHED, 17, 8)
     assert 500 <= len(known.entries) == len(endpoints) <= 750
-    path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS, "known": None}))
+    path.write_text(
+        json.dumps(
+            {
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "settings": SETTINGS,
+                "known": None,
+            }
+        )
+    )
     assert load_config(str(path)).known[0].entries == []
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -7,7 +7,14 @@
 
 from tamarindfold.choice import Customer
 from tamarindfold.interface import (
-    Count, CountAnswered, Outcome, Plan, Refuse, RequestWithdrawn, Send, SetTimer,
+    Count,
+    CountAnswered,
+    Outcome,
+    Plan,
+    Refuse,
+    RequestWithdrawn,
+    Send,
+    SetTimer,
 )
 
 PLAN = Plan(rate=8, burst=16)
@@ -97,7 +104,9 @@
 
 def test_a_store_that_ran_over_is_told_to_the_name() -> None:
     c = Customer(PLAN, 4, START)
-    assert c.told(START, 4.0, 1.0, 2000.0) == pytest.approx(12.0)  # 16 - 4 + 16 is 12 above the burst
+    assert c.told(START, 4.0, 1.0, 2000.0) == pytest.approx(
+        12.0
+    )  # 16 - 4 + 16 is 12 above the burst
     assert c.store == pytest.approx(15.0)
 
 
@@ -219,7 +228,9 @@
     return g, ask(g, 1, units=4.0)
 
 
-def answer(g, count: Count, total: float, outcome: Outcome = Outcome.OK, now: float = START + 3) -> list:
+def answer(
+    g, count: Count, total: float, outcome: Outcome = Outcome.OK, now: float = START + 3
+) -> list:
     return g.handle(now, CountAnswered(count.name, outcome, 3.0, total))
 
 
@@ -239,13 +250,17 @@
     actions = answer(g, count, level_zero(g, count) - 1.0 + count.amount)
     (refused,) = only(actions, Refuse)
     assert refused.retry_after_ms > 0
-    assert sum(c.amount for c in only(actions, Count)) == pytest.approx(-count.amount, abs=0.08 * PLAN.burst)
+    assert sum(c.amount for c in only(actions, Count)) == pytest.approx(
+        -count.amount, abs=0.08 * PLAN.burst
+    )
 
 
 def test_what_was_just_told_empty_is_refused_at_once() -> None:
     g, count = held()
     answer(g, count, level_zero(g, count) + count.amount)
-    refused = sum(isinstance(g.handle(START + 4, request(n, width=200))[0], Refuse) for n in range(2, 22))
+    refused = sum(
+        isinstance(g.handle(START + 4, request(n, width=200))[0], Refuse) for n in range(2, 22)
+    )
     assert refused == 20
 
 
@@ -264,7 +279,9 @@
     g.handle(START + 1, RequestWithdrawn(1))
     actions = answer(g, count, level_zero(g, count) - 10.0 + count.amount)
     assert not only(actions, Send)
-    assert sum(c.amount for c in only(actions, Count)) == pytest.approx(-count.amount, abs=0.08 * PLAN.burst)
+    assert sum(c.amount for c in only(actions, Count)) == pytest.approx(
+        -count.amount, abs=0.08 * PLAN.burst
+    )
 
 
 def press(g) -> None:
@@ -330,7 +347,9 @@
     for n in range(200):
         g = gateway(seed=n, **{**THIN, "index": n})
         used += 0.5
-        told += sum(c.amount for c in only(g.handle(START, request(1, width=200, units=0.5)), Count))
+        told += sum(
+            c.amount for c in only(g.handle(START, request(1, width=200, units=0.5)), Count)
+        )
     assert told == pytest.approx(used, rel=0.2)
 
 
@@ -343,7 +362,12 @@
         for n in range(first, last):
             actions = g.handle(START, request(n, 0, n, width=200, **what))
             for c in only(actions, Count):
-                actions += g.handle(START, CountAnswered(c.name, outcome, 30 if outcome is Outcome.TIMEOUT else 3, c.amount))
+                actions += g.handle(
+                    START,
+                    CountAnswered(
+                        c.name, outcome, 30 if outcome is Outcome.TIMEOUT else 3, c.amount
+                    ),
+                )
                 found += 1
             for send in only(actions, Send):
                 g.handle(START, ended(n, send.backend))
@@ -362,9 +386,14 @@
 
 
 def test_beyond_quota_is_sent_only_where_it_earns_more_than_it_costs() -> None:
-    for plan, sends in ((Plan(1, 2, over_worth=0.3), 20), (Plan(1, 2, over_worth=0.3, over_cost=0.4), 1)):
+    for plan, sends in (
+        (Plan(1, 2, over_worth=0.3), 20),
+        (Plan(1, 2, over_worth=0.3, over_cost=0.4), 1),
+    ):
         g = gateway(*range(1, 60), plans=(plan,), classes=(SAFE,))
-        assert sum(len(only(g.handle(START, request(n)), Send)) for n in range(20)) == pytest.approx(sends, abs=1)
+        assert sum(
+            len(only(g.handle(START, request(n)), Send)) for n in range(20)
+        ) == pytest.approx(sends, abs=1)
 
 
 def test_idle_customers_are_forgotten() -> None:
@@ -387,7 +416,9 @@
     c = None
     for n, (used, share) in enumerate([(50.0, 0.5), (50.0, 0.75), (120.0, 0.625), (100.0, 0.5625)]):
         now = START + 1100 * n
-        (send,) = g.handle(now, request(n, units=0.5))  # the only action: no timer, no call to the counter
+        (send,) = g.handle(
+            now, request(n, units=0.5)
+        )  # the only action: no timer, no call to the counter
         c = c or g.customers[9]
         c.dry = True
         event = ended(n, send.backend, took=50)
@@ -397,7 +428,9 @@
 
 
 @pytest.mark.parametrize(("asking", "calls"), [(0.5, 0), (1.0, 1)])
-def test_while_the_counter_is_crowded_nothing_is_taken_back_from_an_empty_store(asking: float, calls: int) -> None:
+def test_while_the_counter_is_crowded_nothing_is_taken_back_from_an_empty_store(
+    asking: float, calls: int
+) -> None:
     """A fleet's calls that took back what refused tries had counted had a quarter of all calls turned away."""
     g = gateway(plans=(PLAN,), gateways=4, counter=True, counter_timeout_ms=50.0)
     g.asking = asking
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -38,26 +38,46 @@
 NOT_STARTED = b"Not-Started: 1\r\n"
 
 
-@pytest.mark.parametrize(("script", "outcome"), [
-    (answer(b"done"), Outcome.OK),
-    (answer(b"", 500), Outcome.ERROR),
-    (answer(b"", 503, NOT_STARTED), Outcome.FULL),
-    (answer(b"", 504, NOT_STARTED), Outcome.FULL),
-    (answer(b"", 503), Outcome.ERROR),
-    (answer(b"", 504, b"Not-Started: 0\r\n"), Outcome.ERROR),
-    (answer(b"", 500, NOT_STARTED), Outcome.ERROR),
-    (answer(b"", 404), Outcome.ERROR),
-    (sends(b""), Outcome.RESET),
-    (sends(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), Outcome.RESET),
-    (sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), Outcome.RESET),
-    (sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), Outcome.OK),
-    (sends(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"), Outcome.OK),
-    (sends(b"HTTP/1.1 200 OK\r\n\r\ndone"), Outcome.RESET),  # whether that is all of it can't be told
-    (sends(b"SSH-2.0-nonsense\r\n", close=False), Outcome.RESET),
-    (sends(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000, close=False), Outcome.RESET),
-    (answer(b"x" * (MAX_BODY + 1)), Outcome.RESET),
-    (sends(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", close=False), Outcome.RESET),
-])
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (answer(b"done"), Outcome.OK),
+        (answer(b"", 500), Outcome.ERROR),
+        (answer(b"", 503, NOT_STARTED), Outcome.FULL),
+        (answer(b"", 504, NOT_STARTED), Outcome.FULL),
+        (answer(b"", 503), Outcome.ERROR),
+        (answer(b"", 504, b"Not-Started: 0\r\n"), Outcome.ERROR),
+        (answer(b"", 500, NOT_STARTED), Outcome.ERROR),
+        (answer(b"", 404), Outcome.ERROR),
+        (sends(b""), Outcome.RESET),
+        (sends(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), Outcome.RESET),
+        (
+            sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+            Outcome.RESET,
+        ),
+        (
+            sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"),
+            Outcome.OK,
+        ),
+        (
+            sends(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"),
+            Outcome.OK,
+        ),
+        (
+            sends(b"HTTP/1.1 200 OK\r\n\r\ndone"),
+            Outcome.RESET,
+        ),  # whether that is all of it can't be told
+        (sends(b"SSH-2.0-nonsense\r\n", close=False), Outcome.RESET),
+        (sends(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000, close=False), Outcome.RESET),
+        (answer(b"x" * (MAX_BODY + 1)), Outcome.RESET),
+        (
+            sends(
+                b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", close=False
+            ),
+            Outcome.RESET,
+        ),
+    ],
+)
 def test_each_answer_has_its_outcome(script: Script, outcome: Outcome) -> None:
     async def test() -> None:
         peer = Peer(script)
@@ -66,6 +86,7 @@
         assert got is outcome
         assert (response.body == b"done") if got is Outcome.OK else True
         peer.stop()
+
     run(test())
 
 
@@ -76,11 +97,13 @@
         peer.server.close()
         await peer.server.wait_closed()
         assert (await Outcomes(peer.port).outcome())[0] is Outcome.CONNECT_FAILED
+
     run(test())
 
 
 def test_a_connection_that_never_comes_up_is_given_up_in_time() -> None:
     """A full backlog swallows what comes: the connection neither comes up nor is refused."""
+
     async def test() -> None:
         with socket.socket() as listener:
             listener.bind(("127.0.0.1", 0))
@@ -95,6 +118,7 @@
             assert outcomes.backends.open == 0
             for filler in fillers:
                 filler.close()
+
     run(test())
 
 
@@ -113,6 +137,7 @@
         assert (await outcomes.outcome(b"x" * 50_000_000))[0] is Outcome.CONNECT_FAILED
         assert (await outcomes.outcome(b"x" * 10))[0] is Outcome.RESET
         peer.stop()
+
     run(test())
 
 
@@ -134,11 +159,13 @@
         assert peer.connections == 2
         assert first.over and second.over and not third.over
         peer.stop()
+
     run(test())
 
 
 def test_a_connection_that_the_peer_closed_is_never_handed_out() -> None:
     """Even in the moment before the loop has read of the close: an unsafe request would end as a reset."""
+
     async def test() -> None:
         peer = Peer(answer())
         await peer.start()
@@ -153,10 +180,13 @@
         assert (await outcomes.outcome())[0] is Outcome.OK
         assert peer.connections == 2
         peer.stop()
+
     run(test())
 
 
-def test_a_connection_that_comes_free_serves_the_attempt_that_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_that_comes_free_serves_the_attempt_that_waits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def test() -> None:
         peer = Peer(silence)
         await peer.start()
@@ -175,11 +205,13 @@
         await until(lambda: len(peer.requests) == 2)
         assert peer.connections == 1 and not second.over
         peer.stop()
+
     run(test())
 
 
 def test_each_waiting_attempt_keeps_the_connection_that_comes_up_for_it() -> None:
     """Found in review: one that served an older attempt left its own waiting, if the other then failed."""
+
     async def test() -> None:
         peer = Peer(answer())
         await peer.start()
@@ -193,6 +225,7 @@
         assert [o for a, o, _ in outcomes.ended if a is first] == [Outcome.OK]
         assert peer.connections == 1
         peer.stop()
+
     run(test())
 
 
@@ -207,6 +240,7 @@
             assert (await outcomes.outcome())[0] in (Outcome.CONNECT_FAILED, Outcome.RESET)
         assert outcomes.backends.open == 0
         server.close()
+
     run(test())
 
 
@@ -221,6 +255,7 @@
         await until(lambda: peer.closed == 1)
         assert outcomes.backends.open == 0 and not outcomes.ended
         peer.stop()
+
     run(test())
 
 
@@ -234,6 +269,7 @@
         assert (await outcomes.outcome())[0] is Outcome.OK
         assert len(peer.requests) == 1 and len(outcomes.ended) == 1
         peer.stop()
+
     run(test())
 
 
@@ -249,11 +285,13 @@
         assert outcomes.backends.open == 0
         await until(lambda: peer.closed == 1)
         peer.stop()
+
     run(test())
 
 
 def test_connections_to_backends_are_bounded() -> None:
     """At the bound an idle one makes room; with none idle the new one never comes up."""
+
     async def test() -> None:
         peers = [Peer(silence), Peer(answer())]
         for peer in peers:
@@ -271,6 +309,7 @@
         assert outcomes.backends.open == 2
         for peer in peers:
             peer.stop()
+
     run(test())
 
 
@@ -285,28 +324,45 @@
             assert (status, got) == (200, body)
             assert b"content-type: x/y" in head.lower()
             (sent,) = w.backends[0].requests
-            assert sent.startswith(b"POST /payment-book/7?year=3 HTTP/1.1\r\n") and sent.endswith(b"\r\n\r\nreceipt")
+            assert sent.startswith(b"POST /payment-book/7?year=3 HTTP/1.1\r\n") and sent.endswith(
+                b"\r\n\r\nreceipt"
+            )
             lines = sent.lower().split(b"\r\n")
-            assert b"request-id: " + b"0" * 15 + b"1" in lines and b"idempotency-key: " + b"5c" * 16 in lines
+            assert (
+                b"request-id: " + b"0" * 15 + b"1" in lines
+                and b"idempotency-key: " + b"5c" * 16 in lines
+            )
             (left,) = [float(line[17:]) for line in lines if line.startswith(b"request-timeout: ")]
             assert 1.0 < left < 1.5
+
     run(test())
 
 
-@pytest.mark.parametrize(("cls", "script", "status", "sent"), [
-    ("vat-filing", answer(b"", 500), 502, 1), ("vat-filing", sends(b""), 502, 1), ("vat-filing", answer(b"", 503), 502, 1),
-    ("vat-filing", answer(b"", 503, NOT_STARTED), 429, 3), ("ledger-read", answer(b"", 500), 429, 3),
-    ("payment-book", sends(b""), 429, 3),
-])
-def test_attempts_go_as_far_as_the_class_allows(cls: str, script: Script, status: int, sent: int) -> None:
+@pytest.mark.parametrize(
+    ("cls", "script", "status", "sent"),
+    [
+        ("vat-filing", answer(b"", 500), 502, 1),
+        ("vat-filing", sends(b""), 502, 1),
+        ("vat-filing", answer(b"", 503), 502, 1),
+        ("vat-filing", answer(b"", 503, NOT_STARTED), 429, 3),
+        ("ledger-read", answer(b"", 500), 429, 3),
+        ("payment-book", sends(b""), 429, 3),
+    ],
+)
+def test_attempts_go_as_far_as_the_class_allows(
+    cls: str, script: Script, status: int, sent: int
+) -> None:
     async def test() -> None:
         async with world(script, script, script, script) as w:
             assert (await w.ask(request(cls)))[0] == status
             assert sum(len(b.requests) for b in w.backends) == sent
+
     run(test())
 
 
-@pytest.mark.parametrize(("cls", "status"), [("vat-filing", 502), ("ledger-read", 429), ("payment-book", 429)])
+@pytest.mark.parametrize(
+    ("cls", "status"), [("vat-filing", 502), ("ledger-read", 429), ("payment-book", 429)]
+)
 def test_silence_is_answered_before_the_client_gives_up(cls: str, status: int) -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
@@ -316,6 +372,7 @@
             assert loop.time() - began < 0.4
             await until(lambda: w.backends[0].closed == 1)
             assert len(w.backends[0].requests) == 1  # nothing is tried in the last moment
+
     run(test())
 
 
@@ -327,6 +384,7 @@
             await until(lambda: bool(w.backends[0].requests))
             client.writer.close()
             await until(lambda: w.backends[0].closed == 1)
+
     run(test())
 
 
@@ -338,11 +396,13 @@
             refused = [head for status, head, _ in told if status == 429]
             assert refused and len(w.backends[0].requests) == len(told) - len(refused)
             assert all(float(h.split(b"Retry-After: ")[1].split(b"\r\n")[0]) > 0 for h in refused)
+
     run(test())
 
 
 def test_a_backend_that_restarts_elsewhere_is_found_there() -> None:
     """Discovery may give a known backend a new address; nothing goes to the old one any more."""
+
     async def test() -> None:
         old, new = Peer(answer(b"old")), Peer(answer(b"new"))
         for peer in (old, new):
@@ -354,4 +414,5 @@
         await until(lambda: old.closed == 1)
         for peer in (old, new):
             peer.stop()
+
     run(test())
--- a/tests/test_restart_terms.py
+++ b/tests/test_restart_terms.py
@@ -9,7 +9,19 @@
 from typing import Any
 
 from loopback import (
-    HEALTH, SETTINGS, Agent, Peer, Script, answer, ask_once, end_program, keep_port, run, silence, start_program, target,
+    HEALTH,
+    SETTINGS,
+    Agent,
+    Peer,
+    Script,
+    answer,
+    ask_once,
+    end_program,
+    keep_port,
+    run,
+    silence,
+    start_program,
+    target,
     until,
 )
 from test_service import read_call
@@ -19,9 +31,11 @@
 
 def once(agent: Agent, trouble: Script) -> Script:
     """A trouble that only the first call after the restart meets."""
+
     async def first(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
         agent.trouble = None
         await trouble(peer, data, writer)
+
     return first
 
 
@@ -35,7 +49,9 @@
     await peer.listen_again()
 
 
-async def starts_again(number: int, trouble: str, knows: bool, backend: Peer, turn: asyncio.Semaphore, path: Path) -> bool:
+async def starts_again(
+    number: int, trouble: str, knows: bool, backend: Peer, turn: asyncio.Semaphore, path: Path
+) -> bool:
     """One process is ended, by SIGTERM or SIGKILL, and started anew; is it ready in time?"""
     before, after, door, gone = Agent(), Agent(), keep_port(), keep_port()
     discovery, counter, port = Peer(before), Peer(silence, read_call), door.getsockname()[1]
@@ -50,10 +66,14 @@
             agent.list(target(backend, "s-1"))
         stale = [target(backend, f"s-{n}", endpoint=nowhere) for n in (8, 9)]
         config: dict[str, Any] = {
-            "name": f"n{number}", "listen": f"127.0.0.1:{port}", "discovery": discovery.address, "seed": "07",
+            "name": f"n{number}",
+            "listen": f"127.0.0.1:{port}",
+            "discovery": discovery.address,
+            "seed": "07",
             "counter": counter.address if number % 4 < 2 else nowhere,
             "settings": SETTINGS | {"extra": SETTINGS["extra"] | {"has_counter": True}},
-            "known": {"rev": 1, "all": True, "targets": stale if knows else []}}
+            "known": {"rev": 1, "all": True, "targets": stale if knows else []},
+        }
         log = path / f"{number}.log"
         async with turn:
             process = await start_program(config, log)
@@ -68,7 +88,14 @@
                 returns = asyncio.create_task(listen_later(discovery))
                 stack.callback(returns.cancel)
             elif trouble:
-                after.suffer(once(after, {"silent": silence, "cut": after.cut, "cut and left open": after.stall}[trouble]))
+                after.suffer(
+                    once(
+                        after,
+                        {"silent": silence, "cut": after.cut, "cut and left open": after.stall}[
+                            trouble
+                        ],
+                    )
+                )
             process = await start_program(config, log)
             stack.push_async_callback(end_program, process)
             try:
@@ -86,14 +113,27 @@
 
     Two at a time, so that each has the processor it would have by itself: its ten seconds run from its own start.
     """
+
     async def test() -> None:
         backend, turn = Peer(answer()), asyncio.Semaphore(2)
         await backend.start()
-        cases = [(trouble, knows) for knows in (True, False)
-                 for trouble in ("", "silent", "cut", "cut and left open", "refused")]
-        ends = await asyncio.gather(*(starts_again(n, trouble, knows, backend, turn, tmp_path)
-                                      for n, (trouble, knows) in enumerate(cases)))
-        late = [(case, (tmp_path / f"{n}.log").read_text()[-500:]) for n, case in enumerate(cases) if not ends[n]]
+        cases = [
+            (trouble, knows)
+            for knows in (True, False)
+            for trouble in ("", "silent", "cut", "cut and left open", "refused")
+        ]
+        ends = await asyncio.gather(
+            *(
+                starts_again(n, trouble, knows, backend, turn, tmp_path)
+                for n, (trouble, knows) in enumerate(cases)
+            )
+        )
+        late = [
+            (case, (tmp_path / f"{n}.log").read_text()[-500:])
+            for n, case in enumerate(cases)
+            if not ends[n]
+        ]
         assert len(cases) == 10 and len(late) <= 1, late
         backend.stop()
+
     run(test())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,7 +13,16 @@
 
 from tamarindfold import Gateway
 from tamarindfold.interface import (
-    AttemptEnded, BackendState, Fail, ListKind, Outcome, Plan, Refuse, RequestWithdrawn, Send, TimerFired,
+    AttemptEnded,
+    BackendState,
+    Fail,
+    ListKind,
+    Outcome,
+    Plan,
+    Refuse,
+    RequestWithdrawn,
+    Send,
+    TimerFired,
 )
 
 SAFE, KEYED, KEYED_ALL, UNSAFE = range(4)
@@ -42,7 +51,9 @@
         assert action.backend != send.backend
 
 
-@pytest.mark.parametrize(("cls", "kind"), [(KEYED, Fail), (KEYED_ALL, Refuse), (UNSAFE, Fail), (SAFE, Refuse)])
+@pytest.mark.parametrize(
+    ("cls", "kind"), [(KEYED, Fail), (KEYED_ALL, Refuse), (UNSAFE, Fail), (SAFE, Refuse)]
+)
 def test_no_send_past_the_window_and_no_false_promise(cls: int, kind: type) -> None:
     g = gateway(max_attempts=3 if cls in (KEYED, KEYED_ALL) else 1)
     send = first_send(g, 1, cls)
@@ -66,8 +77,11 @@
         attempt = 0
         while todo:
             sends += 1
-            todo = [a for a in g.handle(now, ended(n, todo[0].backend, Outcome.ERROR, attempt, 1))
-                    if isinstance(a, Send)]
+            todo = [
+                a
+                for a in g.handle(now, ended(n, todo[0].backend, Outcome.ERROR, attempt, 1))
+                if isinstance(a, Send)
+            ]
             attempt += 1
     assert sends <= 500 * 1.1 + 10
 
@@ -154,7 +168,9 @@
     for n in range(200):
         for a in g.handle(START + n, request(n)):
             if isinstance(a, Send):
-                g.handle(START + n, replace(ended(n, a.backend, Outcome.ERROR, took=5000), over=True))
+                g.handle(
+                    START + n, replace(ended(n, a.backend, Outcome.ERROR, took=5000), over=True)
+                )
     assert first_send(g, 999, SAFE, START + 300)
 
 
@@ -192,13 +208,25 @@
         send = first_send(g, n, UNSAFE, now)
         bad = send.backend == 1
         tries += [now] * bad
-        g.handle(now + 5, ended(n, send.backend, Outcome.ERROR if bad else Outcome.OK, took=5 if bad else 150))
+        g.handle(
+            now + 5,
+            ended(n, send.backend, Outcome.ERROR if bad else Outcome.OK, took=5 if bad else 150),
+        )
     assert len(tries) < 60
     assert tries[-1] > START + 5_000  # ever more rarely while it goes on failing
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["ask", "ask", "ask", "end", "end", "end", "leave", "fleet", "timer", "restart"]),
-                           st.integers(0, 10**6), st.integers(0, 400)), min_size=5, max_size=60)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["ask", "ask", "ask", "end", "end", "end", "leave", "fleet", "timer", "restart"]
+        ),
+        st.integers(0, 10**6),
+        st.integers(0, 400),
+    ),
+    min_size=5,
+    max_size=60,
+)
 
 
 def play(handle, s, steps, restart=None) -> Checker:
@@ -226,7 +254,12 @@
                 now = late
         if what == "ask":
             number += 1
-            took(checker.feed(now, request(number, pick % 4, pick % 3, units=1 + pick % 4, left=500 + pick % 4000)))
+            took(
+                checker.feed(
+                    now,
+                    request(number, pick % 4, pick % 3, units=1 + pick % 4, left=500 + pick % 4000),
+                )
+            )
         elif what == "end" and out:
             end(pick % len(out), list(Outcome)[pick // 7 % 8])
         elif what == "leave" and checker.tries:
@@ -242,7 +275,10 @@
             for t in checker.tries.values():
                 t.closed = True
             checker.handle = restart()
-            checker.feed(now, fleet(*[i for i in checker.named if i not in checker.told], kind=ListKind.CACHED))
+            checker.feed(
+                now,
+                fleet(*[i for i in checker.named if i not in checker.told], kind=ListKind.CACHED),
+            )
     for _ in range(20):
         now += 1
         for _ in range(len(out)):
@@ -291,7 +327,13 @@
 def test_the_checker_fails_on_a_broken_gateway(fault: str) -> None:
     g = Broken(settings(), 3)
     g.fault = fault
-    steps = [("ask", 1003, 0), ("end", 7 * 1, 5), ("fleet", 0 | 15 << 5, 1), ("ask", 0, 300), ("end", 7, 1)]
+    steps = [
+        ("ask", 1003, 0),
+        ("end", 7 * 1, 5),
+        ("fleet", 0 | 15 << 5, 1),
+        ("ask", 0, 300),
+        ("end", 7, 1),
+    ]
     with pytest.raises(RuleBroken):
         play(g.handle, settings(), steps)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,7 +12,20 @@
 from typing import Any
 
 import pytest
-from loopback import SETTINGS, Client, Peer, answer, read_message, request, run, sends, silence, target, until, world
+from loopback import (
+    SETTINGS,
+    Client,
+    Peer,
+    answer,
+    read_message,
+    request,
+    run,
+    sends,
+    silence,
+    target,
+    until,
+    world,
+)
 
 from tamarindfold import wire
 from tamarindfold.interface import BackendState, CountAnswered, ListKind, Outcome
@@ -28,34 +41,58 @@
 # ---- bad input
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"nonsense\r\n\r\n", 400),
-    (b"\x16\x03\x01\x02\x00\x01\x00", 400),
-    (b"GET /ledger-read HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", 404),
-    (b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", 404),
-    (b"GET /ledger-read HTTP/1.1\r\nX: " + b"x" * 17_000, 431),
-    (request(path="/unknown/7"), 404), (request(path="/vat-filings"), 404), (request(path="/healthz"), 404),
-    (request(Plan="gold"), 400), (request(Plan=None), 400), (request(Request_Id=None), 400),
-    (request(Request_Id="a b"), 400), (request(Account=None), 400), (request(Account="9"), 400),
-    (request(Account="0x00000000000009"), 400), (request(Account="f" * 16), 400), (request(Request_Timeout=None), 400),
-    (request(Request_Timeout="-1"), 400), (request(Request_Timeout="nan"), 400), (request(Request_Timeout="1_0"), 400),
-    (request(Request_Timeout="0.000"), 400), (request(Quota_Info=None), 400), (request(Quota_Info="units=2"), 400),
-    (request(Quota_Info="units=0,spread=2,first=0"), 400), (request(Quota_Info="units=2,spread=4,first=0"), 400),
-    (request(Quota_Info="units=2,spread=2,first=3"), 400), (request(Quota_Info="units=inf,spread=2,first=0"), 400),
-    (request(method="GET"), 400), (request("ledger-read", method="POST"), 400), (request("ledger-read", body="x",
-                                                                                         Content_Length="1"), 400),
-    (request("payment-book", Idempotency_Key=None), 400), (request(Idempotency_Key="5c"), 400),
-    (request().replace(b"Plan: plus", b"Plan: plus\r\nPlan: basis"), 400),
-    (request(body="x" * (MAX_BODY + 1)), 413),
-    (request(body="", Content_Length=None, Transfer_Encoding="chunked") + b"1\r\nx\r\n" * 90_000, 413),
-])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"\x16\x03\x01\x02\x00\x01\x00", 400),
+        (b"GET /ledger-read HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", 404),
+        (b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"GET /ledger-read HTTP/1.1\r\nX: " + b"x" * 17_000, 431),
+        (request(path="/unknown/7"), 404),
+        (request(path="/vat-filings"), 404),
+        (request(path="/healthz"), 404),
+        (request(Plan="gold"), 400),
+        (request(Plan=None), 400),
+        (request(Request_Id=None), 400),
+        (request(Request_Id="a b"), 400),
+        (request(Account=None), 400),
+        (request(Account="9"), 400),
+        (request(Account="0x00000000000009"), 400),
+        (request(Account="f" * 16), 400),
+        (request(Request_Timeout=None), 400),
+        (request(Request_Timeout="-1"), 400),
+        (request(Request_Timeout="nan"), 400),
+        (request(Request_Timeout="1_0"), 400),
+        (request(Request_Timeout="0.000"), 400),
+        (request(Quota_Info=None), 400),
+        (request(Quota_Info="units=2"), 400),
+        (request(Quota_Info="units=0,spread=2,first=0"), 400),
+        (request(Quota_Info="units=2,spread=4,first=0"), 400),
+        (request(Quota_Info="units=2,spread=2,first=3"), 400),
+        (request(Quota_Info="units=inf,spread=2,first=0"), 400),
+        (request(method="GET"), 400),
+        (request("ledger-read", method="POST"), 400),
+        (request("ledger-read", body="x", Content_Length="1"), 400),
+        (request("payment-book", Idempotency_Key=None), 400),
+        (request(Idempotency_Key="5c"), 400),
+        (request().replace(b"Plan: plus", b"Plan: plus\r\nPlan: basis"), 400),
+        (request(body="x" * (MAX_BODY + 1)), 413),
+        (
+            request(body="", Content_Length=None, Transfer_Encoding="chunked")
+            + b"1\r\nx\r\n" * 90_000,
+            413,
+        ),
+    ],
+)
 def test_bad_input_reaches_no_backend(data: bytes, status: int) -> None:
     async def test() -> None:
         async with world(answer()) as w:
             assert (await w.ask(data))[0] == status
             assert (await w.ask(request()))[0] == 200  # and harms nobody else
             assert len(w.backends[0].requests) == 1
+
     run(test())
 
 
@@ -67,12 +104,19 @@
                 client.writer.write(bytes([byte]))
                 await asyncio.sleep(0)
             assert (await client.answer())[0] == 200
-            client.writer.write(request(number=2) + HEALTH + request(number=3, path="/nowhere") + request(number=4))
+            client.writer.write(
+                request(number=2) + HEALTH + request(number=3, path="/nowhere") + request(number=4)
+            )
             assert [(await client.answer())[0] for _ in range(4)] == [200, 200, 404, 200]
             head = request(number=5, body="", Content_Length=None, Transfer_Encoding="chunked")
             assert (await client.ask(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"))[0] == 200
             last = w.backends[0].requests[-1]
-            assert last.endswith(b"\r\n\r\nabcde") and b"Content-Length: 5\r\n" in last and b"chunked" not in last
+            assert (
+                last.endswith(b"\r\n\r\nabcde")
+                and b"Content-Length: 5\r\n" in last
+                and b"chunked" not in last
+            )
+
     run(test())
 
 
@@ -81,29 +125,41 @@
         async with world(answer()) as w:
             client = await w.client()
             client.writer.write(b"".join(request(number=n) for n in range(40)))
-            assert {(await client.answer())[0] for _ in range(40)} <= {200, 429}  # some met a pressed backend
+            assert {(await client.answer())[0] for _ in range(40)} <= {
+                200,
+                429,
+            }  # some met a pressed backend
+
     run(test())
 
 
-def test_an_exception_fails_its_own_request_only(monkeypatch: pytest.MonkeyPatch, caplog: Any) -> None:
+def test_an_exception_fails_its_own_request_only(
+    monkeypatch: pytest.MonkeyPatch, caplog: Any
+) -> None:
     async def test() -> None:
         async with world(answer()) as w:
             from tamarindfold import Gateway
+
             with monkeypatch.context() as patched:
                 patched.setattr(Gateway, "choose", lambda *_: 1 / 0)
                 assert (await w.ask(request()))[0] == 500
             assert (await w.ask(request(number=2)))[0] == 200
+
     run(test())
     assert "ZeroDivisionError" in caplog.text
 
 
-def test_an_action_that_cannot_be_carried_out_is_a_loud_error(monkeypatch: pytest.MonkeyPatch, caplog: Any) -> None:
+def test_an_action_that_cannot_be_carried_out_is_a_loud_error(
+    monkeypatch: pytest.MonkeyPatch, caplog: Any
+) -> None:
     async def test() -> None:
         async with world(answer()) as w:
             from tamarindfold import Gateway
             from tamarindfold.interface import Probe
+
             monkeypatch.setattr(Gateway, "handle", lambda *_: [Probe(7)])
             assert (await w.ask(request()))[0] == 500
+
     run(test())
     assert "Probe(backend=7)" in caplog.text
 
@@ -112,9 +168,28 @@
 
 
 def test_settings_are_flattened_to_the_lines_of_the_wire() -> None:
-    lines = list(flatten({"a": {"b": True, "c": 1.5}, "d": [{"e": "x, y"}, {"e": "z"}], "f": ["p", "q r"], "g": [],
-                          "h": None, "plans": []}))
-    assert lines == ["a.b=true", "a.c=1.5", "d.count=2", "d.0.e=x_y", "d.1.e=z", "f=p,q_r", "g=", "plans.count=0"]
+    lines = list(
+        flatten(
+            {
+                "a": {"b": True, "c": 1.5},
+                "d": [{"e": "x, y"}, {"e": "z"}],
+                "f": ["p", "q r"],
+                "g": [],
+                "h": None,
+                "plans": [],
+            }
+        )
+    )
+    assert lines == [
+        "a.b=true",
+        "a.c=1.5",
+        "d.count=2",
+        "d.0.e=x_y",
+        "d.1.e=z",
+        "f=p,q_r",
+        "g=",
+        "plans.count=0",
+    ]
     settings = wire.parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
     assert settings.marks_retry and settings.plans[1].rate == 100
@@ -123,11 +198,20 @@
 GOOD = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    ({"listen": "nowhere"}, "nowhere"), ({"discovery": 7}, "7"), ({"settings": {}}, "categories.count"),
-    ({"seed": "xyz"}, "xyz"), ({"listen": None}, "None"), ({"limits": {"sockets": 9}}, "sockets"), ({"settings": 3}, "int"),
-    ({"settings": SETTINGS | {"balancers": -1}}, "gateways"), ({"known": {"rev": 1}}, "targets"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"listen": "nowhere"}, "nowhere"),
+        ({"discovery": 7}, "7"),
+        ({"settings": {}}, "categories.count"),
+        ({"seed": "xyz"}, "xyz"),
+        ({"listen": None}, "None"),
+        ({"limits": {"sockets": 9}}, "sockets"),
+        ({"settings": 3}, "int"),
+        ({"settings": SETTINGS | {"balancers": -1}}, "gateways"),
+        ({"known": {"rev": 1}}, "targets"),
+    ],
+)
 def test_a_bad_configuration_is_named(change: dict[str, Any], said: str) -> None:
     with pytest.raises(ConfigError, match=said):
         read_config(json.dumps(GOOD | change))
@@ -138,8 +222,14 @@
     path = tmp_path / "config.json"
     if text is not None:
         path.write_bytes(text.encode(errors="surrogateescape"))
-    done = subprocess.run([sys.executable, "-m", "troutdock"], cwd=ROOT, env=os.environ | {"RELAY_CONFIG": str(path)},
-                          capture_output=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "troutdock"],
+        cwd=ROOT,
+        env=os.environ | {"RELAY_CONFIG": str(path)},
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 2
     assert done.stderr.startswith(b"troutdock: ") and done.stderr.count(b"\n") == 1
 
@@ -170,22 +260,34 @@
                 status, head, body = await client.answer()
                 assert (status, body) == (200, b"done") and b"Connection: close" in head
             await w.task
+
     run(test())
 
 
-async def spawn(config: dict[str, Any], tmp_path: Path) -> tuple[asyncio.subprocess.Process, Client]:
+async def spawn(
+    config: dict[str, Any], tmp_path: Path
+) -> tuple[asyncio.subprocess.Process, Client]:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
-    process = await asyncio.create_subprocess_exec(sys.executable, "-m", "troutdock", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-                                                   env=os.environ | {"RELAY_CONFIG": str(path)})
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "troutdock",
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+        env=os.environ | {"RELAY_CONFIG": str(path)},
+    )
     while b"serving on" not in (line := await process.stderr.readline()):
         assert line
     port = int(line.split(b"serving on 127.0.0.1:")[1].split(b",")[0])
     return process, Client(*await asyncio.open_connection("127.0.0.1", port))
 
 
-def test_the_program_serves_ends_at_sigterm_and_serves_again_from_what_was_known(tmp_path: Path) -> None:
+def test_the_program_serves_ends_at_sigterm_and_serves_again_from_what_was_known(
+    tmp_path: Path,
+) -> None:
     """Discovery is not there at all: the last known list is enough."""
+
     async def test() -> None:
         backend = Peer(answer())
         await backend.start()
@@ -197,6 +299,7 @@
             process.send_signal(signal.SIGTERM if number == 1 else signal.SIGINT)
             assert await process.wait() == 0
         backend.stop()
+
     run(test())
 
 
@@ -210,32 +313,84 @@
 
 
 def test_a_list_is_read_into_the_gateways_form() -> None:
-    raw = {"rev": 9, "all": False, "targets": [
-        {"uid": "a", "endpoint": "127.0.0.1:80", "az": "y", "model": "m", "pod_group": 3, "state": "leaving",
-         "capacity_hint": 1.5, "boot_ms": 1_700_000_000_000},
-        {"uid": "b", "endpoint": "127.0.0.2:81", "az": "?", "state": "left"}]}
+    raw = {
+        "rev": 9,
+        "all": False,
+        "targets": [
+            {
+                "uid": "a",
+                "endpoint": "127.0.0.1:80",
+                "az": "y",
+                "model": "m",
+                "pod_group": 3,
+                "state": "leaving",
+                "capacity_hint": 1.5,
+                "boot_ms": 1_700_000_000_000,
+            },
+            {"uid": "b", "endpoint": "127.0.0.2:81", "az": "?", "state": "left"},
+        ],
+    }
     update, endpoints = ListReader(("x", "y"), ("m",)).read(json.dumps(raw).encode())
     first, second = update.entries
     assert (update.kind, update.version) == (ListKind.CHANGES, 9)
-    assert (first.backend, first.state, first.zone, first.kind, first.cell, first.size, first.up_since_ms) == (
-        backend_id("a"), BackendState.DRAINING, 1, 0, 3, 1.5, 1_700_000_000_000)
+    assert (
+        first.backend,
+        first.state,
+        first.zone,
+        first.kind,
+        first.cell,
+        first.size,
+        first.up_since_ms,
+    ) == (backend_id("a"), BackendState.DRAINING, 1, 0, 3, 1.5, 1_700_000_000_000)
     assert second.state is BackendState.GONE and second.up_since_ms == 0
     assert endpoints == {backend_id("a"): ("127.0.0.1", 80), backend_id("b"): ("127.0.0.2", 81)}
 
 
-@pytest.mark.parametrize("bad", [
-    [], 7, {}, {"rev": 1, "all": True}, {"rev": None, "all": True, "targets": []}, {"rev": 1, "all": True, "targets": [1]},
-    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "x", "state": "active"}]},
-    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "odd"}]},
-    {"rev": 1, "all": True, "targets": [{"uid": 5, "endpoint": "1.2.3.4:5", "state": "active"}]},
-    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "boot_ms": 1e999}]},
-    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "boot_ms": 1e300}]},
-    {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "capacity_hint": -1}]},
-    {"rev": 1, "all": True, "targets": [["uid", "a"]]}, {"rev": 1, "all": True, "targets": {"uid": "a"}},
-    {"rev": 1, "all": True, "targets": None}, {"rev": [1], "all": True, "targets": []},
-    {"rev": 1, "all": True, "targets": [{"uid": ["a"], "endpoint": "1.2.3.4:5", "state": "active"}]},
-    {"rev": 1, "all": True, "targets": [], "x": [[[[[[[[1]]]]]]]]},
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        [],
+        7,
+        {},
+        {"rev": 1, "all": True},
+        {"rev": None, "all": True, "targets": []},
+        {"rev": 1, "all": True, "targets": [1]},
+        {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "x", "state": "active"}]},
+        {"rev": 1, "all": True, "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "odd"}]},
+        {
+            "rev": 1,
+            "all": True,
+            "targets": [{"uid": 5, "endpoint": "1.2.3.4:5", "state": "active"}],
+        },
+        {
+            "rev": 1,
+            "all": True,
+            "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "boot_ms": 1e999}],
+        },
+        {
+            "rev": 1,
+            "all": True,
+            "targets": [{"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "boot_ms": 1e300}],
+        },
+        {
+            "rev": 1,
+            "all": True,
+            "targets": [
+                {"uid": "a", "endpoint": "1.2.3.4:5", "state": "active", "capacity_hint": -1}
+            ],
+        },
+        {"rev": 1, "all": True, "targets": [["uid", "a"]]},
+        {"rev": 1, "all": True, "targets": {"uid": "a"}},
+        {"rev": 1, "all": True, "targets": None},
+        {"rev": [1], "all": True, "targets": []},
+        {
+            "rev": 1,
+            "all": True,
+            "targets": [{"uid": ["a"], "endpoint": "1.2.3.4:5", "state": "active"}],
+        },
+        {"rev": 1, "all": True, "targets": [], "x": [[[[[[[[1]]]]]]]]},
+    ],
+)
 def test_a_list_that_is_none_is_not_believed(bad: Any) -> None:
     with pytest.raises(ValueError):
         ListReader(("x",), ("m",)).read(json.dumps(bad).encode())
@@ -251,6 +406,7 @@
             body = said() if callable(said) else said
             body = body if isinstance(body, bytes) else json.dumps(body).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
     return script
 
 
@@ -269,23 +425,35 @@
 
         async with world(answer(b"old"), discovery=lists(changed, gone)) as w:
             await until(lambda: len(w.discovery.requests) == 3)
-            assert paths(w.discovery) == [b"/v1/servers?from=%d&hold_ms=1000" % n for n in (5, 6, 7)]
+            assert paths(w.discovery) == [
+                b"/v1/servers?from=%d&hold_ms=1000" % n for n in (5, 6, 7)
+            ]
             assert w.discovery.connections == 1
             # the leaving backend gets nothing new
             assert [(await w.ask(request(number=n)))[2] for n in range(10)] == [b"new"] * 10
         extra.stop()
+
     run(test())
 
 
-@pytest.mark.parametrize("nonsense", [
-    b"", b"\xff\xfe", b"[]", {"rev": 2, "all": False, "targets": []}, {"rev": "x", "all": True, "targets": []},
-    {"rev": 9, "all": False, "targets": [{"uid": "s-0"}]}])
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        {"rev": 2, "all": False, "targets": []},
+        {"rev": "x", "all": True, "targets": []},
+        {"rev": 9, "all": False, "targets": [{"uid": "s-0"}]},
+    ],
+)
 def test_after_nonsense_the_whole_list_is_asked_for_and_service_goes_on(nonsense: Any) -> None:
     async def test() -> None:
         async with world(answer(), discovery=lists(nonsense)) as w:
             await until(lambda: len(w.discovery.requests) == 2)
             assert paths(w.discovery) == [b"/v1/servers?from=5&hold_ms=1000", b"/v1/servers"]
             assert (await w.ask(request()))[0] == 200
+
     run(test())
 
 
@@ -299,6 +467,7 @@
             assert [(await w.ask(request(number=n)))[2] for n in range(5)] == [b"new"] * 5
             assert paths(w.discovery)[1] == b"/v1/servers?from=1&hold_ms=1000"
         extra.stop()
+
     run(test())
 
 
@@ -306,6 +475,7 @@
     async def test() -> None:
         async with world() as w:
             assert (await w.ask(HEALTH))[0] == 503
+
     run(test())
 
 
@@ -350,9 +520,18 @@
         for name, amount in ((7, 2.5), (8, 1e-7), (9, -4.0)):
             c.counter.call(name, amount, 60_000.0)
         assert not c.answers
-        assert await c.outcomes(3) == [(7, Outcome.OK, 2.5), (8, Outcome.FULL, 0.0), (9, Outcome.OK, -4.0)]
-        assert peer.requests == [b"ADDGET 7 2.500000 60000", b"ADDGET 8 0.000000 60000", b"ADDGET 9 -4.000000 60000"]
+        assert await c.outcomes(3) == [
+            (7, Outcome.OK, 2.5),
+            (8, Outcome.FULL, 0.0),
+            (9, Outcome.OK, -4.0),
+        ]
+        assert peer.requests == [
+            b"ADDGET 7 2.500000 60000",
+            b"ADDGET 8 0.000000 60000",
+            b"ADDGET 9 -4.000000 60000",
+        ]
         peer.stop()
+
     run(test())
 
 
@@ -371,11 +550,21 @@
         c.counter.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.OK, 2.0)
         peer.stop()
+
     run(test())
 
 
-@pytest.mark.parametrize("nonsense", [b"?what\r\n", b"$3\r\nabc\r\n", b"*1\r\n$1\r\n1\r\n", b"$3\r\nnan\r\n", b"$-1\r\n",
-                                      b"$1\r\n1\r\n$1\r\n1\r\n"])
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        b"?what\r\n",
+        b"$3\r\nabc\r\n",
+        b"*1\r\n$1\r\n1\r\n",
+        b"$3\r\nnan\r\n",
+        b"$-1\r\n",
+        b"$1\r\n1\r\n$1\r\n1\r\n",
+    ],
+)
 def test_after_nonsense_or_a_break_the_counter_is_connected_anew(nonsense: bytes) -> None:
     async def test() -> None:
         peer = Peer(sends(nonsense, close=False), read_call)
@@ -391,6 +580,7 @@
         c.counter.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.OK, 5.0)
         peer.stop()
+
     run(test())
 
 
@@ -414,6 +604,7 @@
         c.counter.call(9, 1.0, 1000.0)
         assert (await c.outcomes(3))[2] == (9, Outcome.OK, 1.0)
         again.stop()
+
     run(test())
 
 
@@ -428,6 +619,7 @@
             await asyncio.sleep(0.05)
         assert {o for _, o, _ in await c.outcomes(1)} <= {Outcome.TIMEOUT, Outcome.CONNECT_FAILED}
         peer.stop()
+
     run(test())
 
 
@@ -438,6 +630,7 @@
             w.counter.stop()
             told += [(await w.ask(request(number=n)))[0] for n in range(3, 6)]
             assert told == [200] * 6
+
     run(test())
 
 
@@ -446,6 +639,7 @@
 
 def test_clients_past_the_bound_wait_for_a_place() -> None:
     """64 descriptors leave eight for clients: idle connections make room, busy ones do not."""
+
     async def test() -> None:
         async with world(*[silence] * 8, sockets=64) as w:
             idle = [await w.client() for _ in range(8)]
@@ -454,7 +648,9 @@
             busy = []
             for number in range(8):
                 busy.append(await w.client())
-                busy[-1].writer.write(request("payment-book", number=number, Request_Timeout="5.000"))
+                busy[-1].writer.write(
+                    request("payment-book", number=number, Request_Timeout="5.000")
+                )
                 await until(lambda: sum(len(b.requests) for b in w.backends) == len(busy))
             await until(lambda: sum(len(b.requests) for b in w.backends) == 8)
             assert [await client.reader.read() for client in idle] == [b""] * 8
@@ -465,6 +661,7 @@
             assert not reading.done()
             busy[0].writer.close()
             assert (await reading)[0] == 200
+
     run(test())
 
 
@@ -474,6 +671,7 @@
             first = await w.client()
             assert (await first.ask(HEALTH))[0] == 200
             import resource
+
             soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
             held = []
             try:
@@ -483,13 +681,16 @@
                     while True:
                         held.append(os.open("/dev/null", os.O_RDONLY))
                 assert (await first.ask(HEALTH))[0] == 200
-                assert (await first.ask(request()))[0] == 429  # no socket for an attempt: nothing was sent
+                assert (await first.ask(request()))[
+                    0
+                ] == 429  # no socket for an attempt: nothing was sent
             finally:
                 for number in held:
                     os.close(number)
                 resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
             assert (await Client(reader, writer).ask(request(number=2)))[0] == 200
             writer.close()
+
     run(test())
 
 
@@ -498,6 +699,7 @@
         reader = asyncio.StreamReader()
         reader.feed_data(request() + b"rest")
         assert (await read_message(reader)).endswith(b"receipt")
+
     run(test())
 
 
@@ -510,19 +712,28 @@
             w.stop.set()
             await w.task
             assert await client.reader.read() == b""
+
     run(test())
 
 
-def test_an_exception_on_the_counters_answer_fails_the_held_request_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_exception_on_the_counters_answer_fails_the_held_request_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The event names no request, but the action that failed does."""
+
     async def test() -> None:
-        async with world(answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_call) as w:
+        async with world(
+            answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_call
+        ) as w:
             from tamarindfold import Gateway
             from tamarindfold.interface import Count, Send
 
             def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
-                return [Send(1, 404)] if isinstance(event, CountAnswered) else [Count(7, 1.0, 1000.0)]
+                return (
+                    [Send(1, 404)] if isinstance(event, CountAnswered) else [Count(7, 1.0, 1000.0)]
+                )
 
             monkeypatch.setattr(Gateway, "handle", to_nowhere)
             assert (await w.ask(request(Request_Timeout="25.000")))[0] == 500
+
     run(test())
