--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -21,8 +21,11 @@
 
 from fleetlab.measure import peak_mb, rss_mb
 from fleetlab.site import config_text
-from tamarindfold.choice import Gateway
-from tamarindfold.interface import (
+from sumacpost.config import Config, read_config
+from sumacpost.counter.client import Counter
+from sumacpost.discovery.endpoint_list import Endpoints
+from sumacpost.discovery.watch import Discovery
+from sumacpost.model import (
     AttemptEnded,
     BackendState,
     Count,
@@ -39,11 +42,8 @@
     SetTimer,
     TimerFired,
 )
-from troutdock.background import Background
-from troutdock.config import Config, read_config
-from troutdock.counter import Counter
-from troutdock.discovery import Discovery
-from troutdock.lists import Endpoints
+from sumacpost.policy.gateway import Gateway
+from sumacpost.supervisor import Background
 
 TICK_S = 0.05  # between batches of requests
 ANSWER_MS = 1.0  # what an attempt takes, as the gateway is told
--- a/fleetlab/pairs.py
+++ b/fleetlab/pairs.py
@@ -12,7 +12,7 @@
 import numpy as np
 
 from fleetlab.plan import ZONES
-from tamarindfold.choice import USERS, Part, Subset
+from sumacpost.policy.subsetting import USERS, Part, Subset
 
 SIZES = (
     (40, 60),
--- a/fleetlab/real.py
+++ b/fleetlab/real.py
@@ -132,7 +132,7 @@
                 )
             )
             began = loop.time()
-            ingress = await children.start("troutdock", {"RELAY_CONFIG": str(path)})
+            ingress = await children.start("sumacpost", {"RELAY_CONFIG": str(path)})
             address = await _address(ingress)
             served_s = loop.time() - began
             health = HealthWatch(address)
--- a/fleetlab/sweep.py
+++ b/fleetlab/sweep.py
@@ -18,7 +18,7 @@
 from fleetlab.plan import INGRESSES
 from fleetlab.results import Figures
 from fleetlab.site import entries
-from tamarindfold.choice import USERS
+from sumacpost.policy.subsetting import USERS
 
 READY_S = 30.0  # for a list to be held by all, and for the customers to be met
 LIST_POINT = 200  # backends where another axis is played
--- a/troutdock/config.py
+++ b/sumacpost/config.py
@@ -9,11 +9,11 @@
 
 from ijson.common import ObjectBuilder  # type: ignore[import-untyped]
 
-from tamarindfold.interface import FleetUpdate, Group, ListKind, Settings
-from tamarindfold.wire import parse_settings
-from troutdock.address import Address, parse_address
-from troutdock.http1 import MAX_BODY
-from troutdock.lists import Endpoints, JsonEvent, JsonPieces, ListReader, ListSink
+from sumacpost.address import Address, parse_address
+from sumacpost.discovery.endpoint_list import Endpoints, JsonEvent, JsonPieces, ListReader, ListSink
+from sumacpost.http1 import MAX_BODY
+from sumacpost.model import FleetUpdate, Group, ListKind, Settings
+from sumacpost.simulator.codec import parse_settings
 
 MIN_SOCKETS = 64
 MIN_MEMORY_MB = 24
--- /dev/null
+++ b/sumacpost/counter/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the shared counter."""
--- a/troutdock/counter.py
+++ b/sumacpost/counter/client.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import cast
 
-from tamarindfold.interface import CountAnswered, Outcome
-from troutdock.address import Address
+from sumacpost.address import Address
+from sumacpost.model import CountAnswered, Outcome
 
-log = logging.getLogger("troutdock")
+log = logging.getLogger(__name__)
 
 CONNECT_S = 0.5
 PAUSE_S = 0.2  # before the next connection, after one that could not be made or that was of no use
--- a/troutdock/lists.py
+++ b/sumacpost/discovery/endpoint_list.py
@@ -9,9 +9,9 @@
 
 import ijson  # type: ignore[import-untyped]
 
-from tamarindfold.choice import Part, mixed
-from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind
-from troutdock.address import Address, parse_address
+from sumacpost.address import Address, parse_address
+from sumacpost.model import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind
+from sumacpost.policy.subsetting import Part, mixed
 
 MAX_LIST = (
     64 * 1024 * 1024
--- a/troutdock/discovery.py
+++ b/sumacpost/discovery/watch.py
@@ -11,12 +11,12 @@
 from math import inf
 from random import uniform
 
-from tamarindfold.interface import FleetUpdate, ListKind
-from troutdock.address import Address
-from troutdock.http1 import BadResponse, Response, ResponseReader
-from troutdock.lists import MAX_LIST, BadList, Endpoints, JsonPieces, ListReader
+from sumacpost.address import Address
+from sumacpost.discovery.endpoint_list import MAX_LIST, BadList, Endpoints, JsonPieces, ListReader
+from sumacpost.http1 import BadResponse, Response, ResponseReader
+from sumacpost.model import FleetUpdate, ListKind
 
-log = logging.getLogger("troutdock")
+log = logging.getLogger(__name__)
 
 HOLD_MS = (
     1000  # how long a call of the watch waits for news: only its end shows a silent connection
--- a/troutdock/ingress.py
+++ b/sumacpost/ingress.py
@@ -10,8 +10,11 @@
 from math import inf
 from typing import Protocol
 
-from tamarindfold.choice import Gateway
-from tamarindfold.interface import (
+from sumacpost.config import Config
+from sumacpost.counter.client import Counter
+from sumacpost.discovery.endpoint_list import Endpoints
+from sumacpost.http1 import Response
+from sumacpost.model import (
     Action,
     AttemptEnded,
     Cancel,
@@ -26,15 +29,12 @@
     SetTimer,
     TimerFired,
 )
-from troutdock.backends import Attempt, Backends
-from troutdock.config import Config
-from troutdock.counter import Counter
-from troutdock.lists import Endpoints
-from troutdock.http1 import Response
-from troutdock.reports import ReportReader
-from troutdock.request import BadRequest, Request
-
-log = logging.getLogger("troutdock")
+from sumacpost.policy.gateway import Gateway
+from sumacpost.server.request import BadRequest, Request
+from sumacpost.upstream.load_report import ReportReader
+from sumacpost.upstream.pool import Attempt, Backends
+
+log = logging.getLogger(__name__)
 
 # Before the client's deadline. Measured: 99 of 100 answers leave within 0.7 ms of the backend's, within 2 ms
 # beside a profiler; the rest is for the way from the client and back to it, and for a busy loop.
--- a/tamarindfold/choice.py
+++ b/sumacpost/policy/gateway.py
@@ -1,15 +1,15 @@
-"""Every decision of the gateway; its settings, events and actions are in tamarindfold/interface.py."""
+"""Every decision of the gateway; its settings, events and actions are in sumacpost/model."""
 
 from __future__ import annotations
 
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
-from math import ceil, gcd, inf, sqrt
+from math import ceil, inf
 from random import Random
 from typing import Any
 
-from tamarindfold.interface import (
+from sumacpost.model import (
     Actions,
     AttemptEnded,
     BackendEntry,
@@ -24,7 +24,6 @@
     Group,
     ListKind,
     Outcome,
-    Plan,
     Refuse,
     RequestArrived,
     RequestClass,
@@ -34,356 +33,51 @@
     Settings,
     TimerFired,
 )
+from sumacpost.policy.backend import Backend, Sent
+from sumacpost.policy.latency import BLAME, Slowness
+from sumacpost.policy.quota import Customer
+from sumacpost.policy.subsetting import LOOK, USERS, Part, Subset, mixed
 
-# ---- tuned constants
-RAISE, FALL = (
-    1.5,
-    0.5,
-)  # a dry slice grows by half (design page); an over-used one loses half of its growth
-ROOM, SPENT = (
-    0.9,
-    0.25,
-)  # of the burst: a fuller shared store has room for all; an emptier one is over-used
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
 NO_SHOW_MS = (
     2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
 )
-QUEUE_MS = (
-    10_000.0  # the longest virtual queue: clients that return at once would lengthen it without end
-)
 FORGET_MS = 20_000.0  # a customer unseen for so long is forgotten, or later if its stores take longer to fill
-SECOND_MS, NAME_TTL_MS = (
-    1000.0,
-    60_000.0,
-)  # how often a slice may grow; the longest life of a counter's name
-OLD_NEWS = (
-    0.15  # of the quota's rate: how fast a told store is believed to refill, when asking is free
-)
+NAME_TTL_MS = 60_000.0  # the longest life of a counter's name
 DRIFT = 0.5  # of the burst: a count this far from the store is put right by a call of its own
-LUMP, CROWDED = (
-    0.08,
-    0.4,
-)  # of the burst: reported at once; calling less freely leaves calls out by chance
-ASK_FIRST, ASK_LEAST = 0.5, 0.01  # how freely the counter is called: at start, at least
-ASK_LESS, ASK_MORE = 0.7, 0.04  # what a late and a prompt answer do to that
+LUMP = 0.08  # of the burst: reported at once
+CROWDED = 0.4  # calling less freely leaves calls out by chance
+ASK_FIRST = 0.5  # how freely the counter is called at start
+ASK_LEAST = 0.01  # and at least
+ASK_LESS = 0.7  # what a late answer does to that
+ASK_MORE = 0.04  # and a prompt one
 ASK_FREE = 0.9  # calling less freely than so, nothing is taken back from an empty store
 LATE_ANSWER = 0.8  # of the counter's time-out: an answer this slow is a sign of a crowded counter
-KEEP, LEARN = (
-    0.9,
-    0.01,
-)  # weight of the past in moving means; how far an answer moves what a class takes
-BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend, toward what
+KEEP = 0.9  # weight of the past in moving means
+LEARN = 0.01  # how far an answer moves what a class takes
+DREAD = 10.0  # what a bad sign moves a backend toward
 LEAP = 1.5  # of what the fleet is held for: a sign counts for that and one more at most
-NEWS_MS = 100.0  # without a sign from the fleet for so long, a backend with nothing from here gets a request
-BROKEN = 3.0  # in place of that where one connection or one spoilt answer may be to blame
+NEWS_MS = 100.0  # without a sign from the fleet for so long, an unused backend gets a request
+BROKEN = 3.0  # in place of DREAD where one connection or one spoilt answer may be to blame
 OVERDUE = 4.0  # of what an attempt is expected to take: by then a second copy goes elsewhere
-FORGIVE_MS, TOUCHES = (
-    3000.0,
-    2.0,
-)  # a sign fades to a third in this time, or in so many times between signs
 TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
-USERS, LOOK = (
-    3,
-    16,
-)  # gateways of a backend, and backends of a gateway, at least; compared for one send
-SPREAD = 1.05  # of the mean: backends that a gateway takes at most; tighter, one change moves many others
-PART_BACKENDS, PART_GATEWAYS = (
-    1024,
-    32,
-)  # a part of the fleet has so many at most; and so many at least
-TEAM = (
-    512  # gateways whose subsets are drawn together, at most: one change costs a millisecond or two
-)
-MASK = (1 << 64) - 1  # of a hash
 COLD_PART = (
     0.8  # of the work that would push over a cold backend of one core, all gateways together
 )
-COLD_FLEET, COLD_OWN = (
-    0.5,
-    0.6,
-)  # of what reports say that warm ones and it can do: it may be half as fast
-BUSY, LEARN_ABLE, LEARN_FLEET = (
-    0.5,
-    0.2,
-    0.05,
-)  # an idler report tells little; how far one moves what is told
-RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
-PATIENCE, CHEAP_PATIENCE = (
-    0.33,
-    0.25,
-)  # of the aim: the forecast that work of most and of no worth may meet
+COLD_FLEET = 0.5  # of what reports say that warm ones can do
+COLD_OWN = 0.6  # and of what they say that it can: it may be half as fast
+BUSY = 0.5  # an idler report tells little
+LEARN_ABLE = 0.2  # how far a report moves what is told of a backend
+LEARN_FLEET = 0.05  # and of the fleet
+RETRY_PART = 0.1  # further attempts earned by each first try
+RETRY_MOST = 10.0  # saved up at most
+PATIENCE = 0.33  # of the aim: the forecast that work of most worth may meet
+CHEAP_PATIENCE = 0.25  # and of no worth
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
 RESOLVE = 16.0  # how sharply sends thin out past the patience
 REACH_MS = 50.0  # a send arrives within this and the time that its connection may take to come up
 
 
-class Slowness:
-    """Time taken over time expected: the one measure of health, of a backend for a class or of the fleet."""
-
-    def __init__(self) -> None:
-        self.value, self.at, self.memory_ms = 1.0, -inf, FORGIVE_MS
-
-    def now(self, now: float, usual: float = 1.0) -> float:
-        """Forgotten as its last sign ages, by how often signs come, until what is usual is believed."""
-        return usual + (self.value - usual) * 3 ** ((self.at - now) / self.memory_ms)
-
-    def sign(self, now: float, value: float, weight: float, usual: float = 1.0) -> None:
-        """Take in a sign, bad or good; a rare one weighs as much as the many it stands for."""
-        weight = max(weight, min(BLAME, 1 - 3 ** ((self.at - now) / self.memory_ms)))
-        self.value = self.now(now, usual) + (value - self.now(now, usual)) * weight
-        gap, self.at = now - max(self.at, now - NAME_TTL_MS), now
-        self.memory_ms = max(FORGIVE_MS, TOUCHES * gap) if gap < NAME_TTL_MS else FORGIVE_MS
-
-
-class Customer:
-    """One customer's slice of its quota here, and the virtual queue of those it was refused for."""
-
-    __slots__ = (  # many customers come but once, and each is remembered for a while
-        "answers",
-        "appointments",
-        "cap_tokens",
-        "debt",
-        "dry",
-        "end_of_queue_time",
-        "even",
-        "filled_at",
-        "followed_at",
-        "number",
-        "plan",
-        "share",
-        "store",
-        "tokens",
-        "told_at",
-        "unit_squares",
-        "unit_sum",
-    )
-
-    def __init__(
-        self,
-        plan: Plan,
-        width: int,
-        now: float,
-        number: int = 0,
-        debt: float = 0.0,
-        unspent_since: float = inf,
-    ) -> None:
-        self.plan, self.even, self.number = plan, 1 / width, number
-        self.share, self.tokens = self.even, plan.burst * self.even
-        # a restarted gateway cannot know what it spent of the ceiling before, only that nothing went since
-        gone = max(0.0, now - unspent_since) / 1000
-        self.cap_tokens = min(plan.ceiling_burst, gone * plan.ceiling_rate) * self.even
-        self.filled_at = self.end_of_queue_time = now
-        self.appointments: deque[float] | None = None  # until it is refused
-        self.answers, self.unit_sum, self.unit_squares = 0, 0.0, 0.0
-        self.debt = debt  # own use that is not counted yet; below nought: counted, but not used
-        self.store, self.told_at = (
-            plan.burst,
-            -inf,
-        )  # the shared store as the counter's last answer showed it
-        self.followed_at, self.dry = now, False
-
-    def refill(self, now: float) -> None:
-        """Fill bucket and ceiling for the time gone by."""
-        gone, self.filled_at, plan = (now - self.filled_at) / 1000, now, self.plan
-        self.tokens = min(plan.burst * self.share, self.tokens + gone * plan.rate * self.share)
-        cap = plan.ceiling_burst * self.even
-        self.cap_tokens = min(cap, self.cap_tokens + gone * plan.ceiling_rate * self.even)
-
-    def return_time(self, now: float, units: float, no_show: float) -> float:
-        """DIBA (the paper's Algorithm 6): how long the refused client is to stay away."""
-        if self.appointments is None:
-            self.appointments = deque()
-        while self.appointments and self.appointments[0] <= now - no_show:
-            self.appointments.popleft()  # kept, or never will be
-        mean = self.unit_sum / self.answers if self.answers else units
-        variance = self.unit_squares / self.answers - mean * mean if self.answers >= 2 else 0.0
-        fill = self.plan.rate * self.share if self.plan.rate else mean
-        desired_return_rate = fill / mean * (1 + sqrt(max(0.0, variance)) / mean)
-        queue_interval = 1000 / desired_return_rate
-        client_wait_duration = queue_interval * (len(self.appointments) + 1)
-        self.end_of_queue_time = max(self.end_of_queue_time, now)
-        if now + client_wait_duration - self.end_of_queue_time < queue_interval:
-            back_at = now + client_wait_duration
-            self.end_of_queue_time = max(self.end_of_queue_time, back_at)
-        else:
-            back_at = self.end_of_queue_time = self.end_of_queue_time + queue_interval
-        if (
-            back_at > now + QUEUE_MS
-        ):  # nobody waits so long: it takes no place that others would stand behind
-            self.end_of_queue_time = min(self.end_of_queue_time, now + QUEUE_MS)
-            return QUEUE_MS
-        self.appointments.append(back_at)
-        return back_at - now
-
-    def follow(self, now: float, over: bool) -> None:
-        """Each second: a dry slice of a customer under quota grows, that of one over it falls back."""
-        if now - self.followed_at >= SECOND_MS:
-            grows = self.dry and self.store > ROOM * self.plan.burst
-            fallen = max(self.even, self.share - (self.share - self.even) * FALL)
-            self.share = fallen if over else min(1.0, self.share * RAISE) if grows else self.share
-            self.followed_at, self.dry = now, False
-
-    def room(self, now: float, asking: float) -> float:
-        """The chance that a try beyond the bucket still finds its units in the shared store."""
-        believed = self.store + OLD_NEWS * asking * (now - self.told_at) / 1000 * self.plan.rate
-        return believed / (ROOM * self.plan.burst)
-
-    def told(self, now: float, before: float, use: float, age_ms: float) -> float:
-        """One answer tells the shared store by itself; gives what a store that ran over lacks in the name."""
-        plan = self.plan
-        level, full = plan.burst - before + age_ms / 1000 * plan.rate, plan.burst
-        if before < 0.01:  # a fresh or lost name: what was missing still is
-            full = min(full, self.store + (now - self.told_at) / 1000 * plan.rate)
-        self.store, self.told_at = min(full, level) - use, now
-        part = self.store * self.share if self.store > ROOM * plan.burst else 0.0
-        self.tokens = max(part, min(self.tokens, self.store)) - max(0.0, self.debt)
-        self.follow(now, self.store < SPENT * plan.burst)
-        return max(0.0, level - full)
-
-
-# an attempt that is out: when, work, pile it met, class, when it is overdue
-Sent = tuple[float, float, float, int, float]
-
-
-class Backend:
-    """What this gateway knows of one backend."""
-
-    def __init__(self, entry: BackendEntry, classes: int) -> None:
-        self.entry, self.load = entry, 0.0  # work outstanding from here
-        self.out: dict[tuple[int, int], Sent] = {}
-        self.slowness = [Slowness() for _ in range(classes)]
-        self.heard_at = -inf  # its last answer, on any connection
-        self.able = (
-            0.0  # requests a second that it could do by its reports, believed little by little
-        )
-        self.cold_turn, self.cold_left = -1.0, 0.0  # the work it may still get in this window
-
-    def warmth(self, now: float, settings: Settings) -> float:
-        """The part of its capacity that is guaranteed at this time since its start."""
-        age = now - self.entry.up_since_ms
-        if not self.entry.up_since_ms or age >= settings.cold_ms:
-            return 1.0
-        return settings.start_capacity + (1 - settings.start_capacity) * max(
-            0.0, age / settings.cold_ms
-        )
-
-
-def mixed(number: int) -> int:
-    """A hash of 64 bits, the finalizer of splitmix64: the same at every gateway."""
-    number = (number ^ number >> 30) * 0xBF58476D1CE4E5B9 & MASK
-    number = (number ^ number >> 27) * 0x94D049BB133111EB & MASK
-    return number ^ number >> 31
-
-
-class Part:
-    """The part of a long list that one gateway keeps, so that what it holds doesn't grow with the fleet.
-
-    Backends and gateways are dealt to as many parts, a power of two. Short lists are one part.
-    """
-
-    def __init__(self, gateways: int, index: int, parts: int = 1) -> None:
-        self.gateways, self.index, self.parts = gateways, index, parts
-
-    @property
-    def divisible(self) -> bool:
-        """Twice as many parts would still have gateways enough for their backends."""
-        return 2 * self.parts * PART_GATEWAYS <= self.gateways
-
-    def holds(self, backend: int) -> bool:
-        return self.parts == 1 or mixed(backend) % self.parts == self.index % self.parts
-
-    def bear(self, listed: int) -> bool:
-        """Divide on until a list of this length is borne; true if that changed the part."""
-        before = self.parts
-        while listed > self.parts * PART_BACKENDS and self.divisible:
-            self.parts *= 2
-        return self.parts != before
-
-    def misfit(self, kept: int) -> bool:
-        """The fleet has grown or shrunk so much that the whole list is to be divided anew."""
-        if kept > 2 * PART_BACKENDS:
-            return self.divisible
-        return self.parts > 1 and kept < PART_BACKENDS / 4
-
-
-class Subset:
-    """The ready backends that each gateway of a part keeps to: evenly, and few change when one backend does.
-
-    Consistent hashing with bounded loads. Each backend, in the order of the hashes, takes the gateways that
-    its own hash names one after another, but those that have enough already; then gateways that were left
-    with fewer than the mean take further backends. The same list gives the same pairs at every gateway,
-    whatever came before. A large fleet draws in teams of gateways, which share out a backend's users.
-    """
-
-    def __init__(self, gateways: int, index: int, parts: int = 1) -> None:
-        mates, place = len(range(index % parts, gateways, parts)), index // parts
-        self.teams = 1
-        while mates > self.teams * TEAM:
-            self.teams *= 2
-        self.team, self.own = place % self.teams, place // self.teams
-        self.gateways = len(range(self.team, mates, self.teams))
-        self.steps = [n for n in range(1, max(2, self.gateways)) if gcd(n, self.gateways) == 1]
-        # of each ready backend, in order: hash, number, first gateway, way to the next, and a draw in [0, 1)
-        self.ready: list[tuple[int, int, int, int, float]] = []
-        self.fresh = False  # members and users are those of the present list
-        self.kept: list[int] = []
-        self.used: dict[int, int] = {}
-
-    def place(self, backend: int, ready: bool) -> None:
-        """A backend is ready from now on, or is not."""
-        number = mixed(backend)
-        draw = mixed(number)
-        step = self.steps[(draw >> 20) % len(self.steps)]
-        place = number, backend, draw % self.gateways, step, (draw >> 40) / (1 << 24)
-        at = bisect_left(self.ready, place)
-        there = self.ready[at : at + 1] == [place]
-        if there != ready:
-            self.ready[at : at + there] = [place] * ready
-            self.fresh = False
-
-    def members(self) -> list[int]:
-        """The backends that this gateway keeps to."""
-        if not self.fresh:
-            pairs, self.used = self.pairs()
-            self.kept, self.fresh = pairs[self.own], True
-        return self.kept
-
-    def users(self, backend: int) -> int:
-        """How many gateways keep to this backend."""
-        self.members()
-        return max(1, self.used.get(backend, 1)) * self.teams
-
-    def pairs(self) -> tuple[list[list[int]], dict[int, int]]:
-        """Of this gateway's team: each gateway's backends, and how many gateways each backend has."""
-        backends, gateways, shift = len(self.ready), self.gateways, self.team / self.teams
-        mean = max(USERS / self.teams, USERS * gateways / max(1, backends))  # gateways of a backend
-        most = ceil(SPREAD * max(USERS, backends * mean / gateways) - 1e-9)
-        kept: list[list[int]] = [[] for _ in range(gateways)]
-        used = {}
-        room = [most] * gateways
-        for _, backend, at, step, draw in self.ready:
-            wanted = used[backend] = min(gateways, int(mean + (draw + shift) % 1))
-            for _ in range(gateways if wanted else 0):
-                if room[at]:
-                    room[at] -= 1
-                    kept[at].append(backend)
-                    wanted -= 1
-                    if not wanted:
-                        break
-                at = (at + step) % gateways
-            used[backend] -= wanted
-        least = min(backends, max(USERS, ceil(backends * mean / gateways - 1e-9)))
-        for number, mine in enumerate(kept):
-            place, tries = number, 0
-            while len(mine) < least:
-                place, tries = mixed(place + 1), tries + 1
-                backend = self.ready[bisect_left(self.ready, (place,)) % backends][1]
-                if backend not in mine and used[backend] <= mean + tries / LOOK:
-                    mine.append(backend)
-                    used[backend] += 1
-        return kept, used
-
-
 class Call:
     """A request not yet answered: what has been tried and what may have run."""
 
--- /dev/null
+++ b/sumacpost/server/__init__.py
@@ -0,0 +1,1 @@
+"""The client side: connections, requests and responses."""
--- a/troutdock/server.py
+++ b/sumacpost/server/listener.py
@@ -13,12 +13,12 @@
 
 import httptools
 
-from troutdock.address import Address
-from troutdock.http1 import MAX_BODY, MAX_HEAD
-from troutdock.ingress import Call, Ingress
-from troutdock.request import BadRequest, Reader
+from sumacpost.address import Address
+from sumacpost.http1 import MAX_BODY, MAX_HEAD
+from sumacpost.ingress import Call, Ingress
+from sumacpost.server.request import BadRequest, Reader
 
-log = logging.getLogger("troutdock")
+log = logging.getLogger(__name__)
 
 MAX_PIPELINED = 8  # answers owed on one connection before what comes is held unread
 MAX_HELD = (
--- a/troutdock/request.py
+++ b/sumacpost/server/request.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Sequence
 
-from tamarindfold.interface import Effect, RequestArrived, Settings
+from sumacpost.model import Effect, RequestArrived, Settings
 
 _ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
 _SECONDS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
--- a/troutdock/__main__.py
+++ b/sumacpost/service.py
@@ -1,4 +1,4 @@
-"""Start, signals and the end: python -m troutdock, configured by the file that RELAY_CONFIG names."""
+"""Start, signals, reload and the order of start and stop of the ingress."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 import uvloop
 
-from troutdock.background import Background
-from troutdock.config import Config, ConfigError, load_config, load_steps
-from troutdock.discovery import Discovery
-from troutdock.ingress import Ingress, half_of_sockets
-from troutdock.request import Reader
-from troutdock.server import Server
+from sumacpost.config import Config, ConfigError, load_config, load_steps
+from sumacpost.discovery.watch import Discovery
+from sumacpost.ingress import Ingress, half_of_sockets
+from sumacpost.server.listener import Server
+from sumacpost.server.request import Reader
+from sumacpost.supervisor import Background
 
-log = logging.getLogger("troutdock")
+log = logging.getLogger(__name__)
 
 SWEEP_S = 0.25
 
@@ -154,19 +154,15 @@
         path = os.environ["RELAY_CONFIG"]
         config = load_config(path)
     except KeyError:
-        print("troutdock: RELAY_CONFIG is not set", file=sys.stderr)
+        print("sumacpost: RELAY_CONFIG is not set", file=sys.stderr)
         return 2
     except ConfigError as error:
-        print(f"troutdock: {error}", file=sys.stderr)
+        print(f"sumacpost: {error}", file=sys.stderr)
         return 2
     gc.freeze()
     try:
         uvloop.run(_run(config, path, reloads))
     except OSError as error:
-        print(f"troutdock: can't serve: {error}", file=sys.stderr)
+        print(f"sumacpost: can't serve: {error}", file=sys.stderr)
         return 1
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/sumacpost/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway behind the simulator's binary protocol."""
--- a/tamarindfold/wire.py
+++ b/sumacpost/simulator/codec.py
@@ -7,7 +7,7 @@
 from struct import Struct
 from typing import Any
 
-from tamarindfold.interface import (
+from sumacpost.model import (
     Action,
     AnswerBegan,
     AttemptEnded,
--- a/troutdock/background.py
+++ b/sumacpost/supervisor.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-log = logging.getLogger("troutdock")
+log = logging.getLogger(__name__)
 
 PAUSE_S = 0.1  # before a task that has failed is started anew
 
--- /dev/null
+++ b/sumacpost/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The backend side: connection pools, attempts and load reports."""
--- a/troutdock/backends.py
+++ b/sumacpost/upstream/pool.py
@@ -10,11 +10,11 @@
 from contextlib import suppress
 from typing import Any, cast
 
-from tamarindfold.interface import BackendId, BackendState, FleetUpdate, ListKind, Outcome
-from troutdock.address import Address
-from troutdock.http1 import MAX_BODY, BadResponse, Response, ResponseReader
+from sumacpost.address import Address
+from sumacpost.http1 import MAX_BODY, BadResponse, Response, ResponseReader
+from sumacpost.model import BackendId, BackendState, FleetUpdate, ListKind, Outcome
 
-log = logging.getLogger("troutdock")
+log = logging.getLogger(__name__)
 
 # Before a connection is used again: by then what stands behind an answer has come too. A second answer may
 # come some milliseconds late; of 42 seen in ten plays the latest took 4 ms, on a clock of whole ones.
--- a/tests/test_lists.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -8,17 +8,18 @@
 from typing import Any
 
 import pytest
-from build import KEYED, START, ended, settings
-from build import request as arrival
-from loopback import SETTINGS, Peer, Script, run, until
-
-from tamarindfold.choice import PART_BACKENDS, Gateway, Part
-from tamarindfold.interface import BackendEntry, FleetUpdate, ListKind, Outcome, Send
-from troutdock import discovery, lists
-from troutdock.background import Background
-from troutdock.config import load_config
-from troutdock.discovery import Discovery
-from troutdock.lists import BadList, JsonPieces, ListReader, backend_id
+
+from sumacpost.config import load_config
+from sumacpost.discovery import endpoint_list, watch
+from sumacpost.discovery.endpoint_list import BadList, JsonPieces, ListReader, backend_id
+from sumacpost.discovery.watch import Discovery
+from sumacpost.model import BackendEntry, FleetUpdate, ListKind, Outcome, Send
+from sumacpost.policy.gateway import Gateway
+from sumacpost.policy.subsetting import PART_BACKENDS, Part
+from sumacpost.supervisor import Background
+from tests.support.builders import KEYED, START, ended, settings
+from tests.support.builders import request as arrival
+from tests.support.loopback import SETTINGS, Peer, Script, run, until
 
 FLEET = 6900  # gateways
 
@@ -111,12 +112,12 @@
     assert (
         update.parts == 64
         and len(inside) <= PART_BACKENDS
-        and len(beside) <= lists.COMPANIONS * len(inside)
+        and len(beside) <= endpoint_list.COMPANIONS * len(inside)
     )
     by_cell: dict[int, int] = {}
     for e in beside:
         by_cell[e.cell] = by_cell.get(e.cell, 0) + 1
-    assert by_cell == dict.fromkeys({e.cell for e in inside}, lists.COMPANIONS)
+    assert by_cell == dict.fromkeys({e.cell for e in inside}, endpoint_list.COMPANIONS)
     other = read(
         ListReader((), (), FLEET, 77 + 64, cells=True), [json.dumps(whole(33_000)).encode()]
     )[0]
@@ -178,7 +179,7 @@
 def test_a_list_that_never_ends_is_given_up_after_a_bounded_number_of_pieces(
     form: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(lists, "MAX_ENTRIES", 500)
+    monkeypatch.setattr(endpoint_list, "MAX_ENTRIES", 500)
     begun, more = ENDLESS[form]
     decoder = JsonPieces(ListReader((), ()).begin())
     fed = 0
@@ -250,7 +251,7 @@
 
 @pytest.fixture
 def hurried(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "PAUSE_S", 0.001)
+    monkeypatch.setattr(watch, "PAUSE_S", 0.001)
 
 
 def test_a_long_list_that_cannot_be_read_is_not_asked_for_again_but_changes_are(
@@ -295,7 +296,7 @@
             for n in range(asked + 1, asked + 8):
                 await until(lambda n=n: len(w.agent.requests) >= n + 1)  # type: ignore[misc]
                 came.append(w.watch._came)
-            assert max(came) <= discovery.PIECE
+            assert max(came) <= watch.PIECE
             assert not w.told
 
     run(test())
@@ -307,9 +308,9 @@
         watch._came = 100
         pauses = [watch._pause(True) for _ in range(12)]
         for n, pause in enumerate(pauses):
-            most = min(discovery.PAUSE_MOST_S, 0.1 * 2**n)
+            most = min(watch.PAUSE_MOST_S, 0.1 * 2**n)
             assert most / 2 <= pause <= most
-        assert discovery.PAUSE_MOST_S + discovery.LATE_S + 1 < 6  # a change counts as told then
+        assert watch.PAUSE_MOST_S + watch.LATE_S + 1 < 6  # a change counts as told then
         assert not watch._frugal  # a short list costs little
         watch._came = 0
         assert watch._pause(False) == 0.1  # who says nothing costs nothing
@@ -365,10 +366,10 @@
             await until(lambda: any(update.kind is ListKind.FULL for update in w.told))
             *bits, last = w.told
             assert [update.kind for update in bits] == [ListKind.CHANGES] * len(bits)
-            assert max(len(update.entries) for update in bits) <= discovery.TOLD_AT_ONCE
+            assert max(len(update.entries) for update in bits) <= watch.TOLD_AT_ONCE
             assert len(last.entries) == 900
             assert {e.backend for u in bits for e in u.entries} <= {e.backend for e in last.entries}
-            assert sum(len(u.entries) for u in bits) >= 900 - discovery.TOLD_AT_ONCE
+            assert sum(len(u.entries) for u in bits) >= 900 - watch.TOLD_AT_ONCE
 
     run(test())
 
--- a/tests/test_fleetlab.py
+++ b/tests/fleetlab/test_fleetlab.py
@@ -14,7 +14,6 @@
 from typing import Any
 
 import pytest
-from loopback import run, until
 
 from fleetlab import pairs, real, sweep
 from fleetlab.agent import Agent, Mode
@@ -29,12 +28,13 @@
 from fleetlab.results import Machine, Result, read
 from fleetlab.site import config_text, entries
 from fleetlab.slopes import fit
-from tamarindfold.interface import BackendState, FleetUpdate, ListKind
-from troutdock.config import read_config
-from troutdock.discovery import Discovery
-from troutdock.lists import ListReader
+from sumacpost.config import read_config
+from sumacpost.discovery.endpoint_list import ListReader
+from sumacpost.discovery.watch import Discovery
+from sumacpost.model import BackendState, FleetUpdate, ListKind
+from tests.support.loopback import run, until
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).parent.parent
 AT = ("127.0.0.1:9",)
 
 
@@ -455,7 +455,7 @@
 
 def test_the_ingress_does_not_know_of_its_lab() -> None:
     """Guards the program that is served: nothing in it needs the lab or its libraries."""
-    for path in [*ROOT.glob("troutdock/*.py"), *ROOT.glob("tamarindfold/*.py")]:
+    for path in ROOT.glob("sumacpost/**/*.py"):
         assert not re.search(r"fleetlab|numpy|msgspec|hdrh|click|\brich\b", path.read_text()), path
 
 
--- a/tests/test_fleet.py
+++ b/tests/policy/test_fleet_scale.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 
 import pytest
-from build import SAFE, START, UNSAFE, ended, fleet, gateway, request
 
-from tamarindfold.choice import Gateway
-from tamarindfold.interface import ListKind, Outcome, Plan, Send
+from sumacpost.model import ListKind, Outcome, Plan, Send
+from sumacpost.policy.gateway import Gateway
+from tests.support.builders import SAFE, START, UNSAFE, ended, fleet, gateway, request
 
 WORK_MS = 150.0  # what the requests here are first believed to take
 
--- a/tests/test_ordinary_path.py
+++ b/tests/policy/test_gateway.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from build import SAFE, START, ended, gateway, request
 
-from tamarindfold.choice import Customer
-from tamarindfold.interface import (
+from sumacpost.model import (
     Count,
     CountAnswered,
     Outcome,
@@ -16,6 +14,8 @@
     Send,
     SetTimer,
 )
+from sumacpost.policy.quota import Customer
+from tests.support.builders import SAFE, START, ended, gateway, request
 
 PLAN = Plan(rate=8, burst=16)
 
--- a/tests/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -5,14 +5,11 @@
 from dataclasses import replace
 
 import pytest
-from build import START, ended, fleet, gateway, request, settings
-from checker import Checker, RuleBroken
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from tamarindfold import Gateway
-from tamarindfold.interface import (
+from sumacpost.model import (
     AttemptEnded,
     BackendState,
     Fail,
@@ -24,6 +21,9 @@
     Send,
     TimerFired,
 )
+from sumacpost.policy.gateway import Gateway
+from tests.support.builders import START, ended, fleet, gateway, request, settings
+from tests.support.rule_checker import Checker, RuleBroken
 
 SAFE, KEYED, KEYED_ALL, UNSAFE = range(4)
 MAY_HAVE_RUN = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
--- a/tests/test_cold_fleet.py
+++ b/tests/policy/test_slow_start.py
@@ -13,10 +13,8 @@
 from typing import Any
 
 import pytest
-from build import OPEN, START, request, settings
 
-from tamarindfold import Gateway
-from tamarindfold.interface import (
+from sumacpost.model import (
     AttemptEnded,
     BackendEntry,
     BackendState,
@@ -30,6 +28,8 @@
     RequestClass,
     Send,
 )
+from sumacpost.policy.gateway import Gateway
+from tests.support.builders import OPEN, START, request, settings
 
 CLASSES = (RequestClass(1200, 4000, 3, Effect.SAFE), RequestClass(1800, 4000, 5, Effect.SAFE))
 UNIT_MS = (60.0, 108.0)  # what a unit of each class takes on average, on a warm core of speed 1
--- a/tests/test_subset.py
+++ b/tests/policy/test_subsetting.py
@@ -6,10 +6,10 @@
 from random import Random
 
 import pytest
-from build import KEYED, SAFE, START, ended, fleet, gateway, request
 
-from tamarindfold.choice import LOOK, PART_BACKENDS, TEAM, USERS, Part, Subset
-from tamarindfold.interface import BackendEntry, FleetUpdate, ListKind, Outcome, Send
+from sumacpost.model import BackendEntry, FleetUpdate, ListKind, Outcome, Send
+from sumacpost.policy.subsetting import LOOK, PART_BACKENDS, TEAM, USERS, Part, Subset
+from tests.support.builders import KEYED, SAFE, START, ended, fleet, gateway, request
 
 SIZES = [
     (6, 12),
--- a/tests/test_silence.py
+++ b/tests/policy/test_unresponsive_peers.py
@@ -6,12 +6,8 @@
 from typing import Any
 
 import pytest
-from build import KEYED_ALL, SAFE, START, UNSAFE, ended, gateway
-from build import request as arrival
-from loopback import SETTINGS, Peer, answer, request, run, silence, until, world
-from test_service import Counting, read_call
 
-from tamarindfold.interface import (
+from sumacpost.model import (
     Cancel,
     Count,
     CountAnswered,
@@ -22,6 +18,10 @@
     SetTimer,
     TimerFired,
 )
+from tests.support.builders import KEYED_ALL, SAFE, START, UNSAFE, ended, gateway
+from tests.support.builders import request as arrival
+from tests.support.counter_calls import Counting, read_call
+from tests.support.loopback import SETTINGS, Peer, answer, request, run, silence, until, world
 
 COPIES: dict[str, Any] = {"second_copies": True, "classes": (SAFE, KEYED_ALL, UNSAFE)}
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
--- a/tests/test_client_gone.py
+++ b/tests/server/test_client_disconnect.py
@@ -15,7 +15,11 @@
 from typing import Any
 
 import pytest
-from loopback import (
+
+from sumacpost.server.listener import MAX_PIPELINED
+from sumacpost.upstream.pool import REST_S, Connection, Pool
+from tests.support.counter_calls import read_call
+from tests.support.loopback import (
     SETTINGS,
     HeldClient,
     Peer,
@@ -28,10 +32,6 @@
     world,
     write_now,
 )
-from test_service import read_call
-
-from troutdock.backends import REST_S, Connection, Pool
-from troutdock.server import MAX_PIPELINED
 
 HOLD_S = 0.15  # more than the 0.1 s after which an attempt of a client that has gone is a break
 SILENT = "60.000"  # a client's time that no step of a test takes
--- a/tests/test_wire.py
+++ b/tests/simulator/test_codec.py
@@ -5,13 +5,10 @@
 import struct
 import subprocess
 import sys
-from pathlib import Path
 
 import pytest
-from build import settings
 
-from tamarindfold import wire
-from tamarindfold.interface import (
+from sumacpost.model import (
     Cancel,
     Count,
     CountAnswered,
@@ -28,8 +25,10 @@
     SetTimer,
     Tell,
 )
+from sumacpost.simulator import codec
+from tests.support.builders import settings
+from tests.support.paths import ROOT
 
-ROOT = Path(__file__).parent.parent
 TEXT = """balancers=3
 categories.count=1
 categories.0.aim=1000
@@ -54,12 +53,12 @@
 
 
 def record(code: int, body: bytes) -> bytes:
-    return wire.RECORD.pack(code, len(body)) + body
+    return codec.RECORD.pack(code, len(body)) + body
 
 
 def batch(*records: bytes, now: float = 1000.0) -> bytes:
     body = b"".join(records)
-    return wire.BATCH_HEAD.pack(len(body), now, len(records)) + body
+    return codec.BATCH_HEAD.pack(len(body), now, len(records)) + body
 
 
 def provision(instance: int = 3, text: str = TEXT) -> bytes:
@@ -77,7 +76,7 @@
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "tamarindfold.benchlink"],
+        [sys.executable, "-m", "sumacpost.simulator.adapter"],
         input=data,
         capture_output=True,
         cwd=ROOT,
@@ -87,7 +86,7 @@
 
 
 def test_settings_are_read_and_unknown_keys_ignored() -> None:
-    s = wire.parse_settings(TEXT)
+    s = codec.parse_settings(TEXT)
     assert (s.gateways, s.index, s.drain_grace_ms) == (3, 2, 500)
     assert s.classes[0].effect is Effect.KEYED
     assert s.report_fields == ("backlog", "utilization")
@@ -105,8 +104,8 @@
 )
 def test_a_missing_required_key_is_named(key: str) -> None:
     text = "\n".join(line for line in TEXT.splitlines() if not line.startswith(key + "="))
-    with pytest.raises(wire.WireError, match=key.replace(".", r"\.")):
-        wire.parse_settings(text)
+    with pytest.raises(codec.WireError, match=key.replace(".", r"\.")):
+        codec.parse_settings(text)
 
 
 @pytest.mark.parametrize(
@@ -124,14 +123,14 @@
 )
 def test_a_bad_value_is_named(old: str, new: str, named: str) -> None:
     with pytest.raises(ValueError, match=named):
-        wire.parse_settings(TEXT.replace(old, new))
+        codec.parse_settings(TEXT.replace(old, new))
 
 
 def test_the_documented_records_are_read() -> None:
     body = bytes.fromhex(
         "03000000c4913a5d28800f00000000400000803f00004040000000000000006e40640ad2557c3bf091000001"
     )
-    event = wire.read_event(1060, body, settings())
+    event = codec.read_event(1060, body, settings())
     assert isinstance(event, RequestArrived)
     assert (event.units, event.first_gateway, event.width, event.time_left_ms) == (2, 1, 3, 240)
     assert not event.retry
@@ -139,12 +138,12 @@
         "03000000022900000000000000020000000a124a075b1b000000000000010000803f0000000000000000"
         "0a9011f2841b000000000000010000c03f0000000000d4b740"
     )
-    event = wire.read_event(1050, body, settings())
+    event = codec.read_event(1050, body, settings())
     assert isinstance(event, FleetUpdate)
     assert event.kind is ListKind.CACHED
     assert [(e.size, e.up_since_ms) for e in event.entries] == [(1.0, 0.0), (1.5, 6100.0)]
     body = bytes.fromhex("0300000090f689000000000001333333333333014000001842")
-    event = wire.read_event(1100, body, settings())
+    event = codec.read_event(1100, body, settings())
     assert isinstance(event, CountAnswered)
     assert (event.name, event.outcome, event.total) == (9041552, Outcome.OK, 38.0)
 
@@ -153,23 +152,23 @@
     backend = struct.unpack("<IH", bytes.fromhex("0a124a075b1b"))
     dispatch = "2e041a00000003000000c4913a5d28800f0000000000000054400a124a075b1b"
     call = 0x000F80285D3A91C4
-    assert wire.write_action(3, Send(call, backend[0] << 16 | backend[1], 80.0)).hex() == dispatch
+    assert codec.write_action(3, Send(call, backend[0] << 16 | backend[1], 80.0)).hex() == dispatch
     bump = "fc03180000000300000090f689000000000000008040000000000070a740"
-    assert wire.write_action(3, Count(9041552, 4.0, 3000.0)).hex() == bump
+    assert codec.write_action(3, Count(9041552, 4.0, 3000.0)).hex() == bump
     wake = "1a0414000000030000000000000000407f404d00000000000000"
-    assert wire.write_action(3, SetTimer(500.0, 77)).hex() == wake
+    assert codec.write_action(3, SetTimer(500.0, 77)).hex() == wake
     share = "60040e00000003000000ffffffff040068692037"
-    assert wire.write_action(3, Tell(None, b"hi 7")).hex() == share
+    assert codec.write_action(3, Tell(None, b"hi 7")).hex() == share
     debug = "06041700000003000000110074776f2073657276657273206b6e6f776e"
-    assert wire.write_action(3, Log("two servers known")).hex() == debug
+    assert codec.write_action(3, Log("two servers known")).hex() == debug
 
 
 @pytest.mark.parametrize(
     "action", [Refuse(7, 20.0), Fail(7), Cancel(7, 1), Probe(1 << 16 | 2), Tell(2, b"x")]
 )
 def test_every_action_says_its_length(action) -> None:
-    data = wire.write_action(1, action)
-    assert wire.RECORD.unpack_from(data)[1] == len(data) - wire.RECORD.size
+    data = codec.write_action(1, action)
+    assert codec.RECORD.unpack_from(data)[1] == len(data) - codec.RECORD.size
 
 
 def test_a_whole_exchange() -> None:
@@ -179,7 +178,7 @@
     reply = done.stdout[4:]
     (length,) = struct.unpack_from("<I", reply)
     assert length == len(reply) - 4
-    (code, _) = wire.RECORD.unpack_from(reply, 4)
+    (code, _) = codec.RECORD.unpack_from(reply, 4)
     assert code == 1070
     assert reply[-6:] == bytes([10, 18, 74, 7]) + struct.pack("<H", 7003)
 
@@ -197,8 +196,8 @@
         ),
         (batch(provision(), accept(cls=9)), "ACCEPT band: 9"),
         (batch(provision(text="x=1")), "categories.count is missing"),
-        (wire.BATCH_HEAD.pack(9, 1.0, 1) + bytes(9), "truncated"),
-        (wire.BATCH_HEAD.pack(2, 1.0, 0) + bytes(2), "after the last record"),
+        (codec.BATCH_HEAD.pack(9, 1.0, 1) + bytes(9), "truncated"),
+        (codec.BATCH_HEAD.pack(2, 1.0, 0) + bytes(2), "after the last record"),
         (batch(provision(), record(1020, bytes([3, 0, 0, 0]) + bytes(9))), "WITHDRAWN"),
     ],
 )
--- a/tests/build.py
+++ b/tests/support/builders.py
@@ -5,8 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from tamarindfold import Gateway
-from tamarindfold.interface import (
+from sumacpost.model import (
     AttemptEnded,
     BackendEntry,
     BackendState,
@@ -20,6 +19,7 @@
     RequestClass,
     Settings,
 )
+from sumacpost.policy.gateway import Gateway
 
 SAFE = RequestClass(1500, 6000, 3, Effect.SAFE)
 KEYED = RequestClass(1000, 4000, 5, Effect.KEYED, Group.CELL, 3000)
--- a/tests/loopback.py
+++ b/tests/support/loopback.py
@@ -17,8 +17,9 @@
 
 import uvloop
 
-from troutdock.__main__ import Service, serve
-from troutdock.config import read_config
+from sumacpost.config import read_config
+from sumacpost.service import Service, serve
+from tests.support.paths import ROOT
 
 SETTINGS: dict[str, Any] = {
     "balancers": 3,
@@ -482,7 +483,7 @@
 async def start_program(
     config: dict[str, Any], log: Path, descriptors: int | None = None
 ) -> asyncio.subprocess.Process:
-    """python -m troutdock with this configuration, which may hold no more than so many descriptors."""
+    """python -m sumacpost with this configuration, which may hold no more than so many descriptors."""
     path = log.with_suffix(".json")
     path.write_text(json.dumps(config))
     bound = "" if descriptors is None else f"ulimit -n {descriptors} && "
@@ -490,10 +491,10 @@
         return await asyncio.create_subprocess_exec(
             "sh",
             "-c",
-            bound + 'exec "$0" -m troutdock',
+            bound + 'exec "$0" -m sumacpost',
             sys.executable,
             stderr=errors,
-            cwd=Path(__file__).parent.parent,
+            cwd=ROOT,
             env=os.environ | {"RELAY_CONFIG": str(path)},
         )
 
--- a/tests/checker.py
+++ b/tests/support/rule_checker.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tamarindfold.interface import (
+from sumacpost.model import (
     Action,
     AttemptEnded,
     BackendState,
--- a/tests/test_crossings.py
+++ b/tests/test_race_conditions.py
@@ -11,14 +11,13 @@
 from typing import Any
 
 import pytest
-from build import START, gateway
-from build import ended as attempt_ended
-from build import request as arrival
-from loopback import SETTINGS, Client, Peer, answer, request, run, silence, target, until, world
-from test_outcomes import Outcomes
-from test_service import HEALTH, read_call
-
-from tamarindfold.interface import (
+
+from sumacpost.config import ConfigError, read_config
+from sumacpost.counter.client import Counter
+from sumacpost.discovery.endpoint_list import ListReader
+from sumacpost.discovery.watch import Discovery
+from sumacpost.ingress import MARGIN_MS
+from sumacpost.model import (
     BackendEntry,
     BackendState,
     Count,
@@ -34,14 +33,27 @@
     SetTimer,
     TimerFired,
 )
-from troutdock.__main__ import serve
-from troutdock.backends import REST_S, Attempt, Connection, Pool
-from troutdock.config import ConfigError, read_config
-from troutdock.counter import Counter
-from troutdock.discovery import Discovery
-from troutdock.lists import ListReader
-from troutdock.ingress import MARGIN_MS
-from troutdock.server import MAX_PIPELINED
+from sumacpost.server.listener import MAX_PIPELINED
+from sumacpost.service import serve
+from sumacpost.upstream.pool import REST_S, Attempt, Connection, Pool
+from tests.support.attempts import Outcomes
+from tests.support.builders import START, gateway
+from tests.support.builders import ended as attempt_ended
+from tests.support.builders import request as arrival
+from tests.support.counter_calls import read_call
+from tests.support.loopback import (
+    HEALTH,
+    SETTINGS,
+    Client,
+    Peer,
+    answer,
+    request,
+    run,
+    silence,
+    target,
+    until,
+    world,
+)
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
@@ -124,7 +136,7 @@
                     FleetUpdate(ListKind.CHANGES, [BackendEntry(1, BackendState.GONE)])
                 )
 
-        monkeypatch.setattr("troutdock.backends.Connection", Leaving)
+        monkeypatch.setattr("sumacpost.upstream.pool.Connection", Leaving)
         attempt = outcomes.start()
         await until(lambda: attempt.over and outcomes.backends.open == 0)
         assert outcomes.ended[0][1] is Outcome.MOOT and peer.requests == []
@@ -382,7 +394,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Found by reading: it waited until a connection ended, though one between requests makes room."""
-    monkeypatch.setattr("troutdock.server.IDLE_S", 1000.0)
+    monkeypatch.setattr("sumacpost.server.listener.IDLE_S", 1000.0)
 
     async def test() -> None:
         async with world(*[silence] * 8, sockets=64) as w:
@@ -496,8 +508,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
-    monkeypatch.setattr("troutdock.server.MESSAGE_S", 0.1)
-    monkeypatch.setattr("troutdock.__main__.SWEEP_S", 0.02)
+    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.1)
+    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.02)
 
     async def test() -> None:
         async with world(silence) as w:
@@ -548,8 +560,8 @@
 ) -> None:
     """All eight places are taken: the listener was closed, and the ninth was reset with its request."""
     for name in ("DRAIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MOST_S"):
-        monkeypatch.setattr(f"troutdock.server.{name}", 0.05)
-    monkeypatch.setattr("troutdock.server.DRAIN_DOOR_S", 1000.0)
+        monkeypatch.setattr(f"sumacpost.server.listener.{name}", 0.05)
+    monkeypatch.setattr("sumacpost.server.listener.DRAIN_DOOR_S", 1000.0)
 
     async def test() -> None:
         async with world(*[silence] * 8, sockets=64) as w:
@@ -899,7 +911,7 @@
                         w.service._ingress.withdraw(call)
 
             with monkeypatch.context() as patched:
-                patched.setattr("troutdock.backends.Connection", Leaving)
+                patched.setattr("sumacpost.upstream.pool.Connection", Leaving)
                 client = await w.client()
                 client.writer.write(request("vat-filing", Request_Timeout=SILENT))
                 pools = w.service._ingress.backends._pools.values()
--- a/tests/test_restart_terms.py
+++ b/tests/test_restart.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from loopback import (
+from tests.support.counter_calls import read_call
+from tests.support.loopback import (
     HEALTH,
     SETTINGS,
     Agent,
@@ -24,7 +25,6 @@
     target,
     until,
 )
-from test_service import read_call
 
 READY_S = 10.0
 
--- a/tests/test_hold.py
+++ b/tests/test_robustness.py
@@ -8,25 +8,37 @@
 import signal
 import subprocess
 import sys
-from pathlib import Path
 from collections.abc import Generator
+from pathlib import Path
 from typing import Any
 
 import pytest
-from build import START, ended, fleet, settings
-from build import request as arrival
-from loopback import SETTINGS, Peer, answer, request, run, sends, silence, target, until, world
-from test_service import ROOT, Counting, read_call
-
-from tamarindfold import Gateway
-from tamarindfold.choice import Customer
-from tamarindfold.interface import Outcome, Plan, Refuse, Send
-from troutdock.background import Background
-from troutdock.config import read_config
-from troutdock.discovery import Discovery
-from troutdock.lists import ListReader
-from troutdock.http1 import MAX_BODY
-from troutdock.reports import ReportReader
+
+from sumacpost.config import read_config
+from sumacpost.discovery.endpoint_list import ListReader
+from sumacpost.discovery.watch import Discovery
+from sumacpost.http1 import MAX_BODY
+from sumacpost.model import Outcome, Plan, Refuse, Send
+from sumacpost.policy.gateway import Gateway
+from sumacpost.policy.quota import Customer
+from sumacpost.supervisor import Background
+from sumacpost.upstream.load_report import ReportReader
+from tests.support.builders import START, ended, fleet, settings
+from tests.support.builders import request as arrival
+from tests.support.counter_calls import Counting, read_call
+from tests.support.loopback import (
+    SETTINGS,
+    Peer,
+    answer,
+    request,
+    run,
+    sends,
+    silence,
+    target,
+    until,
+    world,
+)
+from tests.support.paths import ROOT
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
@@ -111,8 +123,8 @@
     begin: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Drip-fed bytes win no time: the client gets an error or a close."""
-    monkeypatch.setattr("troutdock.server.MESSAGE_S", 0.2)
-    monkeypatch.setattr("troutdock.__main__.SWEEP_S", 0.05)
+    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.2)
+    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
 
     async def test() -> None:
         async with world(answer()) as w:
@@ -136,8 +148,8 @@
 def test_a_message_on_a_used_connection_has_its_time_from_its_first_byte(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("troutdock.server.MESSAGE_S", 0.2)
-    monkeypatch.setattr("troutdock.__main__.SWEEP_S", 0.05)
+    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.2)
+    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
 
     async def test() -> None:
         async with world(answer()) as w:
@@ -443,7 +455,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "troutdock",
+            "sumacpost",
             cwd=ROOT,
             stderr=subprocess.PIPE,
             env={**os.environ, "RELAY_CONFIG": str(path)},
@@ -467,7 +479,7 @@
 
 
 def test_sighup_before_the_service_is_there_is_kept_for_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    from troutdock.__main__ import Reloads
+    from sumacpost.service import Reloads
 
     before = signal.getsignal(signal.SIGHUP)
     read: list[str] = []
@@ -484,7 +496,7 @@
             return path
 
         async def test() -> None:
-            monkeypatch.setattr("troutdock.__main__.load_steps", steps)
+            monkeypatch.setattr("sumacpost.service.load_steps", steps)
             reloads.follow(Service(), "the file")  # type: ignore[arg-type]
             await until(lambda: bool(read))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,7 +12,15 @@
 from typing import Any
 
 import pytest
-from loopback import (
+
+from sumacpost.config import ConfigError, flatten, read_config
+from sumacpost.discovery.endpoint_list import ListReader, backend_id
+from sumacpost.http1 import MAX_BODY
+from sumacpost.model import BackendState, CountAnswered, ListKind, Outcome
+from sumacpost.simulator import codec
+from tests.support.counter_calls import Counting, read_call
+from tests.support.loopback import (
+    HEALTH,
     SETTINGS,
     Client,
     Peer,
@@ -26,17 +34,7 @@
     until,
     world,
 )
-
-from tamarindfold import wire
-from tamarindfold.interface import BackendState, CountAnswered, ListKind, Outcome
-from troutdock.config import ConfigError, flatten, read_config
-from troutdock.counter import Counter
-from troutdock.lists import ListReader, backend_id
-from troutdock.http1 import MAX_BODY
-
-ROOT = Path(__file__).parent.parent
-HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
-
+from tests.support.paths import ROOT
 
 # ---- bad input
 
@@ -138,7 +136,7 @@
 ) -> None:
     async def test() -> None:
         async with world(answer()) as w:
-            from tamarindfold import Gateway
+            from sumacpost.policy.gateway import Gateway
 
             with monkeypatch.context() as patched:
                 patched.setattr(Gateway, "choose", lambda *_: 1 / 0)
@@ -154,8 +152,8 @@
 ) -> None:
     async def test() -> None:
         async with world(answer()) as w:
-            from tamarindfold import Gateway
-            from tamarindfold.interface import Probe
+            from sumacpost.model import Probe
+            from sumacpost.policy.gateway import Gateway
 
             monkeypatch.setattr(Gateway, "handle", lambda *_: [Probe(7)])
             assert (await w.ask(request()))[0] == 500
@@ -190,7 +188,7 @@
         "g=",
         "plans.count=0",
     ]
-    settings = wire.parse_settings("\n".join(flatten(SETTINGS)))
+    settings = codec.parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
     assert settings.marks_retry and settings.plans[1].rate == 100
 
@@ -223,7 +221,7 @@
     if text is not None:
         path.write_bytes(text.encode(errors="surrogateescape"))
     done = subprocess.run(
-        [sys.executable, "-m", "troutdock"],
+        [sys.executable, "-m", "sumacpost"],
         cwd=ROOT,
         env=os.environ | {"RELAY_CONFIG": str(path)},
         capture_output=True,
@@ -231,7 +229,7 @@
         check=False,
     )
     assert done.returncode == 2
-    assert done.stderr.startswith(b"troutdock: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"sumacpost: ") and done.stderr.count(b"\n") == 1
 
 
 # ---- the end
@@ -272,7 +270,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "troutdock",
+        "sumacpost",
         cwd=ROOT,
         stderr=asyncio.subprocess.PIPE,
         env=os.environ | {"RELAY_CONFIG": str(path)},
@@ -482,29 +480,6 @@
 # ---- the counter
 
 
-async def read_call(reader: asyncio.StreamReader) -> bytes:
-    """One RESP2 array of bulk strings."""
-    parts = []
-    for _ in range(int((await reader.readuntil())[1:])):
-        size = int((await reader.readuntil())[1:])
-        parts.append((await reader.readexactly(size + 2))[:-2])
-    return b" ".join(parts)
-
-
-class Counting:
-    """A counter's client and the answers it gave."""
-
-    def __init__(self, peer: Peer, timeout_s: float = 5.0) -> None:
-        self.answers: list[CountAnswered] = []
-        self.counter = Counter(("127.0.0.1", peer.port), timeout_s, self.answers.append)
-        self.tried = asyncio.Event()
-        self.task = asyncio.create_task(self.counter.run(self.tried))
-
-    async def outcomes(self, count: int) -> list[tuple[int, Outcome, float]]:
-        await until(lambda: len(self.answers) >= count)
-        return [(a.name, a.outcome, a.total) for a in self.answers]
-
-
 def test_calls_are_written_one_behind_another_and_answered_in_their_order() -> None:
     async def test() -> None:
         async def when_all_are_there(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
@@ -725,8 +700,8 @@
         async with world(
             answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_call
         ) as w:
-            from tamarindfold import Gateway
-            from tamarindfold.interface import Count, Send
+            from sumacpost.model import Count, Send
+            from sumacpost.policy.gateway import Gateway
 
             def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
                 return (
