--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -13,34 +13,34 @@
 import pytest
 
 from sumacpost.config import ConfigError, read_config
-from sumacpost.counter.client import Counter
-from sumacpost.discovery.endpoint_list import ListReader
-from sumacpost.discovery.watch import Discovery
+from sumacpost.counter.client import CounterClient
+from sumacpost.discovery.endpoint_list import EndpointListReader
+from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.ingress import MARGIN_MS
 from sumacpost.model import (
-    BackendEntry,
-    BackendState,
-    Count,
-    CountAnswered,
+    AddToCounter,
+    CounterReplied,
+    Endpoint,
+    EndpointListUpdate,
+    EndpointStatus,
     Fail,
-    FleetUpdate,
-    ListKind,
     Outcome,
     Plan,
-    Refuse,
-    RequestWithdrawn,
+    Reject,
+    RequestCancelled,
     Send,
     SetTimer,
     TimerFired,
+    UpdateKind,
 )
 from sumacpost.server.listener import MAX_PIPELINED
 from sumacpost.service import serve
-from sumacpost.upstream.pool import REST_S, Attempt, Connection, Pool
+from sumacpost.upstream.pool import REST_S, Attempt, BackendConnection, ConnectionPool
 from tests.support.attempts import Outcomes
 from tests.support.builders import START, gateway
 from tests.support.builders import ended as attempt_ended
 from tests.support.builders import request as arrival
-from tests.support.counter_calls import read_call
+from tests.support.counter_calls import read_counter_call
 from tests.support.loopback import (
     HEALTH,
     SETTINGS,
@@ -64,22 +64,22 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.let = asyncio.Event()
         self.begun = 0
-        original = Pool._open
+        original = ConnectionPool._open
 
-        async def late(pool: Pool, attempt: Attempt) -> None:
+        async def late(pool: ConnectionPool, attempt: Attempt) -> None:
             self.begun += 1
             await self.let.wait()
             await original(pool, attempt)
 
-        monkeypatch.setattr(Pool, "_open", late)
+        monkeypatch.setattr(ConnectionPool, "_open", late)
 
 
 # ---- a hand-over while an attempt waits for its connection
 
 
-@pytest.mark.parametrize("state", [BackendState.DRAINING, BackendState.GONE])
+@pytest.mark.parametrize("state", [EndpointStatus.DRAINING, EndpointStatus.GONE])
 def test_what_waits_for_a_connection_is_not_written_once_its_backend_leaves(
-    state: BackendState, monkeypatch: pytest.MonkeyPatch
+    state: EndpointStatus, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A dial time-out may be longer than the grace of a drain: the connection would come up after that."""
 
@@ -89,11 +89,11 @@
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
         await until(lambda: dials.begun == 1)
-        outcomes.backends.follow(FleetUpdate(ListKind.CHANGES, [BackendEntry(1, state)]))
+        outcomes.backends.follow(EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, state)]))
         assert not attempt.over  # the list is taken in first
         dials.let.set()
         await until(lambda: attempt.over and outcomes.backends.open == 0)
-        assert [(a, o) for a, o, _ in outcomes.ended] == [(attempt, Outcome.MOOT)]
+        assert [(a, o) for a, o, _ in outcomes.ended] == [(attempt, Outcome.SKIPPED)]
         assert peer.requests == [] and peer.connections == 0
         peer.stop()
 
@@ -112,7 +112,7 @@
         outcomes.backends.place(1, ("127.0.0.1", 1))
         dials.let.set()
         await until(lambda: attempt.over)
-        assert outcomes.ended[0][1] is Outcome.MOOT and peer.requests == []
+        assert outcomes.ended[0][1] is Outcome.SKIPPED and peer.requests == []
         peer.stop()
 
     run(test())
@@ -128,18 +128,18 @@
         await peer.start()
         outcomes = Outcomes(peer.port)
 
-        class Leaving(Connection):
-            def __init__(self, pool: Pool, sock: socket.socket) -> None:
+        class Leaving(BackendConnection):
+            def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
                 super().__init__(pool, sock)
                 assert attempt.opening is None and not attempt.over
                 outcomes.backends.follow(
-                    FleetUpdate(ListKind.CHANGES, [BackendEntry(1, BackendState.GONE)])
+                    EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, EndpointStatus.GONE)])
                 )
 
-        monkeypatch.setattr("sumacpost.upstream.pool.Connection", Leaving)
+        monkeypatch.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
         attempt = outcomes.start()
         await until(lambda: attempt.over and outcomes.backends.open == 0)
-        assert outcomes.ended[0][1] is Outcome.MOOT and peer.requests == []
+        assert outcomes.ended[0][1] is Outcome.SKIPPED and peer.requests == []
         peer.stop()
 
     run(test())
@@ -199,9 +199,9 @@
     async def test() -> None:
         seen: list[bytes | None] = []
         cut_off: list[asyncio.StreamWriter] = []
-        original = Connection.start
+        original = BackendConnection.start
 
-        def start(connection: Connection, attempt: Attempt) -> None:
+        def start(connection: BackendConnection, attempt: Attempt) -> None:
             for writer in cut_off:  # what its backend sees at this moment
                 with socket.socket(
                     fileno=socket.dup(writer.transport.get_extra_info("socket").fileno())
@@ -234,7 +234,7 @@
             await asyncio.sleep(2 * REST_S)
             for backend in w.backends:
                 backend.script = spoil
-            monkeypatch.setattr(Connection, "start", start)
+            monkeypatch.setattr(BackendConnection, "start", start)
             assert (await client.ask(request("ledger-read", 2, Request_Timeout="20.000")))[0] == 200
             assert [b.connections for b in w.backends] == [1, 1] and seen == [b""]
 
@@ -442,7 +442,9 @@
 
         let, total = asyncio.Event(), [0.0]
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
-        async with world(answer(), counter=late, read_counter=read_call, settings=patient) as w:
+        async with world(
+            answer(), counter=late, read_counter=read_counter_call, settings=patient
+        ) as w:
             client = await w.client()
             client.writer.write(
                 request(Plan="basis", Request_Timeout=SILENT, Quota_Info="units=6,spread=3,first=0")
@@ -463,18 +465,18 @@
 
 
 @pytest.mark.parametrize(
-    "outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT]
+    "outcome", [Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT]
 )
 @pytest.mark.parametrize("left_first", [True, False])
 def test_a_client_that_leaves_as_an_attempt_ends_gets_no_further_one(
     outcome: Outcome, left_first: bool
 ) -> None:
     """Either order within one turn of the loop; the timer for a second copy comes after both."""
-    g = gateway(1, 2, 3, second_copies=True)
+    g = gateway(1, 2, 3, hedging=True)
     send, timer = g.handle(START, arrival(1))
     assert isinstance(send, Send) and isinstance(timer, SetTimer)
-    over = replace(attempt_ended(1, send.backend, outcome, took=5.0), over=left_first)
-    events = [RequestWithdrawn(1), over] if left_first else [over, RequestWithdrawn(1)]
+    over = replace(attempt_ended(1, send.backend, outcome, took=5.0), concluded=left_first)
+    events = [RequestCancelled(1), over] if left_first else [over, RequestCancelled(1)]
     first, second = (g.handle(START + 5, event) for event in events)
     assert not any(isinstance(a, Send) for a in (first if left_first else second))
     assert not any(isinstance(a, Send) for a in (second if left_first else []))
@@ -514,7 +516,9 @@
     async def test() -> None:
         async with world(silence) as w:
             client = await w.client()
-            client.writer.write(request("vat-filing", Request_Timeout=SILENT, Connection="close"))
+            client.writer.write(
+                request("vat-filing", Request_Timeout=SILENT, BackendConnection="close")
+            )
             await until(lambda: sent(w) == 1)
             server = w.service._server
             (connection,) = server._clients
@@ -540,7 +544,7 @@
             (call,) = w.service._ingress._calls.values()
             longest = max(c["hard_limit"] for c in SETTINGS["categories"])
             assert (
-                call.give_up
+                call.deadline
                 <= w.service._ingress._answer_by
                 < w.service._ingress._clock.now() + longest + 700
             )
@@ -592,11 +596,11 @@
     async def test() -> None:
         tried: list[asyncio.Event] = []
 
-        async def hang(counter: Counter, first_try: asyncio.Event) -> None:
+        async def hang(counter: CounterClient, first_try: asyncio.Event) -> None:
             tried.append(first_try)
             await asyncio.Event().wait()
 
-        monkeypatch.setattr(Counter, "run", hang)
+        monkeypatch.setattr(CounterClient, "run", hang)
         extra = SETTINGS["extra"] | {"has_counter": True}
         config = read_config(
             json.dumps(
@@ -680,7 +684,9 @@
 def test_an_agent_is_taken_for_silent_well_within_the_grace_of_a_drain(
     grace_s: float, late_s: float
 ) -> None:
-    watch = Discovery(("127.0.0.1", 1), ListReader((), ()), 0, lambda *_: None, grace_s)
+    watch = DiscoveryWatch(
+        ("127.0.0.1", 1), EndpointListReader((), ()), 0, lambda *_: None, grace_s
+    )
     assert watch._late_s == late_s
 
 
@@ -772,7 +778,7 @@
             a
             for n in range(5)
             for a in g.handle(START, arrival(n, units=1.0))
-            if isinstance(a, Refuse)
+            if isinstance(a, Reject)
         ]
         assert refusals and all((r.retry_after_ms > 0) is allowed for r in refusals)
 
@@ -786,7 +792,7 @@
     (send,) = (a for a in g.handle(START, arrival(1, cls=2)) if isinstance(a, Send))
     actions = g.handle(START + 1600, attempt_ended(1, send.backend, Outcome.RESET, took=1600.0))
     assert any(isinstance(a, Send) for a in actions) is again
-    assert any(isinstance(a, Refuse) for a in actions) is not again
+    assert any(isinstance(a, Reject) for a in actions) is not again
 
 
 def test_names_are_taken_as_clients_send_them() -> None:
@@ -904,14 +910,14 @@
     async def test() -> None:
         async with world(answer()) as w:
 
-            class Leaving(Connection):
-                def __init__(self, pool: Pool, sock: socket.socket) -> None:
+            class Leaving(BackendConnection):
+                def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
                     super().__init__(pool, sock)
                     for call in list(w.service._ingress._calls.values()):
-                        w.service._ingress.withdraw(call)
+                        w.service._ingress.cancel_request(call)
 
             with monkeypatch.context() as patched:
-                patched.setattr("sumacpost.upstream.pool.Connection", Leaving)
+                patched.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
                 client = await w.client()
                 client.writer.write(request("vat-filing", Request_Timeout=SILENT))
                 pools = w.service._ingress.backends._pools.values()
@@ -930,7 +936,7 @@
     ("said", "outcome"),
     [
         (OK, Outcome.OK),
-        (b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
+        (b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome.REJECTED),
     ],
 )
 def test_an_answer_to_a_request_that_is_only_partly_written_ends_its_connection(
@@ -960,7 +966,9 @@
 def test_the_end_does_not_wait_for_calls_of_the_counter_that_are_out() -> None:
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
-        async with world(answer(), counter=silence, read_counter=read_call, settings=patient) as w:
+        async with world(
+            answer(), counter=silence, read_counter=read_counter_call, settings=patient
+        ) as w:
             w.service._ingress.counter.call(7, 1.0, 1000.0)
             await until(lambda: len(w.counter.requests) == 1)
             w.stop.set()
@@ -976,23 +984,23 @@
 ) -> None:
     g = gateway(counter=True, counter_timeout_ms=900.0, plans=(Plan(rate=1, burst=3),), gateways=4)
     (asked,) = g.handle(START, arrival(1, units=1.0, width=4, left=1000.0))
-    assert isinstance(asked, Count)
-    events = [RequestWithdrawn(1), CountAnswered(asked.name, Outcome.OK, 900.0, asked.amount)]
+    assert isinstance(asked, AddToCounter)
+    events = [RequestCancelled(1), CounterReplied(asked.name, Outcome.OK, 900.0, asked.amount)]
     told = [
         a for e in (events if deadline_first else events[::-1]) for a in g.handle(START + 1000, e)
     ]
-    assert sum(isinstance(a, Send | Refuse | Fail) for a in told) == (not deadline_first)
+    assert sum(isinstance(a, Send | Reject | Fail) for a in told) == (not deadline_first)
     assert not g.calls and not any(call for pending in g.counts.values() for *_, call in pending)
 
 
 @pytest.mark.parametrize("outcome", list(Outcome))
 def test_an_unsafe_request_goes_out_again_only_where_it_surely_never_ran(outcome: Outcome) -> None:
-    g = gateway(1, 2, 3, second_copies=True)
+    g = gateway(1, 2, 3, hedging=True)
     send, *timers = g.handle(START, arrival(1, cls=3))
     assert isinstance(send, Send) and not timers  # none for a second copy
     actions = g.handle(
         START + 5,
-        replace(attempt_ended(1, send.backend, outcome, took=5.0), over=outcome is Outcome.OK),
+        replace(attempt_ended(1, send.backend, outcome, took=5.0), concluded=outcome is Outcome.OK),
     )
     assert any(isinstance(a, Send) for a in actions) is outcome.never_ran
     assert any(isinstance(a, Fail) for a in actions) is (
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.support.counter_calls import read_call
+from tests.support.counter_calls import read_counter_call
 from tests.support.loopback import (
     HEALTH,
     SETTINGS,
@@ -54,7 +54,7 @@
 ) -> bool:
     """One process is ended, by SIGTERM or SIGKILL, and started anew; is it ready in time?"""
     before, after, door, gone = Agent(), Agent(), keep_port(), keep_port()
-    discovery, counter, port = Peer(before), Peer(silence, read_call), door.getsockname()[1]
+    discovery, counter, port = Peer(before), Peer(silence, read_counter_call), door.getsockname()[1]
     async with AsyncExitStack() as stack:
         for peer in (discovery, counter):
             await peer.start()
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -15,17 +15,17 @@
 import pytest
 
 from sumacpost.config import read_config
-from sumacpost.discovery.endpoint_list import ListReader
-from sumacpost.discovery.watch import Discovery
+from sumacpost.discovery.endpoint_list import EndpointListReader
+from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.http1 import MAX_BODY
-from sumacpost.model import Outcome, Plan, Refuse, Send
+from sumacpost.model import Outcome, Plan, Reject, Send
 from sumacpost.policy.gateway import Gateway
-from sumacpost.policy.quota import Customer
-from sumacpost.supervisor import Background
+from sumacpost.policy.quota import CustomerQuota
+from sumacpost.supervisor import SupervisedTask
 from sumacpost.upstream.load_report import ReportReader
 from tests.support.builders import START, ended, fleet, settings
 from tests.support.builders import request as arrival
-from tests.support.counter_calls import Counting, read_call
+from tests.support.counter_calls import Counting, read_counter_call
 from tests.support.loopback import (
     SETTINGS,
     Peer,
@@ -343,7 +343,7 @@
     """Found by reading: it waited on in the pool that had been replaced, and was sent after its end."""
 
     async def test() -> None:
-        from test_outcomes import Outcomes
+        from tests.support.attempts import Outcomes
 
         peer = Peer(silence)
         await peer.start()
@@ -353,7 +353,7 @@
         second = outcomes.start()
         old = second.pool
         outcomes.backends.place(1, ("127.0.0.1", 1))
-        outcomes.backends.give_up(second)
+        outcomes.backends.cancel(second)
         assert old is not None and not old.waiting
         peer.writers[0].write(OK)
         await until(lambda: first.over and outcomes.backends.open == 0)
@@ -365,7 +365,7 @@
 
 def test_a_backend_that_has_started_anew_gets_new_connections() -> None:
     async def test() -> None:
-        from test_outcomes import Outcomes
+        from tests.support.attempts import Outcomes
 
         peer = Peer(answer())
         await peer.start()
@@ -391,12 +391,12 @@
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 5000.0}}
         async with world(
-            answer(b"old"), counter=silence, read_counter=read_call, settings=patient
+            answer(b"old"), counter=silence, read_counter=read_counter_call, settings=patient
         ) as w:
             await until(lambda: len(w.discovery.requests) == 1)
             new_backend, counter = (
                 Peer(answer(b"new")),
-                Peer(sends(b"$1\r\n1\r\n", close=False), read_call),
+                Peer(sends(b"$1\r\n1\r\n", close=False), read_counter_call),
             )
             await new_backend.start()
 
@@ -522,8 +522,9 @@
             if len(told) == 1:
                 raise RuntimeError("the listener failed")
 
-        watch = Background(
-            "the watch", Discovery(("127.0.0.1", served.port), ListReader((), ()), 0, listen).run
+        watch = SupervisedTask(
+            "the watch",
+            DiscoveryWatch(("127.0.0.1", served.port), EndpointListReader((), ()), 0, listen).run,
         )
         await until(lambda: len(served.requests) == 1)
         served.script = sends(one_line(served, "s-1", 3), close=False)
@@ -595,7 +596,7 @@
     spoilt: bytes,
 ) -> None:
     async def test() -> None:
-        peer = Peer(sends(spoilt, close=False), read_call)
+        peer = Peer(sends(spoilt, close=False), read_counter_call)
         await peer.start()
         c = Counting(peer, 0.3)
         await c.tried.wait()
@@ -606,7 +607,7 @@
         peer.script = sends(b"-ERR no such call\r\n", close=False)
         await until(lambda: c.counter.up)
         c.counter.call(8, 1.0, 1000.0)
-        assert (await c.outcomes(2))[1][1] is Outcome.FULL
+        assert (await c.outcomes(2))[1][1] is Outcome.REJECTED
         peer.stop()
 
     run(test())
@@ -614,7 +615,10 @@
 
 def test_answers_for_one_name_come_in_the_order_of_its_calls_over_two_connections() -> None:
     async def test() -> None:
-        old, new = Peer(silence, read_call), Peer(sends(b"$1\r\n2\r\n", close=False), read_call)
+        old, new = (
+            Peer(silence, read_counter_call),
+            Peer(sends(b"$1\r\n2\r\n", close=False), read_counter_call),
+        )
         await old.start()
         await new.start()
         c = Counting(old)
@@ -649,7 +653,7 @@
 
 
 def test_the_virtual_queue_of_clients_that_return_at_once_is_bounded() -> None:
-    customer = Customer(Plan(rate=1, burst=4), 1, START)
+    customer = CustomerQuota(Plan(rate=1, burst=4), 1, START)
     waits = [customer.return_time(START + n, 1.0, 0.0) for n in range(5000)]
     assert max(waits) <= 10_000 and len(customer.appointments or ()) <= 20
 
@@ -669,7 +673,7 @@
     g = Gateway(settings(plans=(plan,)), 1)
     g.handle(START, fleet(1, 2, 3))
     (just,) = g.handle(START, arrival(1, customer=1, units=2.0))
-    assert isinstance(just, Refuse)  # before its start it may have sent on anything
+    assert isinstance(just, Reject)  # before its start it may have sent on anything
     later = g.handle(START + 10_000, arrival(2, customer=2, units=2.0))
     assert any(isinstance(action, Send) for action in later)
     assert g.customers[2].cap_tokens == 20 - 2  # its even part of the ceiling
@@ -782,7 +786,7 @@
             writer.write(b"$4\r\n1000\r\n")  # others have used the whole quota
 
         async with world(
-            answer(), counter=late, read_counter=read_call, settings={"extra": stated}
+            answer(), counter=late, read_counter=read_counter_call, settings={"extra": stated}
         ) as w:
             status, head, _ = await w.ask(
                 request(
@@ -797,7 +801,7 @@
 
 def test_a_counter_that_fell_silent_is_left_without_a_further_call() -> None:
     async def test() -> None:
-        peer = Peer(silence, read_call)
+        peer = Peer(silence, read_counter_call)
         await peer.start()
         c = Counting(peer, 0.05)
         await c.tried.wait()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,11 +14,11 @@
 import pytest
 
 from sumacpost.config import ConfigError, flatten, read_config
-from sumacpost.discovery.endpoint_list import ListReader, backend_id
+from sumacpost.discovery.endpoint_list import EndpointListReader, backend_id
 from sumacpost.http1 import MAX_BODY
-from sumacpost.model import BackendState, CountAnswered, ListKind, Outcome
+from sumacpost.model import CounterReplied, EndpointStatus, Outcome, UpdateKind
 from sumacpost.simulator import codec
-from tests.support.counter_calls import Counting, read_call
+from tests.support.counter_calls import Counting, read_counter_call
 from tests.support.loopback import (
     HEALTH,
     SETTINGS,
@@ -152,14 +152,14 @@
 ) -> None:
     async def test() -> None:
         async with world(answer()) as w:
-            from sumacpost.model import Probe
+            from sumacpost.model import CheckHealth
             from sumacpost.policy.gateway import Gateway
 
-            monkeypatch.setattr(Gateway, "handle", lambda *_: [Probe(7)])
+            monkeypatch.setattr(Gateway, "handle", lambda *_: [CheckHealth(7)])
             assert (await w.ask(request()))[0] == 500
 
     run(test())
-    assert "Probe(backend=7)" in caplog.text
+    assert "CheckHealth(backend=7)" in caplog.text
 
 
 # ---- the configuration
@@ -190,7 +190,7 @@
     ]
     settings = codec.parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
-    assert settings.marks_retry and settings.plans[1].rate == 100
+    assert settings.clients_mark_retries and settings.plans[1].rate == 100
 
 
 GOOD = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
@@ -328,9 +328,9 @@
             {"uid": "b", "endpoint": "127.0.0.2:81", "az": "?", "state": "left"},
         ],
     }
-    update, endpoints = ListReader(("x", "y"), ("m",)).read(json.dumps(raw).encode())
+    update, endpoints = EndpointListReader(("x", "y"), ("m",)).read(json.dumps(raw).encode())
     first, second = update.entries
-    assert (update.kind, update.version) == (ListKind.CHANGES, 9)
+    assert (update.kind, update.version) == (UpdateKind.CHANGES, 9)
     assert (
         first.backend,
         first.state,
@@ -339,8 +339,8 @@
         first.cell,
         first.size,
         first.up_since_ms,
-    ) == (backend_id("a"), BackendState.DRAINING, 1, 0, 3, 1.5, 1_700_000_000_000)
-    assert second.state is BackendState.GONE and second.up_since_ms == 0
+    ) == (backend_id("a"), EndpointStatus.DRAINING, 1, 0, 3, 1.5, 1_700_000_000_000)
+    assert second.state is EndpointStatus.GONE and second.up_since_ms == 0
     assert endpoints == {backend_id("a"): ("127.0.0.1", 80), backend_id("b"): ("127.0.0.2", 81)}
 
 
@@ -391,7 +391,7 @@
 )
 def test_a_list_that_is_none_is_not_believed(bad: Any) -> None:
     with pytest.raises(ValueError):
-        ListReader(("x",), ("m",)).read(json.dumps(bad).encode())
+        EndpointListReader(("x",), ("m",)).read(json.dumps(bad).encode())
 
 
 def lists(*answers: Any) -> Any:
@@ -488,7 +488,7 @@
                 await asyncio.sleep(0.01)
                 writer.write(b"-4\r\n")
 
-        peer = Peer(when_all_are_there, read_call)
+        peer = Peer(when_all_are_there, read_counter_call)
         await peer.start()
         c = Counting(peer)
         await c.tried.wait()
@@ -497,7 +497,7 @@
         assert not c.answers
         assert await c.outcomes(3) == [
             (7, Outcome.OK, 2.5),
-            (8, Outcome.FULL, 0.0),
+            (8, Outcome.REJECTED, 0.0),
             (9, Outcome.OK, -4.0),
         ]
         assert peer.requests == [
@@ -516,7 +516,7 @@
             if len(peer.requests) == 2:
                 writer.write(b"$1\r\n1\r\n$1\r\n2\r\n")
 
-        peer = Peer(second_wakes_it, read_call)
+        peer = Peer(second_wakes_it, read_counter_call)
         await peer.start()
         c = Counting(peer, 0.1)
         await c.tried.wait()
@@ -542,7 +542,7 @@
 )
 def test_after_nonsense_or_a_break_the_counter_is_connected_anew(nonsense: bytes) -> None:
     async def test() -> None:
-        peer = Peer(sends(nonsense, close=False), read_call)
+        peer = Peer(sends(nonsense, close=False), read_counter_call)
         await peer.start()
         c = Counting(peer)
         await c.tried.wait()
@@ -561,7 +561,7 @@
 
 def test_a_lost_counter_answers_every_call_and_comes_back() -> None:
     async def test() -> None:
-        peer = Peer(silence, read_call)
+        peer = Peer(silence, read_counter_call)
         await peer.start()
         port = peer.port
         c = Counting(peer)
@@ -572,7 +572,7 @@
         assert await c.outcomes(1) == [(7, Outcome.TIMEOUT, 0.0)]
         c.counter.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.CONNECT_FAILED, 0.0)
-        again = Peer(sends(b"$1\r\n1\r\n", close=False), read_call)
+        again = Peer(sends(b"$1\r\n1\r\n", close=False), read_counter_call)
         await again.start(port)
         await until(lambda: again.connections == 1)
         await until(lambda: c.counter.up)
@@ -585,7 +585,7 @@
 
 def test_a_silent_counter_is_left_for_a_new_connection() -> None:
     async def test() -> None:
-        peer = Peer(silence, read_call)
+        peer = Peer(silence, read_counter_call)
         await peer.start()
         c = Counting(peer, 0.05)
         await c.tried.wait()
@@ -600,7 +600,7 @@
 
 def test_service_goes_on_without_the_counter() -> None:
     async def test() -> None:
-        async with world(answer(), counter=silence, read_counter=read_call) as w:
+        async with world(answer(), counter=silence, read_counter=read_counter_call) as w:
             told = [(await w.ask(request(number=n)))[0] for n in range(3)]
             w.counter.stop()
             told += [(await w.ask(request(number=n)))[0] for n in range(3, 6)]
@@ -698,14 +698,16 @@
 
     async def test() -> None:
         async with world(
-            answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_call
+            answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_counter_call
         ) as w:
-            from sumacpost.model import Count, Send
+            from sumacpost.model import AddToCounter, Send
             from sumacpost.policy.gateway import Gateway
 
             def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
                 return (
-                    [Send(1, 404)] if isinstance(event, CountAnswered) else [Count(7, 1.0, 1000.0)]
+                    [Send(1, 404)]
+                    if isinstance(event, CounterReplied)
+                    else [AddToCounter(7, 1.0, 1000.0)]
                 )
 
             monkeypatch.setattr(Gateway, "handle", to_nowhere)
--- a/tests/upstream/test_attempt.py
+++ b/tests/upstream/test_attempt.py
@@ -9,7 +9,7 @@
 
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import Outcome
-from sumacpost.upstream.pool import REST_S, Attempt, Pool
+from sumacpost.upstream.pool import REST_S, Attempt, ConnectionPool
 from tests.support.attempts import PAYLOAD, Outcomes
 from tests.support.loopback import Peer, Script, answer, request, run, sends, silence, until, world
 
@@ -21,8 +21,8 @@
     [
         (answer(b"done"), Outcome.OK),
         (answer(b"", 500), Outcome.ERROR),
-        (answer(b"", 503, NOT_STARTED), Outcome.FULL),
-        (answer(b"", 504, NOT_STARTED), Outcome.FULL),
+        (answer(b"", 503, NOT_STARTED), Outcome.REJECTED),
+        (answer(b"", 504, NOT_STARTED), Outcome.REJECTED),
         (answer(b"", 503), Outcome.ERROR),
         (answer(b"", 504, b"Not-Started: 0\r\n"), Outcome.ERROR),
         (answer(b"", 500, NOT_STARTED), Outcome.ERROR),
@@ -172,10 +172,10 @@
         first = outcomes.start()
         await until(lambda: len(peer.requests) == 1)
 
-        async def never_up(pool: Pool, attempt: Attempt) -> None:
+        async def never_up(pool: ConnectionPool, attempt: Attempt) -> None:
             pass
 
-        monkeypatch.setattr(Pool, "_open", never_up)
+        monkeypatch.setattr(ConnectionPool, "_open", never_up)
         second = outcomes.start()
         peer.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         await until(lambda: first.over and second.connection is not None)
@@ -229,7 +229,7 @@
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
         await until(lambda: bool(peer.requests))
-        outcomes.backends.give_up(attempt)
+        outcomes.backends.cancel(attempt)
         await until(lambda: peer.closed == 1)
         assert outcomes.backends.open == 0 and not outcomes.ended
         peer.stop()
@@ -242,7 +242,7 @@
         peer = Peer(answer())
         await peer.start()
         outcomes = Outcomes(peer.port)
-        outcomes.backends.give_up(outcomes.start())
+        outcomes.backends.cancel(outcomes.start())
         await until(lambda: outcomes.backends.open == 0)  # nor is its connection waited for
         assert (await outcomes.outcome())[0] is Outcome.OK
         assert len(peer.requests) == 1 and len(outcomes.ended) == 1
