Put the errors of the ingress under one base, in one module

Cause: five exceptions stood in five modules with no common base, so a caller could not say which errors are the program's own. ValueError stays a base where it was one, so what is caught does not change.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -17,6 +17,7 @@
     IncrementalJson,
     JsonEvent,
 )
+from sumacpost.errors import ConfigError
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import DeduplicationScope, EndpointListUpdate, Settings, UpdateKind
 from sumacpost.simulator.codec import parse_settings
@@ -29,10 +30,6 @@
 )
 
 
-class ConfigError(ValueError):
-    """The configuration can't be used; the message says why, on one line."""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     """The configuration of one ingress."""
--- a/sumacpost/counter/client.py
+++ b/sumacpost/counter/client.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from sumacpost.address import Address
+from sumacpost.errors import CounterProtocolError
 from sumacpost.model import CounterReplied, Outcome
 
 log = logging.getLogger(__name__)
@@ -32,10 +33,6 @@
 _NOTHING_ADDED = re.compile(rb"(BUSY|ERR)( [ -~]*)?")
 
 
-class CounterProtocolError(ValueError):
-    """The peer sent what no counter says; after that no reply can be matched to its call."""
-
-
 class CounterCall:
     """One call on its way."""
 
--- a/sumacpost/discovery/endpoint_list.py
+++ b/sumacpost/discovery/endpoint_list.py
@@ -10,6 +10,7 @@
 import ijson  # type: ignore[import-untyped]
 
 from sumacpost.address import Address, parse_address
+from sumacpost.errors import EndpointListError
 from sumacpost.model import BackendId, Endpoint, EndpointListUpdate, EndpointStatus, UpdateKind
 from sumacpost.policy.subsetting import Partition, splitmix64
 
@@ -36,10 +37,6 @@
 JsonEvent = tuple[str, Any]  # of ijson: what begins, ends or stands here, and its value
 
 
-class EndpointListError(ValueError):
-    """What came is no list of backends; none of it is believed."""
-
-
 def backend_id(uid: str) -> BackendId:
     """The same number for a backend at every ingress and after every restart."""
     return int.from_bytes(blake2b(uid.encode(), digest_size=6).digest(), "big")
--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -15,11 +15,11 @@
 from sumacpost.discovery.endpoint_list import (
     MAX_LIST,
     AddressByBackend,
-    EndpointListError,
     EndpointListReader,
     IncrementalJson,
 )
-from sumacpost.http1 import Response, ResponseError, ResponseReader
+from sumacpost.errors import EndpointListError, ResponseError
+from sumacpost.http1 import Response, ResponseReader
 from sumacpost.model import EndpointListUpdate, UpdateKind
 
 log = logging.getLogger(__name__)
--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -7,16 +7,14 @@
 
 import httptools
 
+from sumacpost.errors import ResponseError
+
 MAX_BODY = 64 * 1024  # the protocol's bound on a body
 MAX_HEAD = (
     16 * 1024
 )  # of a request line or status line with its headers; interim responses count too
 
 
-class ResponseError(Exception):
-    """The peer sent what is no response, or one past the bounds."""
-
-
 class _Surplus(Exception):
     """More has come than belongs to the response."""
 
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -13,6 +13,7 @@
 from sumacpost.config import Config
 from sumacpost.counter.client import CounterClient
 from sumacpost.discovery.endpoint_list import AddressByBackend
+from sumacpost.errors import RequestError
 from sumacpost.http1 import Response
 from sumacpost.model import (
     Action,
@@ -30,7 +31,7 @@
     TimerFired,
 )
 from sumacpost.policy.gateway import Gateway
-from sumacpost.server.request import Request, RequestError
+from sumacpost.server.request import Request
 from sumacpost.upstream.load_report import ReportReader
 from sumacpost.upstream.pool import Attempt, PoolManager
 
--- a/sumacpost/server/listener.py
+++ b/sumacpost/server/listener.py
@@ -14,9 +14,10 @@
 import httptools
 
 from sumacpost.address import Address
+from sumacpost.errors import RequestError
 from sumacpost.http1 import MAX_BODY, MAX_HEAD
 from sumacpost.ingress import Ingress, PendingRequest
-from sumacpost.server.request import RequestError, RequestParser
+from sumacpost.server.request import RequestParser
 
 log = logging.getLogger(__name__)
 
--- a/sumacpost/server/request.py
+++ b/sumacpost/server/request.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Sequence
 
+from sumacpost.errors import RequestError
 from sumacpost.model import Idempotency, RequestArrived, Settings
 
 _ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
@@ -42,14 +43,6 @@
 Headers = Sequence[tuple[bytes, bytes]]  # names in lower case
 
 
-class RequestError(Exception):
-    """What the client sent can't be understood: status and reason of its answer."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(status, reason)
-        self.status, self.reason = status, reason
-
-
 class Request:
     """A request of a client that has come whole and makes sense."""
 
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -12,8 +12,9 @@
 
 import uvloop
 
-from sumacpost.config import Config, ConfigError, load_config, load_steps
+from sumacpost.config import Config, load_config, load_steps
 from sumacpost.discovery.watch import DiscoveryWatch
+from sumacpost.errors import ConfigError
 from sumacpost.ingress import Ingress, half_of_sockets
 from sumacpost.server.listener import Server
 from sumacpost.server.request import RequestParser
--- a/sumacpost/upstream/pool.py
+++ b/sumacpost/upstream/pool.py
@@ -11,7 +11,8 @@
 from typing import Any, cast
 
 from sumacpost.address import Address
-from sumacpost.http1 import MAX_BODY, Response, ResponseError, ResponseReader
+from sumacpost.errors import ResponseError
+from sumacpost.http1 import MAX_BODY, Response, ResponseReader
 from sumacpost.model import BackendId, EndpointListUpdate, EndpointStatus, Outcome, UpdateKind
 
 log = logging.getLogger(__name__)
--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -12,13 +12,9 @@
 from sumacpost.config import load_config
 from sumacpost.discovery import endpoint_list
 from sumacpost.discovery import watch as discovery_watch
-from sumacpost.discovery.endpoint_list import (
-    EndpointListError,
-    EndpointListReader,
-    IncrementalJson,
-    backend_id,
-)
+from sumacpost.discovery.endpoint_list import EndpointListReader, IncrementalJson, backend_id
 from sumacpost.discovery.watch import DiscoveryWatch
+from sumacpost.errors import EndpointListError
 from sumacpost.model import Endpoint, EndpointListUpdate, Outcome, Send, UpdateKind
 from sumacpost.policy.gateway import Gateway
 from sumacpost.policy.subsetting import MAX_PARTITION_BACKENDS, Partition
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -12,10 +12,11 @@
 
 import pytest
 
-from sumacpost.config import ConfigError, read_config
+from sumacpost.config import read_config
 from sumacpost.counter.client import CounterClient
 from sumacpost.discovery.endpoint_list import EndpointListReader
 from sumacpost.discovery.watch import DiscoveryWatch
+from sumacpost.errors import ConfigError
 from sumacpost.ingress import MARGIN_MS
 from sumacpost.model import (
     AddToCounter,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,8 +13,9 @@
 
 import pytest
 
-from sumacpost.config import ConfigError, flatten, read_config
+from sumacpost.config import flatten, read_config
 from sumacpost.discovery.endpoint_list import EndpointListReader, backend_id
+from sumacpost.errors import ConfigError
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import CounterReplied, EndpointStatus, Outcome, UpdateKind
 from sumacpost.simulator import codec
