Name the two sides of a pending response in the field's terms

Ingress and server talk through PendingResponse; its members were answer, left and arrived. They are send, client_disconnected and received_at; of the request, encode and retryable. No change of what happens.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -73,15 +73,15 @@
 class PendingResponse(Protocol):
     """The client's side of a request."""
 
-    arrived: float  # monotonic seconds: when its last byte was read
+    received_at: float  # monotonic seconds: when its last byte was read
 
-    def answer(
+    def send(
         self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()
     ) -> None:
-        """Send the final answer."""
+        """Send the final response."""
 
-    def left(self) -> bool:
-        """The client has gone, whether the loop has learnt that or not."""
+    def client_disconnected(self) -> bool:
+        """Return whether the client has gone, even if the loop has not learnt that yet."""
 
 
 class PendingRequest:
@@ -155,7 +155,7 @@
             raise RequestError(409, "a request of this id is open")
         self._open_ids.add(request.id)
         self._last_number += 1
-        waited_ms = (time.monotonic() - exchange.arrived) * 1000
+        waited_ms = (time.monotonic() - exchange.received_at) * 1000
         arrival = request.arrival
         arrival.request = self._last_number
         # the gateway's deadline lies before the client's, so that it tries nothing in between
@@ -190,7 +190,7 @@
             kept = tuple(
                 (name, response.headers[name]) for name in PASSED_ON if name in response.headers
             )
-            call.exchange.answer(200, response.body, kept)
+            call.exchange.send(200, response.body, kept)
         report = (
             self._reports.read(response.headers.get(b"server-load")) if response is not None else ()
         )
@@ -308,9 +308,9 @@
             call,
             len(call.attempts),
             action.backend,
-            call.request.payload(left_ms),
+            call.request.encode(left_ms),
             now,
-            call.request.repeatable,
+            call.request.retryable,
         )
         call.attempts.append(attempt)
         # one that is sent as it arrives has been looked at just now, and has no timer yet
@@ -323,7 +323,7 @@
         The call is withdrawn where its client has left, and all its attempts with it.
         """
         call: PendingRequest = attempt.owner
-        if call.exchange.left():
+        if call.exchange.client_disconnected():
             self.cancel_request(call)
         return not attempt.over
 
@@ -332,5 +332,5 @@
     ) -> None:
         """The final answer to a request that is not served."""
         if self._conclude(call):
-            call.exchange.answer(status, b"", headers)
+            call.exchange.send(status, b"", headers)
             self._settle(call)
--- a/sumacpost/server/listener.py
+++ b/sumacpost/server/listener.py
@@ -48,15 +48,15 @@
 class PendingResponse:
     """One request on a client's connection, and its answer once there is one."""
 
-    __slots__ = ("arrived", "body", "call", "connection", "head", "keep_alive")
+    __slots__ = ("body", "call", "connection", "head", "keep_alive", "received_at")
 
-    def __init__(self, connection: ClientConnection, keep_alive: bool, arrived: float) -> None:
-        self.connection, self.keep_alive, self.arrived = connection, keep_alive, arrived
+    def __init__(self, connection: ClientConnection, keep_alive: bool, received_at: float) -> None:
+        self.connection, self.keep_alive, self.received_at = connection, keep_alive, received_at
         self.call: PendingRequest | None = None
         self.head: bytes | None = None  # of the answer
         self.body = b""
 
-    def answer(
+    def send(
         self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()
     ) -> None:
         """The final answer; it goes out when those before it on the connection have."""
@@ -70,9 +70,9 @@
         self.head, self.body = b"\r\n".join(lines), body
         self.connection.flush()
 
-    def left(self) -> bool:
-        """The client has gone."""
-        return self.connection.left()
+    def client_disconnected(self) -> bool:
+        """Return whether the client has gone, even if the loop has not learnt that yet."""
+        return self.connection.has_disconnected()
 
 
 class ClientConnection(asyncio.Protocol):
@@ -138,7 +138,7 @@
             exchange = PendingResponse(self, False, self._came)
             self._exchanges.append(exchange)
             self._hear_no_more()
-            exchange.answer(status)
+            exchange.send(status)
 
     def _hear_no_more(self) -> None:
         self._deaf = True
@@ -239,7 +239,7 @@
         self._deaf = True
         self._transport.abort()
 
-    def left(self) -> bool:
+    def has_disconnected(self) -> bool:
         """Guards against an attempt for a client that has left, before the loop has learnt that.
 
         Behind unread bytes a peek shows just these; there the state of the connection tells it.
@@ -301,7 +301,7 @@
         self._received, self._begun = 0, False
         if self._deaf:
             return
-        if self.left():
+        if self.has_disconnected():
             self._hear_no_more()
             return
         keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
@@ -311,17 +311,15 @@
         if not keep_alive:
             self._hear_no_more()
         if self._url == b"/healthz" and method == b"GET":
-            exchange.answer(200 if self.server.ingress.ready and not self.server.draining else 503)
+            exchange.send(200 if self.server.ingress.ready and not self.server.draining else 503)
             return
         try:
-            request = self.server.reader.read(
+            request = self.server.reader.parse(
                 method, self._url, self._headers, b"".join(self._body)
             )
             exchange.call = self.server.ingress.start_request(request, exchange)
         except RequestError as error:
-            exchange.answer(
-                error.status, error.reason.encode(), ((b"Content-Type", b"text/plain"),)
-            )
+            exchange.send(error.status, error.reason.encode(), ((b"Content-Type", b"text/plain"),))
             return
 
 
--- a/sumacpost/server/request.py
+++ b/sumacpost/server/request.py
@@ -46,17 +46,17 @@
 class Request:
     """A request of a client that has come whole and makes sense."""
 
-    __slots__ = ("_head", "arrival", "body", "id", "repeatable", "timeout_ms")
+    __slots__ = ("_head", "arrival", "body", "id", "retryable", "timeout_ms")
 
     def __init__(
-        self, id: bytes, head: bytes, body: bytes, arrival: RequestArrived, repeatable: bool
+        self, id: bytes, head: bytes, body: bytes, arrival: RequestArrived, retryable: bool
     ) -> None:
-        self.repeatable = repeatable
+        self.retryable = retryable
         self.id, self._head, self.body = id, head, body
         self.arrival = arrival  # its number and time left are the ingress's to fill in
         self.timeout_ms = arrival.time_left_ms
 
-    def payload(self, left_ms: float) -> bytes:
+    def encode(self, left_ms: float) -> bytes:
         """The request as it goes to a backend, telling how long its answer is waited for."""
         return b"%bRequest-Timeout: %.3f\r\n\r\n%b" % (
             self._head,
@@ -75,7 +75,7 @@
         self._plans = {plan.name.encode(): number for number, plan in enumerate(settings.plans)}
         self._gateways, self._most_units = settings.gateways, settings.max_units
 
-    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> Request:
+    def parse(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> Request:
         """The request; BadRequest if any part of it is missing or senseless."""
         seen = dict(headers)
         if len(seen) < len(headers):
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -335,7 +335,8 @@
                 lambda: (
                     how == "stays"
                     or not any(
-                        c._sock.fileno() >= 0 and c.left() for c in w.service._server._clients
+                        c._sock.fileno() >= 0 and c.has_disconnected()
+                        for c in w.service._server._clients
                     )
                 )
             )
