--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -8,7 +8,10 @@
 
 from sumacpost.model import Outcome
 from tests.support.counter_calls import Counting, read_counter_call
-from tests.support.loopback import Peer, answer, request, run, sends, silence, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, sends, silence
 
 
 def test_calls_are_written_one_behind_another_and_answered_in_their_order() -> None:
--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -21,7 +21,9 @@
 from sumacpost.supervisor import SupervisedTask
 from tests.support.builders import KEYED, START, ended, settings
 from tests.support.builders import request as arrival
-from tests.support.loopback import SETTINGS, Peer, Script, run, until
+from tests.support.configuration import SETTINGS
+from tests.support.event_loop import run, until
+from tests.support.peers import Peer, Script
 
 FLEET = 6900  # gateways
 
--- a/tests/discovery/test_list_updates.py
+++ b/tests/discovery/test_list_updates.py
@@ -11,7 +11,11 @@
 from sumacpost.config import read_config
 from sumacpost.discovery.endpoint_list import EndpointListReader
 from sumacpost.discovery.watch import DiscoveryWatch
-from tests.support.loopback import Peer, answer, request, run, silence, target, until, world
+from tests.support.discovery_agent import target
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, silence
 
 
 def lists(*answers: Any) -> Any:
--- a/tests/discovery/test_watch.py
+++ b/tests/discovery/test_watch.py
@@ -12,25 +12,13 @@
 
 import pytest
 
-from tests.support.loopback import (
-    HEALTH,
-    SETTINGS,
-    Agent,
-    Peer,
-    answer,
-    ask_once,
-    end_program,
-    keep_port,
-    request,
-    run,
-    say,
-    sends,
-    silence,
-    start_program,
-    target,
-    until,
-    world,
-)
+from tests.support.configuration import SETTINGS
+from tests.support.discovery_agent import Agent, target
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, ask_once, request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, keep_port, say, sends, silence
+from tests.support.program import end_program, start_program
 
 # From when discovery has a change and can be reached: until it counts as told, and until a drain has to be kept.
 TOLD_S, SLACK_S = 6.0, 0.05
--- a/tests/fleetlab/test_fleetlab.py
+++ b/tests/fleetlab/test_fleetlab.py
@@ -32,7 +32,7 @@
 from sumacpost.discovery.endpoint_list import EndpointListReader
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.model import EndpointListUpdate, EndpointStatus, UpdateKind
-from tests.support.loopback import run, until
+from tests.support.event_loop import run, until
 from tests.support.paths import ROOT
 
 AT = ("127.0.0.1:9",)
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -18,20 +18,12 @@
 
 from sumacpost.server.listener import MAX_PIPELINED
 from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
+from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.loopback import (
-    SETTINGS,
-    HeldClient,
-    Peer,
-    answer,
-    end_now,
-    request,
-    run,
-    silence,
-    until,
-    world,
-    write_now,
-)
+from tests.support.event_loop import run, until
+from tests.support.http_client import HeldClient, request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, end_now, silence, write_now
 
 HOLD_S = 0.15  # more than the 0.1 s after which an attempt of a client that has gone is a break
 SILENT = "60.000"  # a client's time that no step of a test takes
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -8,8 +8,10 @@
 
 import pytest
 
-from tests.support.http_client import OK, SILENT, sent
-from tests.support.loopback import HEALTH, Client, answer, request, run, silence, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, OK, SILENT, Client, request, sent
+from tests.support.ingress import world
+from tests.support.peers import answer, silence
 
 
 @pytest.mark.parametrize("begin", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -8,10 +8,13 @@
 import pytest
 
 from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
+from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.dials import Dials
-from tests.support.http_client import SILENT, leave, sent
-from tests.support.loopback import SETTINGS, Peer, answer, request, run, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import SILENT, leave, request, sent
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -8,9 +8,12 @@
 
 import pytest
 
+from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.http_client import OK, SILENT, sent
-from tests.support.loopback import HEALTH, SETTINGS, answer, request, run, silence, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, OK, SILENT, request, sent
+from tests.support.ingress import world
+from tests.support.peers import answer, silence
 
 
 def test_a_drain_takes_what_comes_finishes_what_was_taken_and_closes_the_rest() -> None:
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -8,8 +8,10 @@
 
 from sumacpost.ingress import MARGIN_MS
 from sumacpost.server.listener import MAX_PIPELINED
-from tests.support.http_client import OK, SILENT, leave, sent
-from tests.support.loopback import answer, request, run, silence, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import OK, SILENT, leave, request, sent
+from tests.support.ingress import world
+from tests.support.peers import answer, silence
 
 
 def test_more_requests_in_a_row_than_are_taken_at_once_are_all_answered() -> None:
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -7,7 +7,11 @@
 import pytest
 
 from sumacpost.http1 import MAX_BODY
-from tests.support.loopback import HEALTH, SETTINGS, answer, request, run, world
+from tests.support.configuration import SETTINGS
+from tests.support.event_loop import run
+from tests.support.http_client import HEALTH, request
+from tests.support.ingress import world
+from tests.support.peers import answer
 
 
 @pytest.mark.parametrize(
--- a/tests/support/attempts.py
+++ b/tests/support/attempts.py
@@ -5,7 +5,7 @@
 from sumacpost.http1 import Response
 from sumacpost.model import Outcome
 from sumacpost.upstream.pool import Attempt, PoolManager
-from tests.support.loopback import until
+from tests.support.event_loop import until
 
 PAYLOAD = b"POST /vat-filing HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
 
--- a/tests/support/counter_calls.py
+++ b/tests/support/counter_calls.py
@@ -6,7 +6,8 @@
 
 from sumacpost.counter.client import CounterClient
 from sumacpost.model import CounterReplied, Outcome
-from tests.support.loopback import Peer, until
+from tests.support.event_loop import until
+from tests.support.peers import Peer
 
 
 async def read_counter_call(reader: asyncio.StreamReader) -> bytes:
--- a/tests/support/test_loopback.py
+++ b/tests/support/test_peers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 
-from tests.support.loopback import read_message, request, run
+from tests.support.event_loop import run
+from tests.support.http_client import request
+from tests.support.peers import read_message
 
 
 def test_read_message_of_the_fakes_reads_bodies() -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,8 +14,7 @@
 from sumacpost.config import flatten, read_config
 from sumacpost.errors import ConfigError
 from sumacpost.simulator import codec
-from tests.support.configuration import GOOD
-from tests.support.loopback import SETTINGS
+from tests.support.configuration import GOOD, SETTINGS
 from tests.support.paths import ROOT
 
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -9,20 +9,12 @@
 
 from sumacpost.model import CounterReplied
 from sumacpost.policy.gateway import Gateway
+from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.http_client import OK
-from tests.support.loopback import (
-    HEALTH,
-    SETTINGS,
-    Peer,
-    answer,
-    request,
-    run,
-    sends,
-    silence,
-    until,
-    world,
-)
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, OK, request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, sends, silence
 
 
 def test_an_exception_fails_its_own_request_only(
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -8,23 +8,13 @@
 from pathlib import Path
 from typing import Any
 
+from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.loopback import (
-    HEALTH,
-    SETTINGS,
-    Agent,
-    Peer,
-    Script,
-    answer,
-    ask_once,
-    end_program,
-    keep_port,
-    run,
-    silence,
-    start_program,
-    target,
-    until,
-)
+from tests.support.discovery_agent import Agent, target
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, ask_once
+from tests.support.peers import Peer, Script, answer, keep_port, silence
+from tests.support.program import end_program, start_program
 
 READY_S = 10.0
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -18,25 +18,14 @@
 from sumacpost.counter.client import CounterClient
 from sumacpost.model import Outcome
 from sumacpost.service import serve
-from tests.support.configuration import GOOD
+from tests.support.configuration import GOOD, SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.discovery_lists import one_line
-from tests.support.http_client import OK, SILENT, sent
-from tests.support.loopback import (
-    HEALTH,
-    SETTINGS,
-    Client,
-    Peer,
-    answer,
-    request,
-    run,
-    sends,
-    silence,
-    target,
-    until,
-    world,
-)
+from tests.support.discovery_agent import one_line, target
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, OK, SILENT, Client, request, sent
+from tests.support.ingress import world
 from tests.support.paths import ROOT
+from tests.support.peers import Peer, answer, sends, silence
 
 
 async def spawn(
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -7,8 +7,9 @@
 from sumacpost.discovery.endpoint_list import EndpointListReader
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.supervisor import SupervisedTask
-from tests.support.discovery_lists import one_line
-from tests.support.loopback import Peer, run, sends, until
+from tests.support.discovery_agent import one_line
+from tests.support.event_loop import run, until
+from tests.support.peers import Peer, sends
 
 
 def test_deep_json_and_failing_work_do_not_end_the_watch(caplog: Any) -> None:
--- a/tests/upstream/test_attempt.py
+++ b/tests/upstream/test_attempt.py
@@ -11,7 +11,10 @@
 from sumacpost.model import Outcome
 from sumacpost.upstream.pool import REST_S, Attempt, ConnectionPool
 from tests.support.attempts import PAYLOAD, Outcomes
-from tests.support.loopback import Peer, Script, answer, request, run, sends, silence, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import world
+from tests.support.peers import Peer, Script, answer, sends, silence
 
 NOT_STARTED = b"Not-Started: 1\r\n"
 
--- a/tests/upstream/test_connection_races.py
+++ b/tests/upstream/test_connection_races.py
@@ -12,19 +12,13 @@
 from sumacpost.model import Endpoint, EndpointListUpdate, EndpointStatus, Outcome, UpdateKind
 from sumacpost.upstream.pool import REST_S, Attempt, BackendConnection, ConnectionPool
 from tests.support.attempts import Outcomes
+from tests.support.configuration import SETTINGS
 from tests.support.dials import Dials
-from tests.support.http_client import OK
-from tests.support.loopback import (
-    SETTINGS,
-    Peer,
-    answer,
-    request,
-    run,
-    silence,
-    target,
-    until,
-    world,
-)
+from tests.support.discovery_agent import target
+from tests.support.event_loop import run, until
+from tests.support.http_client import OK, request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, silence
 
 
 @pytest.mark.parametrize("state", [EndpointStatus.DRAINING, EndpointStatus.GONE])
--- a/tests/upstream/test_http1.py
+++ b/tests/upstream/test_http1.py
@@ -6,8 +6,10 @@
 
 import pytest
 
-from tests.support.http_client import OK
-from tests.support.loopback import Peer, answer, request, run, sends, world
+from tests.support.event_loop import run
+from tests.support.http_client import OK, request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, sends
 
 
 @pytest.mark.parametrize(
--- a/tests/upstream/test_load_report.py
+++ b/tests/upstream/test_load_report.py
@@ -5,7 +5,10 @@
 import pytest
 
 from sumacpost.upstream.load_report import ReportReader
-from tests.support.loopback import answer, request, run, world
+from tests.support.event_loop import run
+from tests.support.http_client import request
+from tests.support.ingress import world
+from tests.support.peers import answer
 
 
 @pytest.mark.parametrize(
--- a/tests/upstream/test_stalled_responses.py
+++ b/tests/upstream/test_stalled_responses.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from tests.support.loopback import SETTINGS, Peer, answer, request, run, silence, until, world
+from tests.support.configuration import SETTINGS
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import world
+from tests.support.peers import Peer, answer, silence
 
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
 
