Type the running ingress and the peers of the tests, and name them in the field's terms

The attributes of World were set from outside; a dataclass holds them now. Responses, polls and outcomes of counter calls are named tuples or dataclasses, the agent's faults say what they do. The former names remain as aliases until the tests that use them have moved.

--- a/tests/support/counter_calls.py
+++ b/tests/support/counter_calls.py
@@ -1,8 +1,9 @@
-"""A client of the counter for tests, and the reader of its calls."""
+"""A client of the counter that records its replies, and the reader of the calls it makes."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
 from sumacpost.counter.client import CounterClient
 from sumacpost.model import CounterReplied, Outcome
@@ -11,7 +12,7 @@
 
 
 async def read_counter_call(reader: asyncio.StreamReader) -> bytes:
-    """One RESP2 array of bulk strings."""
+    """Read one RESP2 array of bulk strings and return these joined by spaces."""
     parts = []
     for _ in range(int((await reader.readuntil())[1:])):
         size = int((await reader.readuntil())[1:])
@@ -19,15 +20,39 @@
     return b" ".join(parts)
 
 
-class Counting:
-    """A counter's client and the answers it gave."""
+class CallOutcome(NamedTuple):
+    """What came of one call: its customer's name in the counter, the outcome and the total."""
+
+    name: int
+    outcome: Outcome
+    total: float
+
+
+class RecordedCounterClient:
+    """A running client of the counter and the replies that it has reported."""
 
     def __init__(self, peer: Peer, timeout_s: float = 5.0) -> None:
-        self.answers: list[CounterReplied] = []
-        self.counter = CounterClient(("127.0.0.1", peer.port), timeout_s, self.answers.append)
-        self.tried = asyncio.Event()
-        self.task = asyncio.create_task(self.counter.run(self.tried))
-
-    async def outcomes(self, count: int) -> list[tuple[int, Outcome, float]]:
-        await until(lambda: len(self.answers) >= count)
-        return [(a.name, a.outcome, a.total) for a in self.answers]
+        self.replies: list[CounterReplied] = []
+        self.client = CounterClient(("127.0.0.1", peer.port), timeout_s, self.replies.append)
+        self.first_attempt_made = asyncio.Event()
+        self.task = asyncio.create_task(self.client.run(self.first_attempt_made))
+
+    async def outcomes(self, count: int) -> list[CallOutcome]:
+        """Wait for as many replies, and return the outcomes of all."""
+        await until(lambda: len(self.replies) >= count)
+        return [CallOutcome(reply.name, reply.outcome, reply.total) for reply in self.replies]
+
+    @property
+    def counter(self) -> CounterClient:
+        return self.client
+
+    @property
+    def answers(self) -> list[CounterReplied]:
+        return self.replies
+
+    @property
+    def tried(self) -> asyncio.Event:
+        return self.first_attempt_made
+
+
+Counting = RecordedCounterClient
--- a/tests/support/discovery_agent.py
+++ b/tests/support/discovery_agent.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from tests.support.event_loop import until
-from tests.support.peers import Peer, Script, say
+from tests.support.peers import Peer, Script, json_response, write_if_open
 
+Entry = dict[str, Any]  # one endpoint of a list, as JSON
 
-def target(peer: Peer, uid: str, state: str = "active", **changes: Any) -> dict[str, Any]:
+
+def endpoint_entry(peer: Peer, uid: str, state: str = "active", **changes: Any) -> Entry:
+    """Return the entry of an endpoint list for the peer."""
     return {
         "uid": uid,
         "endpoint": peer.address,
@@ -25,108 +28,169 @@
     }
 
 
-def one_line(peer: Peer, uid: str, rev: int) -> bytes:
-    body = json.dumps({"rev": rev, "all": True, "targets": [target(peer, uid)]}).encode()
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+def endpoint_list(version: int, *entries: Entry, full: bool = True) -> dict[str, Any]:
+    """Return a full endpoint list, or the changes up to the version."""
+    return {"rev": version, "all": full, "targets": list(entries)}
+
+
+def list_response(peer: Peer, uid: str, version: int) -> bytes:
+    """Return the response with a full endpoint list of just this peer."""
+    return json_response(endpoint_list(version, endpoint_entry(peer, uid)))
+
+
+@dataclass(frozen=True)
+class Poll:
+    """A request for the endpoint list."""
+
+    known_version: int | None
+    max_wait_s: float
 
 
-class Agent:
-    """A script for discovery that follows the protocol page: a call that may wait is held until there is news.
+def parse_poll(data: bytes) -> Poll:
+    """Read the query of a request for the endpoint list."""
+    query = parse_qs(urlsplit(data.split()[1].decode()).query)
+    version = int(query["from"][0]) if "from" in query else None
+    return Poll(version, int(query.get("hold_ms", ["0"])[0]) / 1000)
 
-    While there is a trouble, that script meets every call, and first of all those that are held.
+
+class DiscoveryAgent:
+    """A script that follows the protocol of discovery: a long poll is held until there are changes.
+
+    While a fault is injected, its script gets every poll, those that are held first.
     """
 
-    def __init__(self, leaves_out: bool = False) -> None:
-        self.leaves_out = leaves_out  # answers are whole lists, and these leave out what drains
+    def __init__(self, full_lists_without_draining: bool = False) -> None:
+        # Whether responses are full lists, and draining endpoints are missing from these.
+        self.full_lists_without_draining = full_lists_without_draining
         self.version = 5
-        self.entries: dict[
-            str, tuple[int, dict[str, Any]]
-        ] = {}  # by uid: since which version, and the target
-        self.trouble: Script | None = None
-        self.held: list[asyncio.Future[None]] = []
+        self.entries: dict[str, tuple[int, Entry]] = {}  # by uid, with the version of the change
+        self.fault: Script | None = None
+        self.held_polls: list[asyncio.Future[None]] = []
 
-    def list(self, *targets: dict[str, Any]) -> None:
-        """What holds from the first version on; no call is answered before."""
-        self.entries = {t["uid"]: (self.version, t) for t in targets}
+    def publish(self, *entries: Entry) -> None:
+        """Set the endpoints of the first version; no poll is answered before."""
+        self.entries = {entry["uid"]: (self.version, entry) for entry in entries}
 
-    def change(self, *targets: dict[str, Any]) -> None:
+    def change(self, *entries: Entry) -> None:
+        """Add or replace endpoints, as a new version."""
         self.version += 1
-        self.entries |= {t["uid"]: (self.version, t) for t in targets}
-        self._wake()
-
-    def suffer(self, trouble: Script) -> None:
-        self.trouble = trouble
-        self._wake()
+        self.entries |= {entry["uid"]: (self.version, entry) for entry in entries}
+        self._release_polls()
+
+    def inject_fault(self, fault: Script) -> None:
+        """Let the script treat all polls until `fault` is set to None."""
+        self.fault = fault
+        self._release_polls()
+
+    def _release_polls(self) -> None:
+        released = self.held_polls
+        self.held_polls = []
+        for poll in released:
+            if not poll.done():
+                poll.set_result(None)
+
+    def response(self, known_version: int | None) -> bytes:
+        """Return the response to a poll that knows this version, or none."""
+        full = known_version is None or self.full_lists_without_draining
+        entries = [
+            entry
+            for changed_in, entry in self.entries.values()
+            if (full or changed_in > (known_version or 0)) and self._is_listed(entry)
+        ]
+        return json_response(endpoint_list(self.version, *entries, full=full), indent=1)
 
-    def _wake(self) -> None:
-        held, self.held = self.held, []
-        for call in held:
-            if not call.done():
-                call.set_result(None)
+    def _is_listed(self, entry: Entry) -> bool:
+        return not self.full_lists_without_draining or entry["state"] == "active"
 
-    @staticmethod
-    def query(data: bytes) -> tuple[int | None, float]:
-        """The version that a call knows, and the seconds that it may wait."""
-        asked = parse_qs(urlsplit(data.split()[1].decode()).query)
-        return int(asked["from"][0]) if "from" in asked else None, int(
-            asked.get("hold_ms", ["0"])[0]
-        ) / 1000
-
-    def response(self, known: int | None) -> bytes:
-        whole = known is None or self.leaves_out
-        told = [
-            t
-            for since, t in self.entries.values()
-            if (not self.leaves_out or t["state"] == "active") and (whole or since > (known or 0))
-        ]
-        body = json.dumps({"rev": self.version, "all": whole, "targets": told}, indent=1).encode()
-        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    def _is_current(self, poll: Poll) -> bool:
+        return poll.known_version is not None and poll.known_version >= self.version
 
     async def __call__(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        known, hold_s = self.query(data)
+        """Treat one poll."""
+        poll = parse_poll(data)
         await until(lambda: bool(self.entries))
-        if self.trouble is None and known is not None and known >= self.version:
-            call: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self.held.append(call)
-            await asyncio.wait([call], timeout=hold_s)
-            if call in self.held:
-                self.held.remove(call)
-        if self.trouble is not None:
-            await self.trouble(peer, data, writer)
+        if self.fault is None and self._is_current(poll):
+            await self._hold(poll.max_wait_s)
+        if self.fault is not None:
+            await self.fault(peer, data, writer)
         else:
-            say(writer, self.response(known))
-
-    # troubles
-
-    async def cut(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        """Half of an answer, and the connection ends."""
-        say(writer, self.response(None)[:-20])
+            write_if_open(writer, self.response(poll.known_version))
+
+    async def _hold(self, max_wait_s: float) -> None:
+        released: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.held_polls.append(released)
+        await asyncio.wait([released], timeout=max_wait_s)
+        if released in self.held_polls:
+            self.held_polls.remove(released)
+
+    def is_known_to(self, peer: Peer) -> bool:
+        """Return whether a poll at the peer has shown that its sender has the current version."""
+        return any(parse_poll(data).known_version == self.version for data in peer.requests)
+
+    # Scripts of faults.
+
+    async def truncate_and_close(
+        self, peer: Peer, data: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send part of a response and close the connection."""
+        write_if_open(writer, self.response(None)[:-20])
         writer.close()
 
-    async def stall(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        """Half of an answer, on a connection that stays open."""
-        say(writer, self.response(None)[:-20])
+    async def truncate_and_stall(
+        self, peer: Peer, data: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send part of a response and leave the connection open."""
+        write_if_open(writer, self.response(None)[:-20])
 
     async def drip(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        """An answer of which a little more comes again and again, and never the end, until the caller has left."""
-        say(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n")
+        """Send a response byte by byte that does not end before the caller has left."""
+        write_if_open(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n")
         for _ in range(1000):
             if writer.is_closing():
                 break
-            say(writer, b" ")
+            write_if_open(writer, b" ")
             await asyncio.sleep(0.05)
 
-    async def late(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        """Every answer is whole, and comes when its call has been given up."""
-        await asyncio.sleep(self.query(data)[1] + 0.8)
-        say(writer, self.response(self.query(data)[0]))
-
-    async def overrun(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        """What there is to tell is told at once; a call that has to wait is never answered."""
-        known = self.query(data)[0]
+    async def respond_late(self, peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send each response complete, but after its poll has timed out."""
+        poll = parse_poll(data)
+        await asyncio.sleep(poll.max_wait_s + 0.8)
+        write_if_open(writer, self.response(poll.known_version))
+
+    async def ignore_long_polls(
+        self, peer: Peer, data: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Respond where there are changes, and never to a poll that has to wait for one."""
+        known = parse_poll(data).known_version
         if known is None or known < self.version:
-            say(writer, self.response(known))
+            write_if_open(writer, self.response(known))
+
+    list = publish
+    suffer = inject_fault
+    cut = truncate_and_close
+    stall = truncate_and_stall
+    late = respond_late
+    overrun = ignore_long_polls
+    knows = is_known_to
+
+    @property
+    def trouble(self) -> Script | None:
+        return self.fault
+
+    @trouble.setter
+    def trouble(self, fault: Script | None) -> None:
+        self.fault = fault
+
+    @property
+    def held(self) -> list[asyncio.Future[None]]:  # type: ignore[valid-type]
+        return self.held_polls
+
+    @staticmethod
+    def query(data: bytes) -> tuple[int | None, float]:
+        poll = parse_poll(data)
+        return poll.known_version, poll.max_wait_s
+
 
-    def knows(self, peer: Peer) -> bool:
-        """Whoever calls peer has taken in the last version."""
-        return any(self.query(data)[0] == self.version for data in peer.requests)
+target = endpoint_entry
+one_line = list_response
+Agent = DiscoveryAgent
--- a/tests/support/http_client.py
+++ b/tests/support/http_client.py
@@ -5,18 +5,23 @@
 import asyncio
 import socket
 import struct
-from typing import Any
+from typing import NamedTuple
 
-from tests.support.peers import read_message
+from tests.support.peers import OK_RESPONSE, read_message
 
-HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
-SILENT = "60.000"  # a client's time that no step of a test takes
+HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+LONG_TIMEOUT = "60.000"  # a Request-Timeout that no step of a test reaches
 
+# With these a close sends RST.
+LINGER_ZERO = struct.pack("ii", 1, 0)
 
-def request(cls: str = "vat-filing", number: int = 1, **changes: str | None) -> bytes:
-    """A client's request; changes name headers with _ for -, None leaves one out."""
-    method = "GET" if cls == "ledger-read" else "POST"
+
+def request(request_class: str = "vat-filing", number: int = 1, **changes: str | None) -> bytes:
+    """Return a request as a client sends it.
+
+    Each change names a header, with `_` for `-`, or `method`, `path` or `body`; None omits a header.
+    """
+    method = "GET" if request_class == "ledger-read" else "POST"
     headers: dict[str, str | None] = {
         "Host": "service.internal",
         "Request-Id": f"{number:016x}",
@@ -25,78 +30,108 @@
         "Request-Timeout": "1.500",
         "Quota-Info": "units=2,spread=2,first=0",
     }
-    if cls == "payment-book":
+    if request_class == "payment-book":
         headers["Idempotency-Key"] = "ab" * 16
     body = changes.pop("body", "" if method == "GET" else "receipt") or ""
     if method == "POST":
         headers["Content-Length"] = str(len(body))
-    headers |= {
-        name.replace("_", "-"): value
-        for name, value in changes.items()
-        if name not in ("method", "path")
-    }
-    lines = [
-        f"{changes.get('method') or method} {changes.get('path') or '/' + cls + '/7?year=3'} HTTP/1.1"
-    ]
+    method = changes.pop("method", None) or method
+    path = changes.pop("path", None) or f"/{request_class}/7?year=3"
+    headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+    lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items() if value is not None]
     return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
 
 
+class Response(NamedTuple):
+    """A response as the client read it."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+
 class Client:
     """A client's connection."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
+        self.reader = reader
+        self.writer = writer
 
-    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
-        """Status, head and body of the answer."""
+    async def send(self, data: bytes) -> Response:
+        """Send a request and return the next response on the connection."""
         self.writer.write(data)
-        return await self.answer()
+        return await self.read_response()
 
-    async def answer(self) -> tuple[int, bytes, bytes]:
+    async def read_response(self) -> Response:
+        """Return the next response on the connection."""
         head, _, body = (await read_message(self.reader)).partition(b"\r\n\r\n")
-        return int(head.split()[1]), head, body
+        return Response(int(head.split()[1]), head, body)
 
+    async def read_responses(self, count: int) -> list[Response]:
+        """Return the next responses on the connection."""
+        return [await self.read_response() for _ in range(count)]
 
-class HeldClient:
-    """A client on a blocking socket: what it does is known to the kernel at once, while the loop is held too."""
+    def disconnect(self, how: str) -> None:
+        """Leave at once, by a FIN ("closed") or by an RST ("reset")."""
+        if how == "reset":
+            sock = self.writer.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+        self.writer.transport.abort()
+
+    ask = send
+    answer = read_response
+
+
+class BlockingClient:
+    """A client on a blocking socket: the kernel has what it sends while the loop is blocked too."""
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.sock = socket.create_connection(address)
 
     def write(self, data: bytes) -> None:
+        """Hand the bytes to the kernel."""
         self.sock.sendall(data)
 
-    def leave(self, how: str) -> None:
+    def disconnect(self, how: str) -> None:
         """Close, reset or end the sending; a client that stays does nothing."""
         if how == "half closed":
             self.sock.shutdown(socket.SHUT_WR)
         elif how in ("closed", "reset"):
             if how == "reset":
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
             self.sock.close()
 
-
-def sent(w: Any) -> int:
-    return sum(len(b.requests) for b in w.backends)
-
-
-def leave(client: Client, how: str) -> None:
-    if how == "reset":
-        sock = client.writer.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    client.writer.transport.abort()
+    leave = disconnect
 
 
-async def ask_once(port: int, data: bytes, seconds: float = 2.0) -> tuple[int, bytes]:
-    """Status and body of the answer on a new connection; 0 if none comes."""
+async def send_once(port: int, data: bytes, timeout_s: float = 2.0) -> Response:
+    """Send a request on a new connection; the status is 0 if no response comes."""
     try:
-        async with asyncio.timeout(seconds):
+        async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             try:
-                status, _, body = await Client(reader, writer).ask(data)
+                return await Client(reader, writer).send(data)
             finally:
                 writer.close()
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        return 0, b""
-    return status, body
+        return Response(0, b"", b"")
+
+
+async def ask_once(port: int, data: bytes, seconds: float = 2.0) -> tuple[int, bytes]:
+    response = await send_once(port, data, seconds)
+    return response.status, response.body
+
+
+def sent(w: object) -> int:
+    return w.requests_received  # type: ignore[attr-defined,no-any-return]
+
+
+def leave(client: Client, how: str) -> None:
+    client.disconnect(how)
+
+
+HEALTH = HEALTH_REQUEST
+OK = OK_RESPONSE
+SILENT = LONG_TIMEOUT
+HeldClient = BlockingClient
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -3,77 +3,112 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
 from typing import Any
 
 from sumacpost.config import read_config
 from sumacpost.service import Service, serve
 from tests.support.configuration import SETTINGS
-from tests.support.discovery_agent import target
-from tests.support.http_client import Client
-from tests.support.peers import Peer, Script, silence
+from tests.support.counter_calls import read_counter_call
+from tests.support.discovery_agent import endpoint_entry
+from tests.support.http_client import Client, Response
+from tests.support.peers import Peer, Script, never_respond
 
 
-class World:
-    """A running ingress; what it is connected to can be stopped and changed."""
+@dataclass
+class RunningIngress:
+    """A running ingress and the peers that it is connected to, which can be stopped and changed."""
 
-    def __init__(self, stack: AsyncExitStack) -> None:
-        self._stack = stack
-        self.stop = asyncio.Event()
+    backends: list[Peer]
+    discovery: Peer
+    counter: Peer  # started only where the test gives it a script
+    config: dict[str, Any]
+    stop: asyncio.Event
+    task: asyncio.Task[None]
+    service: Service
+    _resources: AsyncExitStack
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where clients connect."""
+        return self.service.address
+
+    @property
+    def requests_received(self) -> int:
+        """How many requests the backends have received altogether."""
+        return sum(len(backend.requests) for backend in self.backends)
 
     async def client(self) -> Client:
+        """Connect a client, to be closed at the end."""
         reader, writer = await asyncio.open_connection(*self.address)
-        self._stack.callback(writer.close)
+        self._resources.callback(writer.close)
         return Client(reader, writer)
 
-    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
-        return await (await self.client()).ask(data)
+    async def send(self, data: bytes) -> Response:
+        """Send a request on a new connection and return its response."""
+        client = await self.client()
+        return await client.send(data)
+
+    ask = send
 
 
 @asynccontextmanager
-async def world(
+async def running_ingress(
     *scripts: Script,
     counter: Script | None = None,
     read_counter: Any = None,
     sockets: int = 1024,
-    discovery: Script = silence,
+    discovery: Script = never_respond,
     settings: dict[str, Any] | None = None,
-) -> Any:
-    """An ingress with a backend for each script, known to it from the start."""
-    async with AsyncExitStack() as stack:
-        w = World(stack)
-        w.backends = [Peer(script) for script in scripts]
-        w.discovery = Peer(discovery)
-        for peer in [*w.backends, w.discovery]:
+) -> AsyncIterator[RunningIngress]:
+    """Run an ingress with a backend for each script, known to it from the start.
+
+    Settings replace whole sections of the usual ones.
+    """
+    async with AsyncExitStack() as resources:
+        backends = [Peer(script) for script in scripts]
+        discovery_agent = Peer(discovery)
+        counter_peer = Peer(counter or never_respond, read_counter_call)
+        for peer in [*backends, discovery_agent]:
             await peer.start()
-            stack.callback(peer.stop)
-        used = json.loads(json.dumps(SETTINGS)) | (settings or {})
-        config = {
-            "name": "n0",
-            "listen": "127.0.0.1:0",
-            "discovery": w.discovery.address,
-            "seed": "07",
-            "limits": {"sockets": sockets},
-            "settings": used,
-            "known": {
-                "rev": 5,
-                "all": True,
-                "targets": [target(b, f"s-{n}") for n, b in enumerate(w.backends)],
-            },
-        }
+            resources.callback(peer.stop)
+        config = configuration(backends, discovery_agent, sockets, settings or {})
         if counter is not None:
-            w.counter = Peer(counter, read_counter)
-            await w.counter.start()
-            stack.callback(w.counter.stop)
-            config["counter"] = w.counter.address
-            used["extra"]["has_counter"] = True
+            await counter_peer.start()
+            resources.callback(counter_peer.stop)
+            config["counter"] = counter_peer.address
+            config["settings"]["extra"]["has_counter"] = True
+        stop = asyncio.Event()
         serving: asyncio.Future[Service] = asyncio.get_running_loop().create_future()
-        w.task = asyncio.create_task(
-            serve(read_config(json.dumps(config)), w.stop, serving.set_result)
+        task = asyncio.create_task(serve(read_config(json.dumps(config)), stop, serving.set_result))
+        first: set[asyncio.Future[Any]] = {task, serving}
+        await asyncio.wait(first, return_when=asyncio.FIRST_COMPLETED)
+        service = await serving
+        resources.callback(task.cancel)
+        yield RunningIngress(
+            backends, discovery_agent, counter_peer, config, stop, task, service, resources
         )
-        await asyncio.wait({w.task, serving}, return_when=asyncio.FIRST_COMPLETED)
-        w.service, w.config = await serving, config
-        w.address = w.service.address
-        stack.callback(w.task.cancel)
-        yield w
+
+
+def configuration(
+    backends: list[Peer], discovery: Peer, sockets: int, settings: dict[str, Any]
+) -> dict[str, Any]:
+    """Return the configuration file of an ingress among these peers, as parsed JSON."""
+    entries = [endpoint_entry(peer, f"s-{number}") for number, peer in enumerate(backends)]
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery.address,
+        "seed": "07",
+        "limits": {"sockets": sockets},
+        "settings": copy.deepcopy(SETTINGS) | copy.deepcopy(settings),
+        "known": {"rev": 5, "all": True, "targets": entries},
+    }
+
+
+World = RunningIngress
+world = running_ingress
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -3,27 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import re
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 
+# What a peer does with one request that it has read.
 Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
+MessageReader = Callable[[asyncio.StreamReader], Awaitable[bytes]]
 
+OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
-def answer(body: bytes = b"done", status: int = 200, head: bytes = b"") -> Script:
-    """A script that answers every request alike."""
+
+def json_response(value: Any, indent: int | None = None) -> bytes:
+    """Return an HTTP response whose body is the value as JSON."""
+    body = json.dumps(value, indent=indent).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def respond(body: bytes = b"done", status: int = 200, head: bytes = b"") -> Script:
+    """Return a script that sends the same response to every request."""
+    length = len(body)
+    response = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, length, head, body)
 
     async def script(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
-        writer.write(
-            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), head, body)
-        )
+        writer.write(response)
 
     return script
 
 
-def sends(data: bytes, close: bool = True) -> Script:
-    """A script that writes just these bytes."""
+def send_bytes(data: bytes, close: bool = True) -> Script:
+    """Return a script that writes just these bytes, and may close the connection then."""
 
     async def script(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(data)
@@ -33,34 +45,34 @@
     return script
 
 
-async def silence(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
-    """A script that never answers."""
+async def never_respond(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+    """Leave the request without a response."""
 
 
 async def read_message(reader: asyncio.StreamReader) -> bytes:
-    """One HTTP message whose length its head says."""
+    """Read one HTTP message that has no body or one with a Content-Length."""
     head = await reader.readuntil(b"\r\n\r\n")
-    length = re.search(rb"content-length: (\d+)", head, re.I)
-    return head + (await reader.readexactly(int(length[1])) if length else b"")
+    length = re.search(rb"content-length: (\d+)", head, re.IGNORECASE)
+    if length is None:
+        return head
+    return head + await reader.readexactly(int(length[1]))
 
 
 class Peer:
-    """A server that does with each request what its script says, and keeps what it was sent."""
-
-    def __init__(
-        self,
-        script: Script,
-        read: Callable[[asyncio.StreamReader], Awaitable[bytes]] = read_message,
-    ) -> None:
-        self.script, self.read = script, read
+    """A server that runs its script on each request and records what it was sent."""
+
+    def __init__(self, script: Script, read: MessageReader = read_message) -> None:
+        self.script = script
+        self.read = read
         self.requests: list[bytes] = []
         self.connections = 0
         self.writers: list[asyncio.StreamWriter] = []
         self.closed = 0
 
     async def start(self, port: int = 0) -> None:
+        """Listen on the port, or on one that the system chooses."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port: int = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -76,45 +88,56 @@
 
     @property
     def address(self) -> str:
+        """Host and port, as configurations name them."""
         return f"127.0.0.1:{self.port}"
 
     def stop(self) -> None:
-        """No new connections, and those that are open are reset."""
+        """Stop listening and reset the open connections."""
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
 
     async def refuse(self) -> None:
-        """Reset what is open and refuse new connections until listen_again; the port stays this peer's."""
+        """Reset the open connections and refuse new ones until `listen_again`; keep the port."""
         self.stop()
         await self.server.wait_closed()
-        self._kept = keep_port(self.port)
+        self._reserved = reserve_port(self.port)
 
     async def listen_again(self) -> None:
+        """Listen on the same port after `refuse`."""
         await self.start(self.port)
-        self._kept.close()
+        self._reserved.close()
 
 
-def keep_port(port: int = 0) -> socket.socket:
-    """A port that no other program gets, and where connections are refused until somebody listens there too."""
-    kept = socket.socket()
-    kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    kept.bind(("127.0.0.1", port))
-    return kept
+def reserve_port(port: int = 0) -> socket.socket:
+    """Bind a port without listening: connections are refused until another socket listens on it."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", port))
+    return reserved
 
 
-def write_now(writer: asyncio.StreamWriter, data: bytes) -> None:
+def write_immediately(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Hand a peer's bytes to the kernel at once; the loop would do it in its next turn."""
     assert os.write(writer.transport.get_extra_info("socket").fileno(), data) == len(data)
 
 
-def end_now(writer: asyncio.StreamWriter) -> None:
-    """End a peer's connection at once, both ways."""
+def shut_down_immediately(writer: asyncio.StreamWriter) -> None:
+    """End a peer's connection in both directions at once."""
     with socket.socket(fileno=os.dup(writer.transport.get_extra_info("socket").fileno())) as sock:
         sock.shutdown(socket.SHUT_RDWR)
 
 
-def say(writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Write to whoever may have left: uvloop raises where asyncio's own loop only warns."""
+def write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write unless the connection is closing: uvloop raises then, asyncio's own loop only warns."""
     if not writer.is_closing():
         writer.write(data)
+
+
+answer = respond
+sends = send_bytes
+silence = never_respond
+keep_port = reserve_port
+write_now = write_immediately
+end_now = shut_down_immediately
+say = write_if_open
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -15,15 +15,15 @@
 async def start_program(
     config: dict[str, Any], log: Path, descriptors: int | None = None
 ) -> asyncio.subprocess.Process:
-    """python -m sumacpost with this configuration, which may hold no more than so many descriptors."""
+    """Run `python -m sumacpost` with this configuration, with so many descriptors at most."""
     path = log.with_suffix(".json")
     path.write_text(json.dumps(config))
-    bound = "" if descriptors is None else f"ulimit -n {descriptors} && "
+    limit = "" if descriptors is None else f"ulimit -n {descriptors} && "
     with log.open("ab") as errors:
         return await asyncio.create_subprocess_exec(
             "sh",
             "-c",
-            bound + 'exec "$0" -m sumacpost',
+            limit + 'exec "$0" -m sumacpost',
             sys.executable,
             stderr=errors,
             cwd=ROOT,
@@ -32,7 +32,7 @@
 
 
 async def end_program(process: asyncio.subprocess.Process) -> None:
-    """Kill it if it is still there."""
+    """Kill the process if it still runs."""
     if process.returncode is None:
         process.kill()
         await process.wait()
