Give the server a module for each concern

The listener held accepting, the bounds on connections, one connection, pipelining, time-outs and graceful shutdown. They are modules of their own now: the listener, the registry of connections with its time-outs and eviction, the connection, the reader that puts requests together without I/O, the handler of complete requests, and the drain. Constants say what they bound. No change of what happens on the wire.

--- /dev/null
+++ b/sumacpost/server/connection.py
@@ -0,0 +1,257 @@
+"""One client connection: its input, its responses in the order of their requests, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import cast
+
+from sumacpost.errors import RequestError
+from sumacpost.http1 import MAX_BODY, MAX_HEAD
+from sumacpost.server.connection_registry import ConnectionRegistry
+from sumacpost.server.request_handler import RequestHandler
+from sumacpost.server.request_reader import RequestMessage, RequestReader
+from sumacpost.server.response import PendingResponse
+
+# Responses owed on one connection, before further input is buffered unread.
+MAX_PIPELINED = 8
+# Input buffered so, which is one more request of any size; beyond it the connection ends.
+MAX_UNREAD_BYTES = MAX_HEAD + MAX_BODY
+# The state that TCP_INFO begins with once the peer has ended its sending.
+TCP_CLOSE_WAIT = 8
+
+
+class ConnectionState(Enum):
+    """Whether a connection still takes requests."""
+
+    READING = auto()
+    CLOSING = auto()  # input is discarded; the connection ends after the responses owed
+
+
+@dataclass(slots=True)
+class ReceivedData:
+    """Bytes that were received together."""
+
+    received_at: float  # monotonic seconds
+    data: bytes
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection of a client; requests may come in pieces, pipelined, or chunked."""
+
+    def __init__(
+        self, sock: socket.socket, registry: ConnectionRegistry, handler: RequestHandler
+    ) -> None:
+        self._sock = sock
+        self._registry = registry
+        self._handler = handler
+        self._reader = RequestReader(self._on_request)
+        self._state = ConnectionState.READING
+        self._pending_responses: deque[PendingResponse] = deque()
+        self._unread: deque[ReceivedData] = deque()
+        self._unread_bytes = 0
+        self._unread_dropped = False  # unread input has gone beyond its bound
+        self._received_at = 0.0  # monotonic seconds: when the bytes being parsed were received
+        self._parsing = False
+        self._writing_paused = False  # the client does not take its responses
+        self._transport: asyncio.Transport
+
+    # ---- callbacks of the event loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's does not inherit from it
+        self._registry.connection_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Buffer the input, and parse as much of it as the responses owed allow.
+
+        Reading from the socket is never paused: only its end tells that the client has left.
+        """
+        if self._state is ConnectionState.CLOSING:
+            return
+        self._unread.append(ReceivedData(time.monotonic(), data))
+        self._unread_bytes += len(data)
+        self.advance()
+        if self._unread_bytes > MAX_UNREAD_BYTES:
+            self._unread_dropped = True
+            self._reject(429)
+
+    def pause_writing(self) -> None:
+        """Write and parse no more, as the client does not take its responses."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on, as the client takes its responses again."""
+        self._writing_paused = False
+        self.advance()
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  asyncio's signature
+        """Cancel the requests whose responses are still owed."""
+        self._stop_reading()
+        self._registry.connection_closed(self)
+        owed = self._pending_responses
+        self._pending_responses = deque()
+        for response in owed:
+            self._handler.cancel(response)
+
+    # ---- requests and responses
+
+    def advance(self) -> None:
+        """Write the responses that are due, and parse on as far as those still owed allow."""
+        if self._parsing:
+            return  # responses that are ready at once go out when the bytes have been parsed
+        wrote = self._write_due_responses()
+        while self._may_parse():
+            self._parse_next()
+            wrote = self._write_due_responses() or wrote
+        self._update_registry(wrote)
+
+    def has_disconnected(self) -> bool:
+        """Return whether the client has gone, even if the loop has not learnt that yet.
+
+        Behind unread bytes a peek shows just these; there the state of the connection tells it.
+        """
+        try:
+            if not self._sock.recv(1, socket.MSG_PEEK):
+                return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        try:
+            tcp_state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return False  # a system that doesn't tell: it shows once the bytes are read
+        return tcp_state == TCP_CLOSE_WAIT
+
+    def _may_parse(self) -> bool:
+        return (
+            bool(self._unread)
+            and self._state is ConnectionState.READING
+            and not self._writing_paused
+            and len(self._pending_responses) < MAX_PIPELINED
+        )
+
+    def _parse_next(self) -> None:
+        received = self._unread.popleft()
+        self._received_at = received.received_at
+        self._unread_bytes -= len(received.data)
+        self._parsing = True
+        try:
+            self._reader.feed(received.data)
+        except RequestError as error:
+            self._reject(error.status)
+        finally:
+            self._parsing = False
+
+    def _on_request(self, message: RequestMessage) -> None:
+        """Handle a complete request; called by the reader."""
+        if self._state is ConnectionState.CLOSING:
+            return
+        if self.has_disconnected():
+            self._stop_reading()
+            return
+        response = PendingResponse(self, message.keep_alive, self._received_at)
+        self._pending_responses.append(response)
+        if not message.keep_alive:
+            self._stop_reading()
+        self._handler.handle(message, response)
+
+    def _reject(self, status: int) -> None:
+        """Answer input that is no request; where the next would begin can't be told."""
+        if self._state is ConnectionState.CLOSING:
+            return
+        response = PendingResponse(self, keep_alive=False, received_at=self._received_at)
+        self._pending_responses.append(response)
+        self._stop_reading()
+        response.send(status)
+
+    def _write_due_responses(self) -> bool:
+        """Write the responses that are due, in the order of their requests; return if any was."""
+        wrote = False
+        while self._pending_responses:
+            response = self._pending_responses[0]
+            if response.head is None:
+                break
+            self._pending_responses.popleft()
+            wrote = True
+            is_last = not response.keep_alive or self._ends_for_drain()
+            self._write(response.head, response.body, is_last)
+            if is_last:
+                self._finish_sending()
+        return wrote
+
+    def _ends_for_drain(self) -> bool:
+        """In a drain, a response ends the connection if no request has come behind its own."""
+        return self._handler.draining and not (self._pending_responses or self._unread)
+
+    def _write(self, head: bytes, body: bytes, is_last: bool) -> None:
+        head += b"\r\nConnection: close\r\n\r\n" if is_last else b"\r\n\r\n"
+        if len(body) > MAX_BODY:
+            self._transport.write(head)
+            self._transport.write(body)  # not copied, as it may be large
+        else:
+            self._transport.write(head + body)
+
+    def _update_registry(self, wrote: bool) -> None:
+        """Tell the registry what the connection waits for now."""
+        if self._pending_responses:
+            self._registry.mark_busy(self)
+        elif self._state is ConnectionState.CLOSING:
+            return
+        elif self._reader.has_partial_message:
+            if wrote or self in self._registry.idle:
+                self._registry.await_request(self)
+        elif wrote:
+            self._registry.park_idle(self)
+
+    # ---- ways to end
+
+    def on_request_timeout(self) -> None:
+        """Answer a request that has not come whole in its time, or end a silent connection."""
+        if self._reader.has_partial_message and self._state is ConnectionState.READING:
+            self._reject(408)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection between requests, once its last response is written."""
+        self._state = ConnectionState.CLOSING
+        self._transport.close()
+
+    def evict(self) -> None:
+        """Close at once, as the place is needed: a client that does not read would hold it."""
+        self._state = ConnectionState.CLOSING
+        if self._transport.get_write_buffer_size():
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once: the client never reads its response, or never ends its request."""
+        self._state = ConnectionState.CLOSING
+        self._transport.abort()
+
+    def _stop_reading(self) -> None:
+        self._state = ConnectionState.CLOSING
+        self._unread.clear()
+        self._unread_bytes = 0
+
+    def _finish_sending(self) -> None:
+        """End the connection after its last response.
+
+        Where more input may come, the socket is read on for a while: closing it with unread bytes
+        would reset the connection, and the response could be lost with it.
+        """
+        self._stop_reading()
+        self._registry.mark_closing(self)
+        if self._reader.incomplete_bytes or self._unread_dropped:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+        else:
+            self._transport.close()
--- /dev/null
+++ b/sumacpost/server/connection_queue.py
@@ -0,0 +1,38 @@
+"""Client connections in the order in which they entered a state."""
+
+from __future__ import annotations
+
+import time
+from math import inf
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sumacpost.server.connection import ClientConnection
+
+
+class ConnectionQueue:
+    """A queue of connections, each added, found and removed in constant time."""
+
+    def __init__(self) -> None:
+        self._added_at: dict[ClientConnection, float] = {}  # monotonic seconds; oldest first
+
+    def __len__(self) -> int:
+        return len(self._added_at)
+
+    def __contains__(self, connection: ClientConnection) -> bool:
+        return connection in self._added_at
+
+    def add(self, connection: ClientConnection) -> None:
+        """Append the connection; one that is in the queue already moves to its end."""
+        self._added_at.pop(connection, None)  # a dict keeps the place of a key that is set again
+        self._added_at[connection] = time.monotonic()
+
+    def discard(self, connection: ClientConnection) -> None:
+        """Remove the connection if it is in the queue."""
+        self._added_at.pop(connection, None)
+
+    def oldest(self, before: float = inf) -> ClientConnection | None:
+        """Return the connection added first, or None if none was added before that time."""
+        for connection, added_at in self._added_at.items():
+            return connection if added_at < before else None
+        return None
--- /dev/null
+++ b/sumacpost/server/connection_registry.py
@@ -0,0 +1,165 @@
+"""All client connections: the bounds on their number, and the time-outs of those at rest."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from math import inf
+from typing import TYPE_CHECKING
+
+from sumacpost.server.connection_queue import ConnectionQueue
+
+if TYPE_CHECKING:
+    from sumacpost.server.connection import ClientConnection
+
+# For a message, from its first byte on; for the first one, from the connection's start on.
+REQUEST_TIMEOUT_S = 2.0
+# For a connection between requests.
+IDLE_TIMEOUT_S = 10.0
+# After the last response, while input is discarded so that the client can read that response.
+LINGER_TIMEOUT_S = 1.0
+# A connection younger than this may be about to bring its first request.
+NEW_CONNECTION_GRACE_S = 0.05
+# At most one connection in this many may be idle.
+IDLE_DIVISOR = 4
+# With more than one connection in this many waiting for a request, new ones have no grace.
+WAITING_DIVISOR = 4
+
+
+class ConnectionRegistry:
+    """The open client connections; each that owes no response is in one of the queues.
+
+    waiting: no complete request has come yet, or the next has begun.
+    idle: between requests.
+    closing: the last response is sent, and input is discarded.
+    """
+
+    def __init__(self, max_connections: int) -> None:
+        self._max_connections = max_connections
+        self._max_idle = max(1, max_connections // IDLE_DIVISOR)
+        self._opening = 0  # accepted, and without a transport yet
+        self.open: dict[ClientConnection, None] = {}
+        self.waiting = ConnectionQueue()
+        self.idle = ConnectionQueue()
+        self.closing = ConnectionQueue()
+        # Called when a connection ends or may be evicted, so that another can be accepted.
+        self.on_capacity: Callable[[], None] = lambda: None
+
+    @property
+    def is_full(self) -> bool:
+        """Whether another connection would go beyond the bound."""
+        return len(self.open) + self._opening >= self._max_connections
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether all connections have ended."""
+        return not self._opening and not self.open
+
+    # ---- the life of a connection
+
+    def connection_accepted(self) -> None:
+        """Count a connection that is about to open."""
+        self._opening += 1
+
+    def connection_failed(self) -> None:
+        """Count one no more that was accepted and could not be opened."""
+        self._opening -= 1
+        self.on_capacity()
+
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Take in a connection that has its transport."""
+        self._opening -= 1
+        self.open[connection] = None
+        self.waiting.add(connection)
+        self.on_capacity()  # only now can it be evicted
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Forget a connection that has ended."""
+        self.open.pop(connection, None)
+        self.closing.discard(connection)
+        self.waiting.discard(connection)
+        self.idle.discard(connection)
+        self.on_capacity()
+
+    # ---- what a connection waits for
+
+    def mark_busy(self, connection: ClientConnection) -> None:
+        """Note that responses are owed: the connection neither times out nor can be evicted."""
+        self.waiting.discard(connection)
+        self.idle.discard(connection)
+
+    def await_request(self, connection: ClientConnection) -> None:
+        """Note that a request has begun: it has REQUEST_TIMEOUT_S from now on to come."""
+        self.idle.discard(connection)
+        self.waiting.add(connection)
+
+    def park_idle(self, connection: ClientConnection) -> None:
+        """Note that all responses are sent; close the connection longest idle if too many are.
+
+        The bound guards against clients that send one request and keep their connection: idle
+        connections could otherwise fill the bound on all of them. A connection that is used again
+        and again stays, as it is never the longest idle. It could hurt a crowd of clients that
+        each come back seldom, as they then need a new connection for each request.
+        """
+        self.waiting.discard(connection)
+        self.idle.add(connection)
+        self.on_capacity()
+        if len(self.idle) > self._max_idle and (longest_idle := self.idle.oldest()) is not None:
+            self._close_idle_connection(longest_idle)
+
+    def mark_closing(self, connection: ClientConnection) -> None:
+        """Note that the last response is sent: the connection has LINGER_TIMEOUT_S to end."""
+        self.waiting.discard(connection)
+        self.idle.discard(connection)
+        self.closing.add(connection)
+
+    # ---- eviction and time-outs
+
+    def eviction_candidate(self) -> ClientConnection | None:
+        """Return the connection that is missed least, or None if all owe responses.
+
+        First those that have sent their last response, then those that have brought no request,
+        then idle ones. A new connection has had no time to send its request, so it comes last
+        unless there are many that wait.
+        """
+        many_waiting = len(self.waiting) > self._max_connections // WAITING_DIVISOR
+        opened_before = inf if many_waiting else time.monotonic() - NEW_CONNECTION_GRACE_S
+        return (
+            self.closing.oldest()
+            or self.waiting.oldest(opened_before)
+            or self.idle.oldest()
+            or self.waiting.oldest()
+        )
+
+    def evict(self, connection: ClientConnection) -> None:
+        """Close the connection now and forget it."""
+        self.connection_closed(connection)
+        connection.evict()
+
+    def enforce_timeouts(self) -> None:
+        """End the requests and connections whose time is over."""
+        now = time.monotonic()
+        while (late := self.waiting.oldest(now - REQUEST_TIMEOUT_S)) is not None:
+            self.waiting.discard(late)
+            self.closing.add(late)
+            late.on_request_timeout()
+        self.close_idle(now - IDLE_TIMEOUT_S)
+        while (late := self.closing.oldest(now - LINGER_TIMEOUT_S)) is not None:
+            self.closing.discard(late)
+            late.abort()
+
+    def close_idle(self, before: float) -> None:
+        """Close the connections that have been idle since before that time."""
+        while (late := self.idle.oldest(before)) is not None:
+            self._close_idle_connection(late)
+
+    def abort_waiting(self, before: float) -> None:
+        """Abort the connections that have waited for a request since before that time."""
+        while (late := self.waiting.oldest(before)) is not None:
+            late.abort()
+            self.connection_closed(late)
+
+    def _close_idle_connection(self, connection: ClientConnection) -> None:
+        self.idle.discard(connection)
+        self.closing.add(connection)
+        connection.close()
--- a/sumacpost/server/request.py
+++ b/sumacpost/server/request.py
@@ -1,19 +1,25 @@
-"""What a client's request means: its headers checked and read for the gateway, its form for a backend."""
+"""What a client's request means, and the form in which it is forwarded to a backend."""
 
 from __future__ import annotations
 
 import re
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
 from sumacpost.errors import RequestError
 from sumacpost.model import Idempotency, RequestArrived, Settings
+from sumacpost.server.request_reader import RequestMessage
 
+MAX_ACCOUNT = (1 << 33) - 1
+MIN_FORWARDED_TIMEOUT_MS = 1.0
+
+_REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 _ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
 _SECONDS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
-_QUOTA = re.compile(rb"units=(\d{1,6}(?:\.\d{1,9})?),spread=(\d{1,6}),first=(\d{1,6})")
-_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+_QUOTA_INFO = re.compile(rb"units=(\d{1,6}(?:\.\d{1,9})?),spread=(\d{1,6}),first=(\d{1,6})")
 
-_READ = frozenset(
+# Headers that the ingress itself reads.
+_READ_HEADERS = frozenset(
     (
         b"request-id",
         b"account",
@@ -24,7 +30,7 @@
         b"idempotency-key",
     )
 )
-# what counts for one connection only, and what the ingress words itself
+# Headers that concern one connection only, and those that the ingress writes itself.
 _NOT_FORWARDED = frozenset(
     (
         b"connection",
@@ -40,113 +46,174 @@
     )
 )
 
-Headers = Sequence[tuple[bytes, bytes]]  # names in lower case
-
 
 class Request:
-    """A request of a client that has come whole and makes sense."""
+    """A client's request that is complete and valid."""
 
     __slots__ = ("_head", "arrival", "body", "id", "retryable", "timeout_ms")
 
     def __init__(
         self, id: bytes, head: bytes, body: bytes, arrival: RequestArrived, retryable: bool
     ) -> None:
-        self.retryable = retryable
-        self.id, self._head, self.body = id, head, body
-        self.arrival = arrival  # its number and time left are the ingress's to fill in
+        self.id = id
+        self._head = head
+        self.body = body
+        self.arrival = arrival  # the ingress fills in the request's number and the time left
+        self.retryable = retryable  # an attempt may follow one that was possibly executed
         self.timeout_ms = arrival.time_left_ms
 
-    def encode(self, left_ms: float) -> bytes:
-        """The request as it goes to a backend, telling how long its answer is waited for."""
+    def encode(self, time_left_ms: float) -> bytes:
+        """Return the request for a backend, which has this time to respond."""
         return b"%bRequest-Timeout: %.3f\r\n\r\n%b" % (
             self._head,
-            max(left_ms, 1.0) / 1000,
+            max(time_left_ms, MIN_FORWARDED_TIMEOUT_MS) / 1000,
             self.body,
         )
 
 
+@dataclass(slots=True)
+class _RequestClass:
+    """A class of requests: its place in the settings, and what repeating a request would do."""
+
+    index: int
+    idempotency: Idempotency
+
+
+@dataclass(slots=True)
+class _QuotaInfo:
+    """The header Quota-Info: the cost of a request, and the gateways that share its quota."""
+
+    units: float
+    gateway_spread: int
+    first_gateway: int
+
+
 class RequestParser:
-    """Checks requests against the settings."""
+    """Checks complete requests against the settings."""
 
     def __init__(self, settings: Settings) -> None:
         self._classes = {
-            b"/" + c.name.encode(): (n, c.idempotency) for n, c in enumerate(settings.classes)
+            b"/" + request_class.name.encode(): _RequestClass(index, request_class.idempotency)
+            for index, request_class in enumerate(settings.classes)
         }
-        self._plans = {plan.name.encode(): number for number, plan in enumerate(settings.plans)}
-        self._gateways, self._most_units = settings.gateways, settings.max_units
-
-    def parse(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> Request:
-        """The request; BadRequest if any part of it is missing or senseless."""
-        seen = dict(headers)
-        if len(seen) < len(headers):
-            names = [name for name, _ in headers]
-            for name in _READ:
-                if names.count(name) > 1:
-                    raise RequestError(400, f"{name.decode()} comes twice")
-        path = url.partition(b"?")[0]
-        cut = path.find(b"/", 1)
-        request_class, idempotency = self._classes.get(path if cut < 0 else path[:cut], (-1, None))
-        if idempotency is None:
+        self._plans = {plan.name.encode(): index for index, plan in enumerate(settings.plans)}
+        self._gateways = settings.gateways
+        self._max_units = settings.max_units
+
+    def parse(self, message: RequestMessage) -> Request:
+        """Return the request.
+
+        Raise RequestError, with status 404 for an unknown class and 400 for anything else that is
+        missing or malformed. Of several faults the first in the order of the checks is reported.
+        """
+        headers = _unique_headers(message.headers)
+        request_class = self._find_class(message.target)
+        _check_class_rules(request_class.idempotency, message, headers)
+        request_id = _match(_REQUEST_ID, headers, b"request-id")[0]
+        arrival = self._read_arrival(request_class.index, headers)
+        return Request(
+            request_id,
+            _forwarded_head(message),
+            message.body,
+            arrival,
+            request_class.idempotency is not Idempotency.NOT_IDEMPOTENT,
+        )
+
+    def _find_class(self, target: bytes) -> _RequestClass:
+        """Return the class that the first segment of the path names."""
+        path = target.partition(b"?")[0]
+        segment_end = path.find(b"/", 1)
+        name = path if segment_end < 0 else path[:segment_end]
+        request_class = self._classes.get(name)
+        if request_class is None:
             raise RequestError(404, "no such class of requests")
-        if method != (b"GET" if idempotency is Idempotency.IDEMPOTENT else b"POST"):
-            raise RequestError(400, "the method does not fit the class")
-        if (b"idempotency-key" in seen) != (idempotency is Idempotency.IDEMPOTENCY_KEY):
-            raise RequestError(400, "Idempotency-Key does not fit the class")
-        if idempotency is Idempotency.IDEMPOTENT and body:
-            raise RequestError(400, "a request of this class has no body")
-        _match(_ID, seen, b"request-id")
-        plan = self._plans.get(seen.get(b"plan", b""))
+        return request_class
+
+    def _read_arrival(self, class_index: int, headers: Mapping[bytes, bytes]) -> RequestArrived:
+        plan = self._plans.get(headers.get(b"plan", b""))
         if plan is None:
             raise RequestError(400, "no such plan")
-        customer = int(_match(_ACCOUNT, seen, b"account")[0], 16)
-        seconds = float(_match(_SECONDS, seen, b"request-timeout")[0])
-        quota = _match(_QUOTA, seen, b"quota-info")
-        units, width, first = float(quota[1]), int(quota[2]), int(quota[3])
-        if customer >= 1 << 33:
+        account = int(_match(_ACCOUNT, headers, b"account")[0], 16)
+        timeout_s = float(_match(_SECONDS, headers, b"request-timeout")[0])
+        quota = _read_quota_info(headers)
+        if account > MAX_ACCOUNT:
             raise RequestError(400, "account out of range")
+        self._check_ranges(timeout_s, quota)
+        return RequestArrived(
+            request=0,
+            customer=account,
+            plan=plan,
+            request_class=class_index,
+            units=quota.units,
+            first_gateway=quota.first_gateway,
+            gateway_spread=quota.gateway_spread,
+            time_left_ms=timeout_s * 1000,
+            retry=headers.get(b"client-retry") == b"1",
+        )
+
+    def _check_ranges(self, timeout_s: float, quota: _QuotaInfo) -> None:
+        """Guard what the gateway learns of customers and work from impossible figures."""
         if not (
-            seconds > 0
-            and 0 < units <= self._most_units
-            and 1 <= width <= self._gateways
-            and first < self._gateways
+            timeout_s > 0
+            and 0 < quota.units <= self._max_units
+            and 1 <= quota.gateway_spread <= self._gateways
+            and quota.first_gateway < self._gateways
         ):
-            # a figure that no request has would move what the gateway learns of a customer, and of all work
             raise RequestError(400, "request-timeout or quota-info out of range")
-        arrival = RequestArrived(
-            0,
-            customer,
-            plan,
-            request_class,
-            units,
-            first,
-            width,
-            seconds * 1000,
-            seen.get(b"client-retry") == b"1",
-        )
-        return Request(
-            seen[b"request-id"],
-            _forwarded_head(method, url, headers, len(body)),
-            body,
-            arrival,
-            idempotency is not Idempotency.NOT_IDEMPOTENT,
-        )
 
 
-def _match(pattern: re.Pattern[bytes], seen: dict[bytes, bytes], name: bytes) -> re.Match[bytes]:
-    found = pattern.fullmatch(seen.get(name, b""))
-    if found is None:
+def _unique_headers(headers: Sequence[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
+    """Return the headers by name; none of those that are read may come twice."""
+    by_name = dict(headers)
+    if len(by_name) < len(headers):
+        names = [name for name, _ in headers]
+        for name in _READ_HEADERS:
+            if names.count(name) > 1:
+                raise RequestError(400, f"{name.decode()} comes twice")
+    return by_name
+
+
+def _check_class_rules(
+    idempotency: Idempotency, message: RequestMessage, headers: Mapping[bytes, bytes]
+) -> None:
+    """Check what the request's class lays down for method, idempotency key and body."""
+    idempotent = idempotency is Idempotency.IDEMPOTENT
+    if message.method != (b"GET" if idempotent else b"POST"):
+        raise RequestError(400, "the method does not fit the class")
+    needs_key = idempotency is Idempotency.IDEMPOTENCY_KEY
+    if (b"idempotency-key" in headers) != needs_key:
+        raise RequestError(400, "Idempotency-Key does not fit the class")
+    if idempotent and message.body:
+        raise RequestError(400, "a request of this class has no body")
+
+
+def _read_quota_info(headers: Mapping[bytes, bytes]) -> _QuotaInfo:
+    units, spread, first = _match(_QUOTA_INFO, headers, b"quota-info").groups()
+    return _QuotaInfo(float(units), int(spread), int(first))
+
+
+def _match(
+    pattern: re.Pattern[bytes], headers: Mapping[bytes, bytes], name: bytes
+) -> re.Match[bytes]:
+    """Return the match of the whole header."""
+    match = pattern.fullmatch(headers.get(name, b""))
+    if match is None:
         raise RequestError(400, f"{name.decode()} is missing or senseless")
-    return found
-
-
-def _forwarded_head(method: bytes, url: bytes, headers: Headers, length: int) -> bytes:
-    """Request line and end-to-end headers, unchanged; the length only where a body may come."""
-    dropped = _NOT_FORWARDED
-    if named := b",".join([value for name, value in headers if name == b"connection"]):
-        dropped |= {part.strip().lower() for part in named.split(b",")} - _READ
-    lines = [b"%b %b HTTP/1.1" % (method, url)]
-    lines += [b"%b: %b" % pair for pair in headers if pair[0] not in dropped]
-    if method != b"GET":
-        lines.append(b"Content-Length: %d" % length)
+    return match
+
+
+def _forwarded_head(message: RequestMessage) -> bytes:
+    """Return the request line and the end-to-end headers, without Request-Timeout and the end.
+
+    Content-Length is written only where a body may come.
+    """
+    not_forwarded = _NOT_FORWARDED
+    connection = [value for name, value in message.headers if name == b"connection"]
+    if named := b",".join(connection):
+        not_forwarded |= {name.strip().lower() for name in named.split(b",")} - _READ_HEADERS
+    lines = [b"%b %b HTTP/1.1" % (message.method, message.target)]
+    lines += [b"%b: %b" % header for header in message.headers if header[0] not in not_forwarded]
+    if message.method != b"GET":
+        lines.append(b"Content-Length: %d" % len(message.body))
     lines.append(b"")
     return b"\r\n".join(lines)
--- /dev/null
+++ b/sumacpost/server/server.py
@@ -0,0 +1,39 @@
+"""The server that clients talk to."""
+
+from __future__ import annotations
+
+import socket
+
+from sumacpost.address import Address
+from sumacpost.ingress import Ingress
+from sumacpost.server.connection import ClientConnection
+from sumacpost.server.connection_registry import ConnectionRegistry
+from sumacpost.server.drain import drain_connections
+from sumacpost.server.listener import Listener
+from sumacpost.server.request import RequestParser
+from sumacpost.server.request_handler import RequestHandler
+
+
+class Server:
+    """Serves clients, within a bound on their connections, until it is drained."""
+
+    def __init__(self, ingress: Ingress, parser: RequestParser, max_connections: int) -> None:
+        self.handler = RequestHandler(ingress, parser)
+        self.connections = ConnectionRegistry(max_connections)
+        self.listener = Listener(self.connections, self._new_connection)
+
+    def listen(self, address: Address) -> Address:
+        """Start accepting; return the address, with the port that the system chose for port 0."""
+        return self.listener.open(address)
+
+    def sweep(self) -> None:
+        """End the requests and connections whose time is over; to be called regularly."""
+        self.connections.enforce_timeouts()
+
+    async def drain(self) -> None:
+        """Accept what still comes, finish all requests, and return when all connections ended."""
+        self.handler.drain()
+        await drain_connections(self.listener, self.connections)
+
+    def _new_connection(self, sock: socket.socket) -> ClientConnection:
+        return ClientConnection(sock, self.connections, self.handler)
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -16,8 +16,8 @@
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
 from sumacpost.ingress import Ingress, half_of_sockets
-from sumacpost.server.listener import Server
 from sumacpost.server.request import RequestParser
+from sumacpost.server.server import Server
 from sumacpost.supervisor import SupervisedTask
 
 log = logging.getLogger(__name__)
