Follow the server's new modules in the tests

The constants are patched in the modules that look them up: time-outs in the connection registry, the drain's in the drain. The tests assert what they did.

--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -90,7 +90,7 @@
         self._writing_paused = False
         self.advance()
 
-    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  asyncio's signature
+    def connection_lost(self, _exc: Exception | None) -> None:
         """Cancel the requests whose responses are still owed."""
         self._stop_reading()
         self._registry.connection_closed(self)
--- a/tests/discovery/test_watch.py
+++ b/tests/discovery/test_watch.py
@@ -306,7 +306,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """64 descriptors leave eight places, and forty are at the door before the first is taken in; all stay."""
-    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 1000.0)
+    monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 1000.0)
 
     async def test() -> None:
         async with world(answer(b"old"), sockets=64) as w:
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from sumacpost.server.listener import MAX_PIPELINED
+from sumacpost.server.connection import MAX_PIPELINED
 from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
 from tests.support.counter_calls import read_counter_call
 from tests.support.loopback import (
@@ -307,7 +307,7 @@
                 await until(lambda n=number: len(attempts(w, n)) == 1)
             server = w.service._server
             client.write(ask("vat-filing"))
-            await until(lambda: any(c._held for c in server._clients))
+            await until(lambda: any(c._unread for c in server.connections.open))
             (first,) = attempts(w, 100)
             client.write(behind)
             meet(client, how, lambda: write_now(first.writers[-1], OK), gone_first)
@@ -327,7 +327,7 @@
         async with warm() as w:
             client = HeldClient(w.address) if where == "unread" else None
             if client is not None:
-                await until(lambda: len(w.service._server._clients) == 3)
+                await until(lambda: len(w.service._server.connections.open) == 3)
             client = client or HeldClient(w.address)
             client.write(ask() + behind)
             meet(client, how, lambda: None, True)
@@ -336,7 +336,7 @@
                     how == "stays"
                     or not any(
                         c._sock.fileno() >= 0 and c.has_disconnected()
-                        for c in w.service._server._clients
+                        for c in w.service._server.connections.open
                     )
                 )
             )
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -17,7 +17,7 @@
     begin: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Drip-fed bytes win no time: the client gets an error or a close."""
-    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.2)
+    monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
     monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
 
     async def test() -> None:
@@ -42,7 +42,7 @@
 def test_a_message_on_a_used_connection_has_its_time_from_its_first_byte(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.2)
+    monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
     monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
 
     async def test() -> None:
@@ -93,7 +93,7 @@
                 assert (
                     await client.reader.read() == b""
                 )  # closed in good order, with room for all of them
-            await until(lambda: len(server.idle) == len(server._clients) == 4)
+            await until(lambda: len(server.connections.idle) == len(server.connections.open) == 4)
             assert (await once[-1].ask(request(number=50)))[0] == 200
             assert (await used.ask(request(number=51)))[0] == 200
 
@@ -161,7 +161,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Found by reading: it waited until a connection ended, though one between requests makes room."""
-    monkeypatch.setattr("sumacpost.server.listener.IDLE_S", 1000.0)
+    monkeypatch.setattr("sumacpost.server.connection_registry.IDLE_TIMEOUT_S", 1000.0)
 
     async def test() -> None:
         async with world(*[silence] * 8, sockets=64) as w:
@@ -172,7 +172,7 @@
                 await until(lambda n=number: sent(w) == n + 1)
             late = await w.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
-            await until(lambda: not w.service._server._accepting)
+            await until(lambda: not w.service._server.listener.accepting)
             w.backends[0].writers[0].write(OK)
             await until(lambda: sent(w) == 9)
 
@@ -183,9 +183,9 @@
     async def test() -> None:
         async with world(answer()) as w:
             server, accepts = w.service._server, []
-            server._pause()
+            server.listener.pause()
             client = await w.client()
-            listener = server._listener
+            listener = server.listener._socket
 
             class Aborted:
                 def accept(self) -> Any:
@@ -197,8 +197,10 @@
                 def __getattr__(self, name: str) -> Any:
                     return getattr(listener, name)
 
-            server._listener = Aborted()
-            assert server._accept() and len(accepts) == 3  # the one behind it, and then nobody
+            server.listener._socket = Aborted()
+            assert (
+                server.listener.accept() and len(accepts) == 3
+            )  # the one behind it, and then nobody
             assert (await client.ask(request()))[0] == 200
 
     run(test())
@@ -208,7 +210,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
-    monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.1)
+    monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.1)
     monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.02)
 
     async def test() -> None:
@@ -219,8 +221,8 @@
             )
             await until(lambda: sent(w) == 1)
             server = w.service._server
-            (connection,) = server._clients
-            assert connection not in server.waiting._since
+            (connection,) = server.connections.open
+            assert connection not in server.connections.waiting
             await asyncio.sleep(0.3)  # three times what a message may take
             w.backends[0].writers[0].write(OK)
             assert (await client.answer())[0] == 200
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sumacpost.server.connection import ClientConnection
 from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
 from tests.support.counter_calls import read_counter_call
 from tests.support.dials import Dials
@@ -20,18 +21,24 @@
 
     async def test() -> None:
         async with world(answer()) as w:
-            server, seen = w.service._server, []
+            server = w.service._server
+            seen = []
             assert (await w.ask(request("vat-filing")))[0] == 200
             await asyncio.sleep(2 * REST_S)
-            server._pause()
+            server.listener.pause()
             late = await w.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
             await until(lambda: not late.writer.transport.get_write_buffer_size())
             leave(late, how)
-            admitted = server.admit
-            server.admit = lambda connection: (seen.append(connection), admitted(connection))
-            server._resume()
-            await until(lambda: len(seen) == 1 and seen[0] not in server._clients)
+            connection_opened = server.connections.connection_opened
+
+            def record_opened(connection: ClientConnection) -> None:
+                seen.append(connection)
+                connection_opened(connection)
+
+            server.connections.connection_opened = record_opened
+            server.listener.resume()
+            await until(lambda: len(seen) == 1 and seen[0] not in server.connections.open)
             assert (await w.ask(request("vat-filing", 51)))[
                 0
             ] == 200  # whatever was written before it has come by now
@@ -50,7 +57,7 @@
             client.writer.write(request("vat-filing", Request_Timeout=SILENT))
             await until(lambda: dials.begun == 1)
             leave(client, "closed")
-            await until(lambda: not w.service._server._clients)
+            await until(lambda: not w.service._server.connections.open)
             dials.let.set()
             await until(lambda: w.service._ingress.backends.open == 0)
             assert sent(w) == 0 and not w.service._ingress._gateway.calls
@@ -82,7 +89,7 @@
                 lambda: any(call for asked in gateway.counts.values() for *_, call in asked)
             )
             leave(client, "closed")
-            await until(lambda: not w.service._server._clients)
+            await until(lambda: not w.service._server.connections.open)
             let.set()
             await until(
                 lambda: not any(call for asked in gateway.counts.values() for *_, call in asked)
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -61,7 +61,7 @@
                 client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
                 await until(lambda n=number: sent(w) == n + 1)
             w.stop.set()
-            await until(lambda: w.service._server.draining)
+            await until(lambda: w.service._server.handler.draining)
             for backend in w.backends:
                 backend.writers[0].write(OK)
             first, second = await client.answer(), await client.answer()
@@ -79,7 +79,7 @@
     async def test() -> None:
         async with world(silence) as w:
             w.stop.set()
-            await until(lambda: w.service._server.draining)
+            await until(lambda: w.service._server.handler.draining)
             late = await w.client()
             late.writer.write(request("ledger-read", Request_Timeout=SILENT))
             await until(lambda: sent(w) == 1)
@@ -105,9 +105,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """All eight places are taken: the listener was closed, and the ninth was reset with its request."""
-    for name in ("DRAIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MOST_S"):
-        monkeypatch.setattr(f"sumacpost.server.listener.{name}", 0.05)
-    monkeypatch.setattr("sumacpost.server.listener.DRAIN_DOOR_S", 1000.0)
+    for name in ("DRAIN_MIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MAX_ACCEPT_S"):
+        monkeypatch.setattr(f"sumacpost.server.drain.{name}", 0.05)
+    monkeypatch.setattr("sumacpost.server.drain.DRAIN_MAX_BACKLOG_S", 1000.0)
 
     async def test() -> None:
         async with world(*[silence] * 8, sockets=64) as w:
@@ -118,7 +118,7 @@
                 await until(lambda n=number: sent(w) == n + 1)
             late = await w.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
-            await until(lambda: not w.service._server._accepting)
+            await until(lambda: not w.service._server.listener.accepting)
             w.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
             for backend in w.backends:
@@ -139,7 +139,7 @@
             client = await w.client()
             client.writer.write(request("vat-filing", Request_Timeout=SILENT))
             await until(lambda: sent(w) == 1)
-            listener = w.service._server._listener
+            listener = w.service._server.listener._socket
 
             class Failing:
                 def accept(self) -> Any:
@@ -148,7 +148,7 @@
                 def __getattr__(self, name: str) -> Any:
                     return getattr(listener, name)
 
-            w.service._server._listener = Failing()
+            w.service._server.listener._socket = Failing()
             w.stop.set()
             await asyncio.sleep(0.5)  # the door would be closed by now
             w.backends[0].writers[0].write(OK)
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sumacpost.ingress import MARGIN_MS
-from sumacpost.server.listener import MAX_PIPELINED
+from sumacpost.server.connection import MAX_PIPELINED, ConnectionState
 from tests.support.http_client import OK, SILENT, leave, sent
 from tests.support.loopback import answer, request, run, silence, until, world
 
@@ -35,17 +35,19 @@
             for number in range(MAX_PIPELINED):
                 client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
                 await until(lambda n=number: sent(w) == n + 1)
-            (connection,) = w.service._server._clients
+            (connection,) = w.service._server.connections.open
             for number in (50, 51):
                 client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
             await until(
                 lambda: (
-                    connection._held_size
+                    connection._unread_bytes
                     == len(request("vat-filing", 50, Request_Timeout=SILENT)) * 2
                 )
             )
             leave(client, how)
-            await until(lambda: not w.service._server._clients and not w.service._ingress._calls)
+            await until(
+                lambda: not w.service._server.connections.open and not w.service._ingress._calls
+            )
             await until(lambda: sum(b.closed for b in w.backends) == MAX_PIPELINED)
             assert sent(w) == MAX_PIPELINED and w.service._ingress.backends.open == 0
 
@@ -61,9 +63,9 @@
             for number in range(MAX_PIPELINED):
                 client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
                 await until(lambda n=number: sent(w) == n + 1)
-            (connection,) = w.service._server._clients
+            (connection,) = w.service._server.connections.open
             client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
-            await until(lambda: connection._held_size > 0)
+            await until(lambda: connection._unread_bytes > 0)
             await asyncio.sleep(0.05)  # time that it loses
             for backend in w.backends:
                 backend.script = answer()
@@ -89,9 +91,9 @@
             client.writer.write(
                 b"".join(request("vat-filing", 100 + n) for n in range(400))
             )  # some 90 KB
-            (connection,) = w.service._server._clients
-            await until(lambda: connection._deaf)
-            assert connection._held_size == 0
+            (connection,) = w.service._server.connections.open
+            await until(lambda: connection._state is ConnectionState.CLOSING)
+            assert connection._unread_bytes == 0
             for backend in w.backends:
                 for writer in backend.writers:
                     writer.write(OK)
@@ -113,19 +115,19 @@
             client.writer.transport.pause_reading()
             number = 0
             while not (
-                w.service._server._clients
-                and (connection := next(iter(w.service._server._clients)))._choked
+                w.service._server.connections.open
+                and (connection := next(iter(w.service._server.connections.open)))._writing_paused
             ):
                 client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
                 number += 1
-                await until(lambda: not connection._exchanges or connection._choked)
+                await until(lambda: not connection._pending_responses or connection._writing_paused)
                 await asyncio.sleep(0)
             before = sent(w)
             client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-            await until(lambda: connection._held_size > 0)
+            await until(lambda: connection._unread_bytes > 0)
             assert sent(w) == before
             client.writer.transport.resume_reading()
             told = [(await client.answer())[0] for _ in range(number + 1)]
-            assert 200 in told and not connection._held
+            assert 200 in told and not connection._unread
 
     run(test())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -239,7 +239,7 @@
             client.writer.write(request("vat-filing", Request_Timeout=SILENT))
             await until(lambda: sent(w) == 1)
             w.stop.set()
-            await until(lambda: w.service._server.draining)
+            await until(lambda: w.service._server.handler.draining)
             for _ in range(2):
                 w.service.reload(read_config(json.dumps(w.config)))
             w.backends[0].writers[0].write(OK)
