Split the counter's client into codec, connection and client; read the configuration in short steps

The counter's client held the codec, a connection and its time-outs in one class, and the configuration was read by one long function. Now counter/resp.py is a state machine without I/O that turns bytes into typed replies, counter/connection.py matches them to calls and counter/client.py keeps a connection; config.py reads in two documented passes and settings_json.py turns nested settings into typed ones. Service, supervisor and reload have names of the field, and log lines have the form key=value. Behaviour, messages of ConfigError and exit statuses are the same.

--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -163,11 +163,10 @@
         self._due: deque[tuple[float, int]] = deque()
         self._events: deque[Event] = deque()
         self._busy = False
-        known, _ = config.known
         self.discovery = DiscoveryWatch(
             config.discovery,
-            config.lists,
-            known.version,
+            config.endpoint_list_reader,
+            config.initial_endpoints.version,
             self.fleet,
             config.settings.drain_grace_ms / 1000,
         )
@@ -183,11 +182,9 @@
 
     def start(self) -> list[SupervisedTask]:
         """The lasting tasks of its discovery and its counter."""
-        tasks = [SupervisedTask("a watch of discovery", self.discovery.run)]
+        tasks = [SupervisedTask("discovery-watch", self.discovery.run)]
         if (counter := self.counter) is not None:
-            tasks.append(
-                SupervisedTask("a counter's connection", lambda: counter.run(asyncio.Event()))
-            )
+            tasks.append(SupervisedTask("counter-client", lambda: counter.run(asyncio.Event())))
         return tasks
 
     def fleet(self, update: EndpointListUpdate, endpoints: AddressByBackend) -> None:
--- a/fleetlab/real.py
+++ b/fleetlab/real.py
@@ -25,7 +25,7 @@
 SETTLE_S = 0.3  # before its requests are counted
 EXPECTED_MB = 800.0  # of it all, for the memory's check
 SMALL = 200
-_SERVING = re.compile(rb"serving on ([\d.]+:\d+)")
+_SERVING = re.compile(rb"serving: name=\S* address=([\d.]+:\d+)")
 
 
 async def _address(ingress: Child) -> str:
--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -1,9 +1,16 @@
-"""What the platform tells an ingress: the file that RELAY_CONFIG names."""
+"""The configuration of an ingress: the JSON file that RELAY_CONFIG names, as typed settings.
+
+The file holds the settings of the deployment, the addresses of this ingress and its peers, its
+limits, and, under `known`, the endpoint list that the ingress last had. That list may be long, so
+the file is never held as a whole: it is decoded in pieces, in steps between which other work can be
+done, and in two passes. The first reads everything but the list, the second the list alone, as the
+settings decide which part of it this ingress keeps, and may follow it in the file.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Generator, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -20,199 +27,233 @@
 from sumacpost.errors import ConfigError
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import DeduplicationScope, EndpointListUpdate, Settings, UpdateKind
-from sumacpost.simulator.codec import parse_settings
+from sumacpost.settings_json import parse_settings_json
 
+PIECE_BYTES = 8 * 1024  # of the file, decoded in one step
+DEFAULT_SOCKETS = 1024
 MIN_SOCKETS = 64
+DEFAULT_MEMORY_MB = 64
 MIN_MEMORY_MB = 24
-PIECE = 8 * 1024  # bytes of the file that are held at once, and read in one turn of the loop
-ANSWERS_HELD = (
-    48  # of the greatest length, in all of the memory: an answer is held until it is whole
-)
+MAX_MEMORY_MB = 1e9
+DEFAULT_IDLE_TIMEOUT_MS = 15_000
+MAX_IDLE_TIMEOUT_MS = 1e12
+# Responses are buffered until they are complete: so many of the greatest length fill the memory.
+MAX_BUFFERED_RESPONSES = 48
+
+JsonObject = dict[str, Any]
+"""As decoded. Another type shows where it is used, as a TypeError or an AttributeError."""
 
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """The configuration of one ingress."""
+    """The configuration of one ingress.
+
+    Attributes:
+        name: the ingress's name, for logs.
+        listen: where clients are served.
+        discovery: the address of the discovery agent.
+        counter: the address of the shared counter; None without one.
+        seed: of the gateway's random generator.
+        endpoint_list_reader: reads what discovery sends, starting from the initial endpoints.
+        initial_endpoints: the endpoint list that the ingress last had; empty without one.
+        initial_addresses: the addresses of the initial endpoints.
+        settings: the settings of the gateway.
+        max_sockets: descriptors that the ingress may hold.
+        max_response_bytes: the longest body of a backend's response.
+        connect_timeout_s: how long connecting to a backend may take.
+        backend_idle_timeout_s: how long a backend leaves an idle connection open.
+    """
 
     name: str
     listen: Address
     discovery: Address
     counter: Address | None
     seed: int
-    lists: EndpointListReader
-    known: tuple[
-        EndpointListUpdate, AddressByBackend
-    ]  # the list of backends as this ingress last had it
+    endpoint_list_reader: EndpointListReader
+    initial_endpoints: EndpointListUpdate
+    initial_addresses: AddressByBackend
     settings: Settings
-    sockets: int
-    max_answer: int  # bytes of a backend's answer
+    max_sockets: int
+    max_response_bytes: int
     connect_timeout_s: float
-    idle_s: float  # a backend closes a connection that has stood idle this long
-
-
-def flatten(value: object, path: str = "") -> Iterator[str]:
-    """Nested settings as the simulator's path=value lines, so that wire.parse_settings validates both."""
-    match value:
-        case dict():
-            for key, item in value.items():
-                yield from flatten(item, f"{path}.{key}" if path else str(key))
-        case list() if any(isinstance(item, dict) for item in value) or (
-            not value and path in _OBJECT_LISTS
-        ):
-            yield f"{path}.count={len(value)}"
-            for number, item in enumerate(value):
-                yield from flatten(item, f"{path}.{number}")
-        case list():
-            yield f"{path}=" + ",".join(_plain(item) for item in value)
-        case None:
-            pass
-        case _:
-            yield f"{path}={_plain(value)}"
-
-
-_OBJECT_LISTS = ("categories", "plans")
-
-
-def _plain(value: object) -> str:
-    if isinstance(value, bool):
-        return str(value).lower()
-    return "_".join(str(value).replace(",", " ").split())
-
-
-def _named(parsed: Settings, raw: Any) -> Settings:
-    """The settings with names as clients send them: on the simulator's wire a space or comma becomes _."""
-    classes = [
-        replace(c, name=str(r.get("name", "")))
-        for c, r in zip(parsed.classes, raw["categories"], strict=True)
-    ]
-    plans = [
-        replace(p, name=str(r.get("name", "")))
-        for p, r in zip(parsed.plans, raw["plans"], strict=True)
-    ]
-    return replace(parsed, classes=tuple(classes), plans=tuple(plans))
-
-
-class _Sink:
-    """Builds the configuration from JSON events, but for its list of backends, which has its own sink."""
-
-    def __init__(self, known: EndpointListParser | None) -> None:
-        self._known, self._builder = known, ObjectBuilder()
-        self._depth, self._in_known = 0, False
-        self.has_known = False
+    backend_idle_timeout_s: float
 
-    def send(self, event: JsonEvent) -> None:
-        name, value = event
-        if self._depth == 1 and name == "map_key":
-            self._in_known = value == "known"
-            if self._in_known:
-                return
-        self._depth -= name.startswith("end")
-        if self._in_known and self._depth > 0:
-            self.has_known = self.has_known or name != "null"
-            if self._known is not None:
-                self._known.send(event)
-        else:
-            self._builder.event(name, value)
-        self._depth += name.startswith("start")
 
-    @property
-    def value(self) -> Any:
-        return self._builder.value
+ConfigSteps = Generator[None, None, Config]
+"""A configuration being read: yields after each piece of the file, then returns the result."""
 
+OpenPieces = Callable[[], Iterable[bytes]]
+"""Returns the pieces of the file from its start; called once for each pass."""
 
-Steps = Generator[None, None, Config]  # a step for each piece of the file, then the configuration
 
+def load_config(path: str) -> Config:
+    """Read a file in one go; raise ConfigError if it can't be used."""
+    return _run_to_end(load_config_in_steps(path))
 
-def _fill(sink: _Sink, pieces: Iterable[bytes]) -> Generator[None, None, _Sink]:
-    decoder = IncrementalJson(sink)
-    for piece in pieces:
-        decoder.feed(piece)
-        yield
-    decoder.finish()
-    return sink
+
+def load_config_in_steps(path: str) -> ConfigSteps:
+    """Read a file piece by piece; raise ConfigError, at any step, if it can't be used."""
+
+    def open_pieces() -> Iterator[bytes]:
+        with Path(path).open("rb") as file:
+            while piece := file.read(PIECE_BYTES):
+                yield piece
+
+    try:
+        return (yield from _read_in_steps(open_pieces))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
 
 
-def _run(steps: Steps) -> Config:
+def read_config(text: str) -> Config:
+    """Read the text of a configuration file; raise ConfigError if it can't be used."""
+    return _run_to_end(_read_in_steps(lambda: [text.encode()]))
+
+
+def _run_to_end(steps: ConfigSteps) -> Config:
     while True:
         try:
             next(steps)
-        except StopIteration as done:
-            config: Config = done.value
+        except StopIteration as finished:
+            config: Config = finished.value
             return config
 
 
-def read_config(text: str) -> Config:
-    """Validate all that the ingress uses; ConfigError names what is wrong."""
-    return _run(_read(lambda: [text.encode()]))
+# ---- the two passes
 
 
-def _read(pieces: Callable[[], Iterable[bytes]]) -> Steps:
-    """The list of backends may be long and stand ahead of the settings, which tell its part: it is second."""
+def _read_in_steps(open_pieces: OpenPieces) -> ConfigSteps:
+    """Read a configuration, and name in a ConfigError what is missing or invalid."""
     try:
-        first = yield from _fill(_Sink(None), pieces())
-        raw = first.value
-        settings = raw["settings"]
-        permissions = settings.get("permissions", {})
-        sockets = int(raw.get("limits", {}).get("sockets", 1024))
-        if sockets < MIN_SOCKETS:
-            raise ConfigError(f"limits.sockets: {sockets} is below {MIN_SOCKETS}")
-        memory_mb = float(raw.get("limits", {}).get("memory_mb", 64))
-        if not MIN_MEMORY_MB <= memory_mb < 1e9:
-            raise ConfigError(f"limits.memory_mb: {memory_mb:g} is below {MIN_MEMORY_MB}")
-        parsed = _named(parse_settings("\n".join(flatten(settings))), settings)
-        idle_ms = float(permissions.get("conn_idle", 15_000))
-        if not 0 < idle_ms < 1e12:
-            raise ConfigError(f"permissions.conn_idle: {idle_ms:g} is no idle time of a connection")
-        lists = EndpointListReader(
-            settings.get("zones", ()),
-            settings.get("machine_types", ()),
-            parsed.gateways,
-            parsed.index,
-            any(c.deduplication_scope is DeduplicationScope.CELL for c in parsed.classes),
-        )
-        known: tuple[EndpointListUpdate, AddressByBackend] = (
-            EndpointListUpdate(UpdateKind.CACHED, []),
-            {},
-        )
-        if first.has_known:
-            listed = lists.begin()
-            yield from _fill(_Sink(listed), pieces())
-            known = listed.result(cached=True)
-            lists.adopt(listed, known[0])
-        return Config(
-            name=str(raw.get("name", "")),
-            listen=parse_address(raw["listen"]),
-            discovery=parse_address(raw["discovery"]),
-            counter=parse_address(raw["counter"]) if raw.get("counter") else None,
-            seed=int(raw.get("seed", "0"), 16),
-            lists=lists,
-            known=known,
-            settings=parsed,
-            sockets=sockets,
-            max_answer=max(MAX_BODY, int(memory_mb * 1024 * 1024 / ANSWERS_HELD)),
-            connect_timeout_s=parsed.connect_timeout_ms / 1000,
-            idle_s=idle_ms / 1000,
-        )
+        return (yield from _read_both_passes(open_pieces))
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from error
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(" ".join(str(error).split())) from error
 
 
-def load_steps(path: str) -> Steps:
-    """Read the file, a piece a step, so that other work can go on; ConfigError if it is of no use."""
+def _read_both_passes(open_pieces: OpenPieces) -> ConfigSteps:
+    first_pass = _ConfigBuilder()
+    yield from _decode(open_pieces(), first_pass)
+    document = first_pass.document
+    raw_settings = document["settings"]
+    permissions = raw_settings.get("permissions", {})
+    limits = _parse_limits(document.get("limits", {}))
+    settings = parse_settings_json(raw_settings)
+    backend_idle_timeout_s = _parse_idle_timeout_s(permissions)
+    reader = _endpoint_list_reader(raw_settings, settings)
+    endpoints = EndpointListUpdate(UpdateKind.CACHED, [])
+    addresses: AddressByBackend = {}
+    if first_pass.has_known:
+        parser = reader.begin()
+        yield from _decode(open_pieces(), _ConfigBuilder(parser))
+        endpoints, addresses = parser.result(cached=True)
+        reader.adopt(parser, endpoints)
+    return Config(
+        name=str(document.get("name", "")),
+        listen=parse_address(document["listen"]),
+        discovery=parse_address(document["discovery"]),
+        counter=parse_address(document["counter"]) if document.get("counter") else None,
+        seed=int(document.get("seed", "0"), 16),
+        endpoint_list_reader=reader,
+        initial_endpoints=endpoints,
+        initial_addresses=addresses,
+        settings=settings,
+        max_sockets=limits.sockets,
+        max_response_bytes=limits.max_response_bytes,
+        connect_timeout_s=settings.connect_timeout_ms / 1000,
+        backend_idle_timeout_s=backend_idle_timeout_s,
+    )
+
+
+def _decode(pieces: Iterable[bytes], builder: _ConfigBuilder) -> Generator[None, None, None]:
+    """Send the JSON events of a file to the builder, yielding after each piece."""
+    decoder = IncrementalJson(builder)
+    for piece in pieces:
+        decoder.feed(piece)
+        yield
+    decoder.finish()
 
-    def pieces() -> Iterator[bytes]:
-        with Path(path).open("rb") as file:
-            while piece := file.read(PIECE):
-                yield piece
 
-    try:
-        return (yield from _read(pieces))
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from error
+class _ConfigBuilder:
+    """Builds a document from JSON events, but for the value of its key `known`.
 
+    The events of that value go to the parser of endpoint lists, or are dropped without one.
 
-def load_config(path: str) -> Config:
-    """Read the file at once; ConfigError if that can't be done."""
-    return _run(load_steps(path))
+    Attributes:
+        has_known: whether there is such a value that is not null.
+    """
+
+    def __init__(self, known: EndpointListParser | None = None) -> None:
+        self._known = known
+        self._builder = ObjectBuilder()
+        self._depth = 0
+        self._in_known = False
+        self.has_known = False
+
+    @property
+    def document(self) -> JsonObject:
+        """The document, once all events have come."""
+        document: JsonObject = self._builder.value
+        return document
+
+    def send(self, event: JsonEvent) -> None:
+        """Take the next event."""
+        kind, value = event
+        if self._depth == 1 and kind == "map_key":
+            self._in_known = value == "known"
+            if self._in_known:
+                return
+        if kind.startswith("end"):
+            self._depth -= 1
+        if self._in_known and self._depth > 0:
+            self._send_known(event)
+        else:
+            self._builder.event(kind, value)
+        if kind.startswith("start"):
+            self._depth += 1
+
+    def _send_known(self, event: JsonEvent) -> None:
+        kind, _ = event
+        self.has_known = self.has_known or kind != "null"
+        if self._known is not None:
+            self._known.send(event)
+
+
+# ---- the values
+
+
+@dataclass(frozen=True, slots=True)
+class _Limits:
+    """What the ingress may use of its machine."""
+
+    sockets: int
+    max_response_bytes: int
+
+
+def _parse_limits(raw: JsonObject) -> _Limits:
+    sockets = int(raw.get("sockets", DEFAULT_SOCKETS))
+    if sockets < MIN_SOCKETS:
+        raise ConfigError(f"limits.sockets: {sockets} is below {MIN_SOCKETS}")
+    memory_mb = float(raw.get("memory_mb", DEFAULT_MEMORY_MB))
+    if not MIN_MEMORY_MB <= memory_mb < MAX_MEMORY_MB:
+        raise ConfigError(f"limits.memory_mb: {memory_mb:g} is below {MIN_MEMORY_MB}")
+    buffer_bytes = int(memory_mb * 1024 * 1024 / MAX_BUFFERED_RESPONSES)
+    return _Limits(sockets, max(MAX_BODY, buffer_bytes))
+
+
+def _parse_idle_timeout_s(permissions: JsonObject) -> float:
+    idle_ms = float(permissions.get("conn_idle", DEFAULT_IDLE_TIMEOUT_MS))
+    if not 0 < idle_ms < MAX_IDLE_TIMEOUT_MS:
+        raise ConfigError(f"permissions.conn_idle: {idle_ms:g} is no idle time of a connection")
+    return idle_ms / 1000
+
+
+def _endpoint_list_reader(raw_settings: JsonObject, settings: Settings) -> EndpointListReader:
+    return EndpointListReader(
+        raw_settings.get("zones", ()),
+        raw_settings.get("machine_types", ()),
+        settings.gateways,
+        settings.index,
+        any(c.deduplication_scope is DeduplicationScope.CELL for c in settings.classes),
+    )
--- /dev/null
+++ b/sumacpost/counter/connection.py
@@ -0,0 +1,247 @@
+"""One connection to the counter: pipelined calls, the replies to them, and two time-outs.
+
+A call that has waited for the time-out of calls is concluded, but its reply is still owed and is
+read when it comes. A connection on which no reply at all comes is closed: its calls are lost, and a
+new connection is made.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from sumacpost.counter.resp import ErrorReply, Reply, ReplyDecoder, TotalReply
+from sumacpost.errors import CounterProtocolError
+from sumacpost.model import CounterReplied, Outcome
+
+log = logging.getLogger(__name__)
+
+MAX_OUTSTANDING_CALLS = 1000  # without a reply on one connection
+STABLE_AFTER_S = 0.2  # a connection of this age is replaced without a pause when it is lost
+TIMER_TOLERANCE_S = 0.0005  # deadlines this close are met in the same turn of the timer
+
+# How long a connection may be silent while it owes replies, if the time-out of calls is no longer:
+FIRST_REPLY_TIMEOUT_S = 0.25  # before its first reply: nobody may be serving it
+SILENCE_LATENCY_FACTOR = 8.0  # after that: so many times what replies take
+MAX_SILENCE_S = 1.0  # but no longer than this
+LATENCY_DECAY = 0.98  # what each quicker reply leaves of the latency that slower ones have shown
+
+
+@dataclass(slots=True, eq=False)
+class CounterCall:
+    """One call of ADDGET.
+
+    Attributes:
+        name: the number that is added to.
+        started_at: when the call was made, in seconds of the loop's clock.
+        reply: what it ended with; None until then.
+    """
+
+    name: int
+    started_at: float
+    reply: CounterReplied | None = None
+
+
+class ReplyLatency:
+    """Estimates what replies take: close to the slowest of late, fading with each quicker one.
+
+    Replies that come after the call's time-out count too.
+
+    Attributes:
+        seconds: the estimate.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def observe(self, latency_s: float) -> None:
+        """Take in the latency of one reply, in seconds."""
+        self.seconds = max(latency_s, self.seconds * LATENCY_DECAY)
+
+
+class CounterConnection(asyncio.Protocol):
+    """One connection to the counter, and the calls that it owes a reply to.
+
+    `on_concluded` is called exactly once for each call that `send` has accepted, with its outcome
+    and, for Outcome.OK, the total. `on_lost` is called once, when the connection has ended.
+    """
+
+    def __init__(
+        self,
+        timeout_s: float,
+        reply_latency: ReplyLatency,
+        on_concluded: Callable[[CounterCall, Outcome, float], None],
+        on_lost: Callable[[CounterConnection], None],
+    ) -> None:
+        self._timeout_s = timeout_s
+        self._reply_latency = reply_latency
+        self._on_concluded = on_concluded
+        self._on_lost = on_lost
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._decoder = ReplyDecoder()
+        self._created_at = self._loop.time()
+        self._last_reply_at = self._created_at
+        self._unreplied: deque[CounterCall] = deque()  # in the order in which replies will come
+        self._waiting: deque[CounterCall] = deque()  # the last of them, which have not timed out
+        self._timer: asyncio.TimerHandle | None = None
+        self._has_replied = False
+        self._retired = False
+        self._loss_outcome = Outcome.TIMEOUT  # of calls that wait when the connection ends
+
+    @property
+    def usable(self) -> bool:
+        """Whether it was replied on, or has stood a while: it can be replaced without a pause."""
+        return self._has_replied or self._loop.time() - self._created_at > STABLE_AFTER_S
+
+    @property
+    def connected(self) -> bool:
+        """Whether it can take calls."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, call: CounterCall, data: bytes) -> bool:
+        """Write one encoded call; return False, with nothing written, if too many are unreplied."""
+        if len(self._unreplied) >= MAX_OUTSTANDING_CALLS or self._transport is None:
+            return False
+        self._transport.write(data)
+        self._unreplied.append(call)
+        self._waiting.append(call)
+        deadline = self._call_deadline(call)
+        if self._timer is None or self._timer.when() > deadline:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self._loop.call_at(deadline, self._check_deadlines)
+        return True
+
+    def retire(self) -> None:
+        """Take no more calls, and close once no call waits for its reply."""
+        self._retired = True
+        self._close_if_retired()
+
+    def _close_if_retired(self) -> None:
+        if self._retired and not self._waiting and self._transport is not None:
+            self._transport.abort()
+
+    # ---- time-outs
+
+    def _call_deadline(self, call: CounterCall) -> float:
+        return call.started_at + self._timeout_s
+
+    def _silent_since(self) -> float:
+        """Return since when the oldest unreplied call has had no sign of life."""
+        return max(self._unreplied[0].started_at, self._last_reply_at)
+
+    def _silence_timeout_s(self) -> float:
+        """Return how long no reply at all is tolerated, in seconds.
+
+        A counter that is slow as a whole shows in the latency of its replies, and the first reply
+        on a connection has longer, so that a slow counter is not met with ever new connections.
+        """
+        limit_s = FIRST_REPLY_TIMEOUT_S
+        if self._has_replied:
+            limit_s = min(MAX_SILENCE_S, SILENCE_LATENCY_FACTOR * self._reply_latency.seconds)
+        return max(self._timeout_s, limit_s)
+
+    def _check_deadlines(self) -> None:
+        """Close a silent connection, else conclude the calls whose time is over.
+
+        A connection that nobody serves any more while the counter is sound must be given up: calls
+        on it are lost. Where replies are held up for longer than the silence time-out though the
+        counter reads the calls, this may report calls as lost that will be added.
+        """
+        self._timer = None
+        now = self._loop.time() + TIMER_TOLERANCE_S
+        if self._stuck_within_reply(now):
+            # the call that this reply belongs to was added
+            self._close_silent(Outcome.TIMEOUT, "partial_reply")
+            return
+        if self._unreplied and self._silent_since() + self._silence_timeout_s() <= now:
+            # most likely never read, if others were replied to
+            outcome = Outcome.RESET if self._has_replied else Outcome.TIMEOUT
+            self._close_silent(outcome, "no_reply")
+            return
+        self._time_out_calls(now)
+        if self._retired:
+            self._close_if_retired()
+        elif self._transport is not None and self._unreplied:
+            self._set_timer(now)
+
+    def _stuck_within_reply(self, now: float) -> bool:
+        return (
+            self._decoder.has_partial_reply
+            and bool(self._waiting)
+            and self._call_deadline(self._waiting[0]) <= now
+        )
+
+    def _time_out_calls(self, now: float) -> None:
+        """Conclude calls whose deadline has passed; they may have been added all the same."""
+        while self._waiting and self._call_deadline(self._waiting[0]) <= now:
+            self._on_concluded(self._waiting.popleft(), Outcome.TIMEOUT, 0.0)
+
+    def _set_timer(self, now: float) -> None:
+        due = self._silent_since() + self._silence_timeout_s()
+        if self._waiting:
+            due = min(due, self._call_deadline(self._waiting[0]))
+        self._timer = self._loop.call_at(max(due, now), self._check_deadlines)
+
+    def _close_silent(self, loss_outcome: Outcome, reason: str) -> None:
+        self._loss_outcome = loss_outcome
+        silent_s = self._loop.time() - self._silent_since()
+        log.warning("counter connection silent: reason=%s silent_s=%.2f", reason, silent_s)
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- called by the event loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to take calls."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass of it
+
+    def data_received(self, data: bytes) -> None:
+        """Match replies to calls; close the connection after anything that is no reply."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._decoder.receive_data(data)
+        try:
+            while (reply := self._decoder.next_reply()) is not None:
+                self._accept(reply)
+        except CounterProtocolError as error:
+            log.warning("counter connection failed: error=%s", error)
+            self._has_replied = self._has_replied or bool(self._unreplied)
+            self._transport.abort()
+        else:
+            self._close_if_retired()
+
+    def _accept(self, reply: Reply) -> None:
+        """Take the reply to the oldest call; CounterProtocolError if there is none."""
+        if not self._unreplied:
+            raise CounterProtocolError(f"{reply!r} without a call")
+        if isinstance(reply, ErrorReply) and not reply.is_overload:
+            log.warning("counter call failed: error=%r", reply.message)
+        self._has_replied = True
+        call = self._unreplied.popleft()
+        self._last_reply_at = self._loop.time()
+        self._reply_latency.observe(self._last_reply_at - call.started_at)
+        if not self._waiting or self._waiting[0] is not call:
+            return  # it has timed out
+        self._waiting.popleft()
+        if isinstance(reply, TotalReply):
+            self._on_concluded(call, Outcome.OK, reply.total)
+        else:
+            self._on_concluded(call, Outcome.REJECTED, 0.0)
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Conclude the calls that still wait: they may have been added."""
+        self._transport = None
+        if self._timer is not None:
+            self._timer.cancel()
+        lost_calls = self._waiting
+        self._waiting = deque()
+        self._unreplied.clear()
+        for call in lost_calls:
+            self._on_concluded(call, self._loss_outcome, 0.0)
+        self._on_lost(self)
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -53,7 +53,7 @@
 
 def half_of_sockets(config: Config) -> int:
     """The bound on clients' connections, and that on backends' connections."""
-    return (config.sockets - OTHER_SOCKETS) // 2
+    return (config.max_sockets - OTHER_SOCKETS) // 2
 
 
 class Clock:
@@ -126,9 +126,9 @@
         self.backends = PoolManager(
             half_of_sockets(config),
             config.connect_timeout_s,
-            config.idle_s,
+            config.backend_idle_timeout_s,
             self._attempt_ended,
-            config.max_answer,
+            config.max_response_bytes,
             self._wanted,
         )
         self.counter: CounterClient | None = None
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -1,4 +1,4 @@
-"""Start, signals, reload and the order of start and stop of the ingress."""
+"""The ingress as a process: start, signals, reload, and the order of start and stop."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from sumacpost.config import Config, load_config, load_steps
+from sumacpost.config import Config, load_config, load_config_in_steps
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
 from sumacpost.ingress import Ingress, half_of_sockets
@@ -22,150 +22,192 @@
 
 log = logging.getLogger(__name__)
 
-SWEEP_S = 0.25
+MAINTENANCE_INTERVAL_S = 0.25  # between the closings of connections that have been idle too long
+
+# Exit statuses of the process.
+EXIT_OK = 0
+EXIT_CANNOT_SERVE = 1
+EXIT_BAD_CONFIG = 2
 
 
 class Service:
-    """The ingress with what surrounds it, from its start to the end of its drain."""
+    """The ingress with the tasks around it, from its start to the end of its graceful shutdown.
+
+    Attributes:
+        address: where clients are served; its port is the actual one once `run` has begun to serve.
+    """
 
     def __init__(self, config: Config) -> None:
         self._config = config
         self._ingress = Ingress(config)
-        known, endpoints = config.known
-        self._ingress.update_endpoints(known, endpoints)
+        self._ingress.update_endpoints(config.initial_endpoints, config.initial_addresses)
         self._server = Server(
             self._ingress, RequestParser(config.settings), half_of_sockets(config)
         )
         self._discovery = DiscoveryWatch(
             config.discovery,
-            config.lists,
-            known.version,
+            config.endpoint_list_reader,
+            config.initial_endpoints.version,
             self._ingress.update_endpoints,
             config.settings.drain_grace_ms / 1000,
         )
-        self._counter_tried = asyncio.Event()
-        self._watch: SupervisedTask | None = None
-        self._count: SupervisedTask | None = None
+        self._discovery_task: SupervisedTask | None = None
+        self._counter_task: SupervisedTask | None = None
         self.address = config.listen
 
-    async def run(self, stop: asyncio.Event, serving: Callable[[Service], object]) -> None:
-        """Serve until stop is set, then drain; serving is told once the door is open."""
-        self._watch = SupervisedTask("the watch of discovery", self._discovery.run)
-        if (counter := self._ingress.counter) is not None:
-            self._count = SupervisedTask(
-                "the counter's connection", lambda: counter.run(self._counter_tried)
-            )
-            await self._counter_tried.wait()
+    async def run(self, stop: asyncio.Event, on_serving: Callable[[Service], object]) -> None:
+        """Serve until `stop` is set, then drain.
+
+        `on_serving` is called once clients can connect; it never is if `stop` is set before that.
+        Raise OSError if the address can't be listened on.
+        """
+        self._discovery_task = SupervisedTask("discovery-watch", self._discovery.run)
+        await self._start_counter()
         if stop.is_set():
-            return  # nobody has come in yet, and nobody is to
+            return  # no client has connected yet
         self.address = self._server.listen(self._config.listen)
-        sweep = SupervisedTask("the sweep", self._sweep)
-        serving(self)
-        log.info(
-            "%s: serving on %s:%d, %d backends known",
-            self._config.name,
-            *self.address,
-            len(self._config.known[1]),
-        )
+        maintenance_task = SupervisedTask("maintenance", self._maintain)
+        on_serving(self)
+        self._log_serving()
         await stop.wait()
-        log.info("draining")
+        log.info("drain started")
         await self._server.drain()
-        for task in (self._watch, self._count, sweep):
+        for task in (self._discovery_task, self._counter_task, maintenance_task):
             if task is not None:
                 task.stop()
         self._ingress.backends.close()
-        log.info("drained")
+        log.info("drain finished")
 
     def reload(self, config: Config) -> None:
-        """Go over to the addresses of a new configuration; all else in it needs a restart."""
-        log.info("configured anew: discovery at %s:%d", *config.discovery)
+        """Use the addresses of another configuration; anything else in it needs a restart."""
+        log.info("configuration reloaded: discovery=%s:%d", *config.discovery)
         self._discovery.move(config.discovery)
-        if self._watch is not None:
-            self._watch.restart()
-        if (counter := self._ingress.counter) is not None:
-            counter.move(config.counter)
-            if self._count is not None:
-                self._count.restart()
-
-    async def _sweep(self) -> None:
+        if self._discovery_task is not None:
+            self._discovery_task.restart()
+        counter = self._ingress.counter
+        if counter is not None:
+            counter.change_address(config.counter)
+            if self._counter_task is not None:
+                self._counter_task.restart()
+
+    async def _start_counter(self) -> None:
+        """Connect to the counter, and wait until the first attempt has succeeded or failed."""
+        counter = self._ingress.counter
+        if counter is None:
+            return
+        first_attempt_done = asyncio.Event()
+        self._counter_task = SupervisedTask(
+            "counter-client", lambda: counter.run(first_attempt_done)
+        )
+        await first_attempt_done.wait()
+
+    def _log_serving(self) -> None:
+        host, port = self.address
+        log.info(
+            "serving: name=%s address=%s:%d backends=%d",
+            self._config.name,
+            host,
+            port,
+            len(self._config.initial_addresses),
+        )
+
+    async def _maintain(self) -> None:
+        """Close idle connections at regular intervals, for ever."""
         while True:
-            await asyncio.sleep(SWEEP_S)
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._ingress.backends.sweep()
             self._server.sweep()
 
 
-class Reloads:
-    """SIGHUP: the file is read again. Those that come before the service is there are not lost."""
+class ConfigReloader:
+    """Reads the configuration again at SIGHUP; an invalid one changes nothing.
+
+    Create it at the very start of the process, as an unhandled SIGHUP would end that. A signal that
+    comes before `attach` is remembered.
+    """
 
     def __init__(self) -> None:
         self._service: Service | None = None
         self._path = ""
-        self._asked = False
+        self._requested = False
         self._reading: asyncio.Task[None] | None = None
-        signal.signal(signal.SIGHUP, lambda *_: self.ask())
-
-    def ask(self) -> None:
-        """Read the file now, or as soon as there is a service to tell; a bad one changes nothing."""
-        self._asked = self._service is None
+        signal.signal(signal.SIGHUP, lambda *_: self.request())
+
+    def attach(self, service: Service, path: str) -> None:
+        """Reload the file at `path` into `service` from now on. To be called on the event loop."""
+        self._service = service
+        self._path = path
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.request)
+        if self._requested:
+            self.request()
+
+    def request(self) -> None:
+        """Read the file now, instead of a reading under way, or as soon as there is a service."""
+        self._requested = self._service is None
         if self._service is None:
             return
         if self._reading is not None:
             self._reading.cancel()
-        self._reading = asyncio.get_running_loop().create_task(self._read(self._service))
+        self._reading = asyncio.get_running_loop().create_task(self._reload(self._service))
 
-    async def _read(self, service: Service) -> None:
-        """Piece by piece: the file may hold a long list, which must not hold the loop."""
-        steps = load_steps(self._path)
+    async def _reload(self, service: Service) -> None:
+        """Read in steps, as a file with a long endpoint list would hold up the loop."""
+        steps = load_config_in_steps(self._path)
         try:
             while True:
                 next(steps)
                 await asyncio.sleep(0)
-        except StopIteration as done:
-            service.reload(done.value)
+        except StopIteration as finished:
+            service.reload(finished.value)
         except ConfigError as error:
-            log.error("the old configuration stays: %s", error)
+            self._log_rejected(error)
 
-    def follow(self, service: Service, path: str) -> None:
-        """From now on the service is told."""
-        self._service, self._path = service, path
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.ask)
-        if self._asked:
-            self.ask()
+    @staticmethod
+    def _log_rejected(error: ConfigError) -> None:
+        log.error("configuration rejected: error=%s", error)
 
 
 async def serve(
-    config: Config, stop: asyncio.Event, serving: Callable[[Service], object] = lambda service: None
+    config: Config,
+    stop: asyncio.Event,
+    on_serving: Callable[[Service], object] = lambda _: None,
 ) -> None:
-    """Serve until stop is set, then drain."""
-    await Service(config).run(stop, serving)
+    """Serve until `stop` is set, then drain; see `Service.run`."""
+    await Service(config).run(stop, on_serving)
 
 
-async def _run(config: Config, path: str, reloads: Reloads) -> None:
+async def _serve_until_signalled(config: Config, path: str, reloader: ConfigReloader) -> None:
     stop = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(signum, stop.set)
-    await serve(config, stop, lambda service: reloads.follow(service, path))
+    await serve(config, stop, lambda service: reloader.attach(service, path))
 
 
 def main() -> int:
-    """Exit 0 after a drain, 2 with one plain line on a bad configuration, 1 if it can't serve."""
-    reloads = Reloads()
+    """Run the ingress that RELAY_CONFIG configures, and return the exit status of the process.
+
+    EXIT_OK after a graceful shutdown; with one line on stderr, EXIT_BAD_CONFIG if the configuration
+    can't be used, and EXIT_CANNOT_SERVE if the address can't be listened on.
+    """
+    reloader = ConfigReloader()
     logging.basicConfig(
         level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr
     )
+    path = os.environ.get("RELAY_CONFIG")
+    if path is None:
+        return _exit_with("RELAY_CONFIG is not set", EXIT_BAD_CONFIG)
     try:
-        path = os.environ["RELAY_CONFIG"]
         config = load_config(path)
-    except KeyError:
-        print("sumacpost: RELAY_CONFIG is not set", file=sys.stderr)
-        return 2
     except ConfigError as error:
-        print(f"sumacpost: {error}", file=sys.stderr)
-        return 2
+        return _exit_with(str(error), EXIT_BAD_CONFIG)
     gc.freeze()
     try:
-        uvloop.run(_run(config, path, reloads))
+        uvloop.run(_serve_until_signalled(config, path, reloader))
     except OSError as error:
-        print(f"sumacpost: can't serve: {error}", file=sys.stderr)
-        return 1
-    return 0
+        return _exit_with(f"can't serve: {error}", EXIT_CANNOT_SERVE)
+    return EXIT_OK
+
+
+def _exit_with(message: str, status: int) -> int:
+    print(f"sumacpost: {message}", file=sys.stderr)
+    return status
--- /dev/null
+++ b/sumacpost/settings_json.py
@@ -0,0 +1,65 @@
+"""The settings of the deployment as the configuration file has them: nested JSON.
+
+They are validated as those of the simulator are: written as its `path=value` lines and parsed by
+its codec, so that both get the same checks and defaults.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+from sumacpost.model import Settings
+from sumacpost.simulator.codec import parse_settings
+
+_OBJECT_LISTS = ("categories", "plans")  # lists of objects even where they are empty
+
+
+def parse_settings_json(raw: dict[str, Any]) -> Settings:
+    """Return the decoded settings; raise ValueError, KeyError or TypeError if they are invalid.
+
+    The names of classes and plans stay as clients send them: on the simulator's wire a space or a
+    comma in a name becomes an underscore.
+    """
+    settings = parse_settings("\n".join(flatten(raw)))
+    classes = tuple(
+        replace(request_class, name=str(item.get("name", "")))
+        for request_class, item in zip(settings.classes, raw["categories"], strict=True)
+    )
+    plans = tuple(
+        replace(plan, name=str(item.get("name", "")))
+        for plan, item in zip(settings.plans, raw["plans"], strict=True)
+    )
+    return replace(settings, classes=classes, plans=plans)
+
+
+def flatten(value: object, path: str = "") -> Iterator[str]:
+    """Yield nested settings as the `path=value` lines that the simulator's codec parses."""
+    match value:
+        case dict():
+            for key, item in value.items():
+                yield from flatten(item, f"{path}.{key}" if path else str(key))
+        case list() if _is_object_list(value, path):
+            yield f"{path}.count={len(value)}"
+            for number, item in enumerate(value):
+                yield from flatten(item, f"{path}.{number}")
+        case list():
+            yield f"{path}=" + ",".join(_plain(item) for item in value)
+        case None:
+            pass
+        case _:
+            yield f"{path}={_plain(value)}"
+
+
+def _is_object_list(value: list[object], path: str) -> bool:
+    if not value:
+        return path in _OBJECT_LISTS
+    return any(isinstance(item, dict) for item in value)
+
+
+def _plain(value: object) -> str:
+    """Return a scalar as the simulator writes it: booleans in lower case, no space or comma."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return "_".join(str(value).replace(",", " ").split())
--- a/sumacpost/supervisor.py
+++ b/sumacpost/supervisor.py
@@ -1,4 +1,4 @@
-"""Tasks that have to go on for as long as the program does."""
+"""Tasks that must run for as long as the program does."""
 
 from __future__ import annotations
 
@@ -9,40 +9,46 @@
 
 log = logging.getLogger(__name__)
 
-PAUSE_S = 0.1  # before a task that has failed is started anew
+RESTART_PAUSE_S = 0.1  # before a task that has failed is run again
 
 
 class SupervisedTask:
-    """Keeps a task running: guards against work that ends in silence, whatever ended it."""
+    """Runs `work`, and runs it again whenever it fails or returns.
+
+    It has to be created, and its methods called, on the event loop's thread.
+    """
 
     def __init__(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        self._name, self._work = name, work
+        self._name = name
+        self._work = work
         self._loop = asyncio.get_running_loop()
         self._stopped = False
         self._start()
 
+    def restart(self) -> None:
+        """Cancel the current run and begin another at once."""
+        previous = self._task
+        self._start()
+        previous.cancel()
+
+    def stop(self) -> None:
+        """Cancel the current run; there is no other after it."""
+        self._stopped = True
+        self._task.cancel()
+
     def _start(self) -> None:
         if not self._stopped:
             self._task = self._loop.create_task(self._work())
-            self._task.add_done_callback(self._ended)
+            self._task.add_done_callback(self._task_done)
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
+    def _task_done(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or self._stopped:
             return
-        log.error("%s has ended and is started anew", self._name, exc_info=task.exception())
-        self._loop.call_later(PAUSE_S, self._again, task)
+        log.error(
+            "supervised task failed, restarting: task=%s", self._name, exc_info=task.exception()
+        )
+        self._loop.call_later(RESTART_PAUSE_S, self._restart_after, task)
 
-    def _again(self, ended: asyncio.Task[None]) -> None:
-        if ended is self._task:  # else it was restarted meanwhile
+    def _restart_after(self, failed: asyncio.Task[None]) -> None:
+        if failed is self._task:  # otherwise it has been restarted meanwhile
             self._start()
-
-    def restart(self) -> None:
-        """Drop what is under way and begin anew at once."""
-        before = self._task
-        self._start()
-        before.cancel()
-
-    def stop(self) -> None:
-        """End for good."""
-        self._stopped = True
-        self._task.cancel()
