Document each field of the messages between network and policy

A reader had to look for the meaning and unit of a field in the code that uses it. Each now stands in the docstring of its class; no name or value is changed.

--- a/sumacpost/__main__.py
+++ b/sumacpost/__main__.py
@@ -1,4 +1,4 @@
-"""Run the ingress: python -m sumacpost, configured by the file that RELAY_CONFIG names."""
+"""Run the ingress: `python -m sumacpost`, configured by the file that RELAY_CONFIG names."""
 
 import sys
 
--- a/sumacpost/address.py
+++ b/sumacpost/address.py
@@ -1,13 +1,17 @@
-"""Addresses as the platform and discovery write them."""
+"""Addresses as the configuration and discovery write them."""
 
 from __future__ import annotations
 
 Address = tuple[str, int]
+"""Host and port, as the socket functions take them."""
+
+MAX_PORT = 65535
 
 
 def parse_address(text: object) -> Address:
-    """Host and port of "10.0.0.4:8081"; ValueError for anything else."""
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not (host and colon and port.isascii() and port.isdigit() and int(port) < 65536):
-        raise ValueError(f"{text!r} is not an address")
-    return host, int(port)
+    """Return the host and port of a text such as "10.0.0.4:8081"; raise ValueError otherwise."""
+    if isinstance(text, str):
+        host, _, port = text.rpartition(":")
+        if host and port.isascii() and port.isdigit() and int(port) <= MAX_PORT:
+            return host, int(port)
+    raise ValueError(f"{text!r} is not an address")
--- a/sumacpost/errors.py
+++ b/sumacpost/errors.py
@@ -1,4 +1,8 @@
-"""The errors of the ingress: what a peer or the operator sent that can't be used."""
+"""The errors that the program raises itself, all of them subclasses of SumacpostError.
+
+Each stands for something that a peer or the operator sent and that can't be used. Where callers handle
+malformed data of any kind alike, the error is a ValueError too.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,12 @@
 
 
 class RequestError(SumacpostError):
-    """A client's request is rejected: the HTTP status of the response, and the reason."""
+    """A client's request is rejected.
+
+    Attributes:
+        status: the HTTP status of the response.
+        reason: why, for the log.
+    """
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(f"{status}: {reason}")
@@ -21,12 +30,12 @@
 
 
 class ResponseError(SumacpostError):
-    """A peer sent what is no HTTP response, or one beyond the bounds."""
+    """A peer sent something that is not an HTTP response, or one that exceeds the limits."""
 
 
 class EndpointListError(SumacpostError, ValueError):
-    """What came from discovery is no endpoint list; none of it is believed."""
+    """Discovery sent something that is not an endpoint list; all of it is discarded."""
 
 
 class CounterProtocolError(SumacpostError, ValueError):
-    """The counter sent what is no reply; after that none can be matched to its call."""
+    """The counter sent something that is not a reply, so later ones can't be matched to calls."""
--- a/sumacpost/model/actions.py
+++ b/sumacpost/model/actions.py
@@ -1,4 +1,4 @@
-"""What a gateway may do. All times are milliseconds."""
+"""The actions of a gateway: what the network code is to do. All times are in milliseconds."""
 
 from __future__ import annotations
 
@@ -9,7 +9,13 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; timeout_ms 0: until the client gives up."""
+    """Start an attempt. The attempts of a request are numbered from 0, in the order of sending.
+
+    Attributes:
+        request: the number of the request.
+        backend: where to send it.
+        timeout_ms: how long to wait for the response; 0: until the client's deadline.
+    """
 
     request: int
     backend: BackendId
@@ -18,7 +24,12 @@
 
 @dataclass(slots=True)
 class Cancel:
-    """Stop waiting for an attempt."""
+    """Cancel an attempt; its one outcome still comes.
+
+    Attributes:
+        request: the number of the request.
+        attempt: which of its attempts.
+    """
 
     request: int
     attempt: int
@@ -26,7 +37,12 @@
 
 @dataclass(slots=True)
 class Reject:
-    """Final answer: refused, coming back is harmless."""
+    """Final response: rejected; the request has had no effect, or repeating it has none.
+
+    Attributes:
+        request: the number of the request.
+        retry_after_ms: when the client is advised to retry, from now on; 0: no advice.
+    """
 
     request: int
     retry_after_ms: float = 0.0
@@ -34,14 +50,23 @@
 
 @dataclass(slots=True)
 class Fail:
-    """Final answer: failed, nothing is promised."""
+    """Final response: failed; the request may have had its effect.
+
+    Attributes:
+        request: the number of the request.
+    """
 
     request: int
 
 
 @dataclass(slots=True)
 class SetTimer:
-    """Ask for TimerFired after so long."""
+    """Set a timer, which can't be cancelled; TimerFired comes in a later batch of events.
+
+    Attributes:
+        after_ms: when it fires, from now on.
+        label: returned with TimerFired.
+    """
 
     after_ms: float
     label: int
@@ -49,14 +74,23 @@
 
 @dataclass(slots=True)
 class CheckHealth:
-    """Examine a backend."""
+    """Send a health check; HealthCheckEnded comes once for each.
+
+    Attributes:
+        backend: which backend to check.
+    """
 
     backend: BackendId
 
 
 @dataclass(slots=True)
 class SendPeerMessage:
-    """Send bytes to one gateway, or to all others (None)."""
+    """Send bytes to other gateways, without a guarantee of delivery.
+
+    Attributes:
+        gateway: the index of the receiver; None: all other gateways.
+        body: the message, of at most 256 bytes.
+    """
 
     gateway: int | None
     body: bytes
@@ -64,7 +98,13 @@
 
 @dataclass(slots=True)
 class AddToCounter:
-    """Add to a named number of the shared counter and learn its total."""
+    """Add to a number of the shared counter; CounterReplied comes once for each.
+
+    Attributes:
+        name: which number.
+        amount: what to add, in quota units; may be negative.
+        ttl_ms: how long the number lives from now on.
+    """
 
     name: int
     amount: float
@@ -73,7 +113,11 @@
 
 @dataclass(slots=True)
 class Log:
-    """A line for the operators; rare state changes only."""
+    """Write a log line for the operators, on a rare change of state.
+
+    Attributes:
+        text: the line.
+    """
 
     text: str
 
--- a/sumacpost/model/events.py
+++ b/sumacpost/model/events.py
@@ -1,4 +1,7 @@
-"""What a gateway is told. All times are milliseconds."""
+"""The events that a gateway handles. All times are in milliseconds.
+
+A request is known by its number, an attempt of it by its index, from 0 in the order of sending.
+"""
 
 from __future__ import annotations
 
@@ -6,19 +9,20 @@
 from enum import IntEnum
 
 BackendId = int
+"""Identifies a backend, the same at every gateway and after every restart."""
 
 
 class Outcome(IntEnum):
-    """How an attempt, a probe or a counter call ended."""
+    """How an attempt, a health check or a counter call ended."""
 
-    OK = 1
-    ERROR = 2
-    REJECTED = 3
-    TIMEOUT = 4
-    CONNECT_FAILED = 5
-    RESET = 6
-    CANCELLED = 7
-    SKIPPED = 8
+    OK = 1  # served, or the amount was added
+    ERROR = 2  # the backend responded with an error
+    REJECTED = 3  # the peer shed it without running it
+    TIMEOUT = 4  # no response in time
+    CONNECT_FAILED = 5  # no connection could be made in time
+    RESET = 6  # the connection was lost, or what came was no response
+    CANCELLED = 7  # the gateway cancelled it
+    SKIPPED = 8  # not sent, as nothing was waited for any more
 
     @property
     def never_ran(self) -> bool:
@@ -27,25 +31,35 @@
 
 
 class UpdateKind(IntEnum):
-    """What a fleet update holds."""
+    """What an update of the endpoint list holds."""
 
-    CHANGES = 0
-    FULL = 1
-    CACHED = 2
-    FAILED = 3
+    CHANGES = 0  # the changed entries only
+    FULL = 1  # the whole list, which replaces the one before
+    CACHED = 2  # the whole list as it was before a restart, perhaps out of date
+    FAILED = 3  # nothing: the list could not be had, and the one before stays
 
 
 class EndpointStatus(IntEnum):
-    """What the list of backends knows of one."""
+    """The state of a backend as the endpoint list has it."""
 
-    GONE = 0
+    GONE = 0  # removed; among changes only
     READY = 1
-    DRAINING = 2
+    DRAINING = 2  # finishing its work: no new requests
 
 
 @dataclass(slots=True)
 class Endpoint:
-    """One line of the list of backends; up_since_ms 0 means long ago."""
+    """One entry of the endpoint list.
+
+    Attributes:
+        backend: which backend.
+        state: whether it takes requests.
+        zone: the number of its zone.
+        kind: the number of its kind of machine.
+        cell: the number of its cell, for DeduplicationScope.CELL.
+        size: its size in relation to others, without a unit.
+        up_since_ms: when it last started, on the gateway's clock; 0: long ago.
+    """
 
     backend: BackendId
     state: EndpointStatus = EndpointStatus.READY
@@ -58,7 +72,14 @@
 
 @dataclass(slots=True)
 class EndpointListUpdate:
-    """News from the list of backends; parts: those that a long list is divided into, of which this is one."""
+    """An update of the endpoint list.
+
+    Attributes:
+        kind: whether the entries are changes or the whole list.
+        entries: of a partitioned list, those of this gateway's partition.
+        version: the version of the list after the update; it only grows.
+        partition_count: how many partitions the whole list is divided into.
+    """
 
     kind: UpdateKind
     entries: list[Endpoint]
@@ -68,7 +89,19 @@
 
 @dataclass(slots=True)
 class RequestArrived:
-    """A client's try; the gateway owes it one final answer within time_left_ms."""
+    """A client has sent a request; the gateway owes it one final response within time_left_ms.
+
+    Attributes:
+        request: the number of the request; a retry by the client has a new one.
+        customer: whose quota it draws on.
+        plan: the index of the customer's plan in the settings.
+        request_class: the index of its class in the settings.
+        units: what it draws from the quota; where Settings.settled_after holds, an estimate.
+        first_gateway: the index of the first gateway that gets this customer's requests.
+        gateway_spread: how many gateways in a row do, from the first on, counted round.
+        time_left_ms: how long the client still waits.
+        retry: whether the client has marked it as a retry.
+    """
 
     request: int
     customer: int
@@ -83,7 +116,14 @@
 
 @dataclass(slots=True)
 class ResponseStarted:
-    """A streamed answer has begun; from now on it is the client's."""
+    """A streamed response has started: the request is bound to this attempt, with no deadline.
+
+    Attributes:
+        request: the number of the request.
+        attempt: which of its attempts.
+        backend: where the attempt was sent.
+        elapsed_ms: time since it was sent.
+    """
 
     request: int
     attempt: int
@@ -93,7 +133,21 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """The one outcome of an attempt; concluded: the request is concluded."""
+    """The one outcome of an attempt.
+
+    Attributes:
+        request: the number of the request.
+        attempt: which of its attempts.
+        backend: where it was sent.
+        outcome: how it ended.
+        elapsed_ms: time since it was sent.
+        concluded: whether the request has its final response, by this attempt or before.
+        quota_used_percent: the customer's use of its plan's rate at all gateways, in a recent
+            period of the meter; None where none is told.
+        actual_units: the units that the request has cost, in place of the estimate; 0: unknown.
+        report: the backend's load report, its values in the order of Settings.report_fields; may
+            be empty.
+    """
 
     request: int
     attempt: int
@@ -108,21 +162,36 @@
 
 @dataclass(slots=True)
 class RequestCancelled:
-    """The client left; nothing more is owed."""
+    """The client has left: no response is owed any more.
+
+    Attributes:
+        request: the number of the request.
+    """
 
     request: int
 
 
 @dataclass(slots=True)
 class TimerFired:
-    """A timer set earlier is due."""
+    """A timer is due.
+
+    Attributes:
+        label: as it was given in SetTimer.
+    """
 
     label: int
 
 
 @dataclass(slots=True)
 class HealthCheckEnded:
-    """What one probe found."""
+    """The result of a health check.
+
+    Attributes:
+        backend: which backend was checked.
+        outcome: OK if it is healthy.
+        elapsed_ms: how long the check took.
+        report: the backend's load report, as in AttemptEnded.
+    """
 
     backend: BackendId
     outcome: Outcome
@@ -132,7 +201,12 @@
 
 @dataclass(slots=True)
 class PeerMessage:
-    """Bytes from another gateway."""
+    """A message from another gateway.
+
+    Attributes:
+        sender: the index of that gateway.
+        body: the message.
+    """
 
     sender: int
     body: bytes
@@ -140,7 +214,14 @@
 
 @dataclass(slots=True)
 class CounterReplied:
-    """The answer to one counter call; total is valid with OK."""
+    """The one reply to a counter call.
+
+    Attributes:
+        name: the number that was added to.
+        outcome: OK if the amount was added; `Outcome.never_ran` proves that it was not.
+        elapsed_ms: how long the call took.
+        total: the number's new total, in quota units; valid with OK only.
+    """
 
     name: int
     outcome: Outcome
