--- a/sumacpost/errors.py
+++ b/sumacpost/errors.py
@@ -20,7 +20,7 @@
 
     Attributes:
         status: the HTTP status of the response.
-        reason: why, for the log.
+        reason: why, the body of the response.
     """
 
     def __init__(self, status: int, reason: str) -> None:
--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -82,7 +82,7 @@
         assert outcome in (Outcome.TIMEOUT, Outcome.OK)  # it may have been added
         await until(lambda: peer.connections == 2)
         peer.script = sends(b"$1\r\n5\r\n", close=False)
-        await until(lambda: c.counter.up)
+        await until(lambda: c.counter.connected)
         c.counter.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.OK, 5.0)
         peer.stop()
@@ -106,7 +106,7 @@
         again = Peer(sends(b"$1\r\n1\r\n", close=False), read_counter_call)
         await again.start(port)
         await until(lambda: again.connections == 1)
-        await until(lambda: c.counter.up)
+        await until(lambda: c.counter.connected)
         c.counter.call(9, 1.0, 1000.0)
         assert (await c.outcomes(3))[2] == (9, Outcome.OK, 1.0)
         again.stop()
@@ -165,7 +165,7 @@
         assert await c.outcomes(1) == [(7, Outcome.TIMEOUT, 0.0)]
         assert asyncio.get_running_loop().time() - began < 0.2
         peer.script = sends(b"-ERR no such call\r\n", close=False)
-        await until(lambda: c.counter.up)
+        await until(lambda: c.counter.connected)
         c.counter.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1][1] is Outcome.REJECTED
         peer.stop()
@@ -185,15 +185,15 @@
         await c.tried.wait()
         c.counter.call(7, 1.0, 1000.0)
         await until(lambda: len(old.requests) == 1)
-        c.counter.move(("127.0.0.1", new.port))
+        c.counter.change_address(("127.0.0.1", new.port))
         c.task.cancel()
         c.task = asyncio.create_task(c.counter.run(asyncio.Event()))
         await until(lambda: new.connections == 1)
         await until(
             lambda: (
                 c.counter._connection is not None
-                and c.counter._connection._calls == c.counter._connection._waiting
-                and not c.counter._connection._calls
+                and c.counter._connection._unreplied == c.counter._connection._waiting
+                and not c.counter._connection._unreplied
             )
         )
         c.counter.call(7, 1.0, 1000.0)
@@ -237,7 +237,7 @@
         await c.tried.wait()
         c.counter.call(7, 1.0, 1000.0)
         assert await c.outcomes(1) == [(7, Outcome.OK, 4.0)]
-        c.counter._pace.seconds = 0.001  # however slow this machine was just now
+        c.counter._reply_latency.seconds = 0.001  # however slow this machine was just now
         c.counter.call(8, 1.0, 1000.0)
         c.counter.call(9, 1.0, 1000.0)
         assert await c.outcomes(3) == [
@@ -245,7 +245,7 @@
             (8, Outcome.RESET, 0.0),
             (9, Outcome.RESET, 0.0),
         ]
-        await until(lambda: peer.connections == 2 and c.counter.up)
+        await until(lambda: peer.connections == 2 and c.counter.connected)
         c.counter.call(10, 1.0, 1000.0)
         assert (await c.outcomes(4))[3] == (10, Outcome.OK, 4.0)
         peer.stop()
@@ -265,10 +265,12 @@
         await peer.start()
         c = Counting(peer, 0.02)
         await c.tried.wait()
-        c.counter._pace.seconds = 0.001
+        c.counter._reply_latency.seconds = 0.001
         for name in range(5):
             c.counter.call(name, 1.0, 1000.0)
-            await until(lambda n=name: len(c.answers) == n + 1 and not c.counter._connection._calls)
+            await until(
+                lambda n=name: len(c.answers) == n + 1 and not c.counter._connection._unreplied
+            )
         assert {o for _, o, _ in await c.outcomes(5)} == {Outcome.TIMEOUT}
         assert peer.connections == 1
         peer.stop()
--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -422,9 +422,10 @@
             }
         )
     )
-    known, endpoints = load_config(str(path)).known
+    config = load_config(str(path))
+    known = config.initial_endpoints
     assert (known.kind, known.version, known.partition_count) == (UpdateKind.CACHED, 17, 8)
-    assert 500 <= len(known.entries) == len(endpoints) <= 750
+    assert 500 <= len(known.entries) == len(config.initial_addresses) <= 750
     path.write_text(
         json.dumps(
             {
@@ -435,4 +436,4 @@
             }
         )
     )
-    assert load_config(str(path)).known[0].entries == []
+    assert load_config(str(path)).initial_endpoints.entries == []
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -18,7 +18,7 @@
 ) -> None:
     """Drip-fed bytes win no time: the client gets an error or a close."""
     monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.2)
-    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
+    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
         async with world(answer()) as w:
@@ -43,7 +43,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.2)
-    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
+    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
         async with world(answer()) as w:
@@ -209,7 +209,7 @@
 ) -> None:
     """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
     monkeypatch.setattr("sumacpost.server.listener.MESSAGE_S", 0.1)
-    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.02)
+    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.02)
 
     async def test() -> None:
         async with world(silence) as w:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,8 +11,9 @@
 
 import pytest
 
-from sumacpost.config import flatten, read_config
+from sumacpost.config import read_config
 from sumacpost.errors import ConfigError
+from sumacpost.settings_json import flatten
 from sumacpost.simulator import codec
 from tests.support.configuration import GOOD
 from tests.support.loopback import SETTINGS
@@ -104,7 +105,7 @@
 def test_the_bound_on_an_answer_follows_the_memory() -> None:
     config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
     small, large = (
-        read_config(json.dumps(config | {"limits": {"memory_mb": mb}})).max_answer
+        read_config(json.dumps(config | {"limits": {"memory_mb": mb}})).max_response_bytes
         for mb in (32, 128)
     )
     assert small > 600_000 and 4 * small == pytest.approx(large, abs=4) and large < 3_000_000
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -52,9 +52,9 @@
         stderr=asyncio.subprocess.PIPE,
         env=os.environ | {"RELAY_CONFIG": str(path)},
     )
-    while b"serving on" not in (line := await process.stderr.readline()):
+    while b"serving: name=" not in (line := await process.stderr.readline()):
         assert line
-    port = int(line.split(b"serving on 127.0.0.1:")[1].split(b",")[0])
+    port = int(line.split(b" address=127.0.0.1:")[1].split(b" ")[0])
     return process, Client(*await asyncio.open_connection("127.0.0.1", port))
 
 
@@ -101,7 +101,7 @@
             await agent.start()
             await counter.start()
             told = []
-            w.service._ingress.counter._answered = told.append
+            w.service._ingress.counter._on_reply = told.append
             w.service._ingress.counter.call(7, 1.0, 1000.0)
             await until(lambda: len(w.counter.requests) == 1)
             w.service.reload(
@@ -152,11 +152,11 @@
             env={**os.environ, "RELAY_CONFIG": str(path)},
         )
         assert process.stderr is not None
-        while b"serving on" not in await process.stderr.readline():
+        while b"serving: name=n0 " not in await process.stderr.readline():
             pass
         path.write_text("{")
         process.send_signal(signal.SIGHUP)
-        while b"the old configuration stays" not in await process.stderr.readline():
+        while b"configuration rejected: error=" not in await process.stderr.readline():
             pass
         path.write_text(json.dumps(config | {"discovery": second.address}))
         process.send_signal(signal.SIGHUP)
@@ -170,12 +170,12 @@
 
 
 def test_sighup_before_the_service_is_there_is_kept_for_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    from sumacpost.service import Reloads
+    from sumacpost.service import ConfigReloader
 
     before = signal.getsignal(signal.SIGHUP)
     read: list[str] = []
     try:
-        reloads = Reloads()
+        reloader = ConfigReloader()
         os.kill(os.getpid(), signal.SIGHUP)  # would end the program
 
         class Service:
@@ -187,8 +187,8 @@
             return path
 
         async def test() -> None:
-            monkeypatch.setattr("sumacpost.service.load_steps", steps)
-            reloads.follow(Service(), "the file")  # type: ignore[arg-type]
+            monkeypatch.setattr("sumacpost.service.load_config_in_steps", steps)
+            reloader.attach(Service(), "the file")  # type: ignore[arg-type]
             await until(lambda: bool(read))
 
         run(test())
@@ -246,7 +246,7 @@
             assert (await client.answer())[0] == 200
             await w.task
             w.service.reload(read_config(json.dumps(w.config)))  # after the end no task begins anew
-            watch = w.service._watch._task
+            watch = w.service._discovery_task._task
             await until(watch.done)
 
     run(test())
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -28,7 +28,7 @@
                 raise RuntimeError("the listener failed")
 
         watch = SupervisedTask(
-            "the watch",
+            "watch",
             DiscoveryWatch(("127.0.0.1", served.port), EndpointListReader((), ()), 0, listen).run,
         )
         await until(lambda: len(served.requests) == 1)
@@ -38,4 +38,4 @@
         served.stop()
 
     run(test())
-    assert "the watch has ended and is started anew" in caplog.text
+    assert "supervised task failed, restarting: task=watch" in caplog.text
