Name what subsetting computes in the field's terms, and hash a changed backend once

The module's constants, short tuples and method names could only be read beside their comments: USERS, LOOK, SPREAD, TEAM, pairs, place, users. They are MIN_SUBSET_SIZE, MAX_CANDIDATES, MAX_LOAD_FACTOR, MAX_SHARD_GATEWAYS, assign, set_ready and gateways_of now; a ready backend is a named tuple that sorts as before, and the assignment is made by two short functions. The factor that relaxes the bound while a subset is filled up had borrowed the number of candidates and has its own constant, of the same value.

A change of the list hashed its backend three times, for the subset, the partition and the deduplication groups. The gateway hashes it once and hands the hash on; the draws that follow from it are made only when a backend is added.

--- a/fleetlab/pairs.py
+++ b/fleetlab/pairs.py
@@ -12,7 +12,7 @@
 import numpy as np
 
 from fleetlab.plan import ZONES
-from sumacpost.policy.subsetting import USERS, Partition, Subset
+from sumacpost.policy.subsetting import MIN_SUBSET_SIZE, Partition, Subset
 
 SIZES = (
     (40, 60),
@@ -48,7 +48,7 @@
 
     def kept(self) -> Iterator[list[int]]:
         count = len(self._ring)
-        width = min(count, max(USERS, ceil(count * USERS / self._gateways)))
+        width = min(count, max(MIN_SUBSET_SIZE, ceil(count * MIN_SUBSET_SIZE / self._gateways)))
         for index in range(self._gateways):
             start = index * count // self._gateways
             yield (self._ring[start : start + width] + self._ring[: max(0, start + width - count)])[
@@ -67,10 +67,10 @@
             Partition(gateways, index, self.partition_count)
             for index in range(self.partition_count)
         ]
-        self._teams = [
+        self._shards = [
             [
-                Subset(gateways, index + team * self.partition_count, self.partition_count)
-                for team in range(Subset(gateways, index, self.partition_count).teams)
+                Subset(gateways, index + shard * self.partition_count, self.partition_count)
+                for shard in range(Subset(gateways, index, self.partition_count).shard_count)
             ]
             for index in range(self.partition_count)
         ]
@@ -79,13 +79,13 @@
         at = next(
             number for number, partition in enumerate(self._parts) if partition.holds(backend)
         )
-        for subset in self._teams[at]:
-            subset.place(backend, ready)
+        for subset in self._shards[at]:
+            subset.set_ready(backend, ready)
 
     def kept(self) -> Iterator[list[int]]:
-        for teams in self._teams:
-            for subset in teams:
-                yield from subset.pairs()[0]
+        for shards in self._shards:
+            for subset in shards:
+                yield from subset.assign().subsets
 
 
 class PairFigures(msgspec.Struct):
--- a/fleetlab/sweep.py
+++ b/fleetlab/sweep.py
@@ -18,7 +18,7 @@
 from fleetlab.plan import INGRESSES
 from fleetlab.results import Figures
 from fleetlab.site import entries
-from sumacpost.policy.subsetting import USERS
+from sumacpost.policy.subsetting import MIN_SUBSET_SIZE
 
 READY_S = 30.0  # for a list to be held by all, and for the customers to be met
 LIST_POINT = 200  # backends where another axis is played
@@ -173,7 +173,7 @@
     """Sums over the processes, from the first report of the measured time to the last."""
     held = [found[-1] for found in told if found]
     needed = min(
-        USERS, played.backends
+        MIN_SUBSET_SIZE, played.backends
     )  # an ingress keeps its part of a long list, and must have so many
     unheld = max((1 - min(1.0, r.least_entries / needed) for r in held), default=1.0)
     figures: Figures = {
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -36,7 +36,13 @@
 from sumacpost.policy.backend import Backend, Sent
 from sumacpost.policy.latency import BLAME, LatencyInflation
 from sumacpost.policy.quota import CustomerQuota
-from sumacpost.policy.subsetting import LOOK, USERS, Partition, Subset, splitmix64
+from sumacpost.policy.subsetting import (
+    MAX_CANDIDATES,
+    MIN_SUBSET_SIZE,
+    Partition,
+    Subset,
+    splitmix64,
+)
 
 RESERVE = 0.1  # of the slice's burst: what only marked retries may take
 NO_SHOW_MS = (
@@ -343,8 +349,8 @@
                 self.subset.ready,
                 Subset(partition.gateways, partition.index, partition.partition_count),
             )
-            for _, backend, *_ in ready:
-                self.subset.place(backend, partition.holds(backend))
+            for was in ready:
+                self.subset.set_ready(was.backend, partition.holds_hash(was.hash), was.hash)
         for backend in gone:
             self.place(self.backends.pop(backend).entry, False)
         for entry in event.entries:
@@ -365,8 +371,10 @@
 
         Those of another part are there for the repeats alone.
         """
-        self.subset.place(entry.backend, ready and self.partition.holds(entry.backend))
-        place = splitmix64(entry.backend), entry.backend
+        backend_hash = splitmix64(entry.backend)
+        in_partition = self.partition.holds_hash(backend_hash)
+        self.subset.set_ready(entry.backend, ready and in_partition, backend_hash)
+        place = backend_hash, entry.backend
         for key in self.memberships(entry):
             group = self.groups.setdefault(key, [])
             if place in group[(at := bisect_left(group, place)) : at + 1]:
@@ -412,10 +420,12 @@
                 group, (splitmix64(self.settings.index + 1), 0)
             )  # where this gateway goes on
             others = (n for _, n in group[at:] + group[:at] if n not in kept)
-            kept += [n for n, _ in zip(others, range(USERS - len(kept)), strict=False)]
+            kept += [n for n, _ in zip(others, range(MIN_SUBSET_SIZE - len(kept)), strict=False)]
         return [
             self.backends[n]
-            for n in (kept if len(kept) <= LOOK else self.random.sample(kept, LOOK))
+            for n in (
+                kept if len(kept) <= MAX_CANDIDATES else self.random.sample(kept, MAX_CANDIDATES)
+            )
         ]
 
     def forecast(self, now: float, backend: Backend, call: PendingRequest) -> float:
@@ -439,7 +449,7 @@
         turn = (now / s.overload_window_ms + s.index / s.gateways) // 1
         if warmth < 1 and backend.cold_turn != turn:
             backend.cold_turn = turn
-            users = self.subset.users(backend.entry.backend)
+            users = self.subset.gateways_of(backend.entry.backend)
             rate = max(COLD_FLEET * warmth * self.able, COLD_OWN * backend.able)
             able = max(COLD_PART * warmth, rate / 1000 * self.mean_work)
             requests = able * s.overload_factor * s.overload_window_ms / users / self.mean_work
--- a/sumacpost/policy/subsetting.py
+++ b/sumacpost/policy/subsetting.py
@@ -1,138 +1,205 @@
-"""Partition of a long endpoint list, and the subset of backends that a gateway keeps to."""
+"""Partition of a long endpoint list, and the subset of it that each gateway sends to.
+
+Both are functions of the list and of the gateway's index alone, so that every gateway computes
+the same result without talking to the others.
+"""
 
 from __future__ import annotations
 
 from bisect import bisect_left
 from math import ceil, gcd
+from typing import NamedTuple
 
-USERS = 3  # gateways of a backend, and backends of a gateway, at least
-LOOK = 16  # backends compared for one send
-SPREAD = 1.05  # of the mean: backends that a gateway takes at most; tighter, one change moves many others
-MAX_PARTITION_BACKENDS = 1024  # a part of the fleet has so many at most
-MIN_PARTITION_GATEWAYS = 32  # and so many at least
-TEAM = (
-    512  # gateways whose subsets are drawn together, at most: one change costs a millisecond or two
-)
-MASK = (1 << 64) - 1  # of a hash
+MIN_SUBSET_SIZE = 3  # backends of a gateway, and gateways of a backend
+MAX_CANDIDATES = 16  # backends compared for one send
+# Bound on a gateway's backends, relative to the mean: closer to 1, one change moves many others.
+MAX_LOAD_FACTOR = 1.05
+RELAXATION_ATTEMPTS = 16  # after so many, a backend may have one gateway more than the mean
+MAX_PARTITION_BACKENDS = 1024
+MIN_PARTITION_GATEWAYS = 32
+# Gateways whose subsets are computed together: one change of the list costs a millisecond or two.
+MAX_SHARD_GATEWAYS = 512
+UINT64_MASK = (1 << 64) - 1
+ROUNDING_ERROR = 1e-9  # of a mean that is rounded up
 
 
 def splitmix64(number: int) -> int:
-    """A hash of 64 bits, the finalizer of splitmix64: the same at every gateway."""
-    number = (number ^ number >> 30) * 0xBF58476D1CE4E5B9 & MASK
-    number = (number ^ number >> 27) * 0x94D049BB133111EB & MASK
+    """Return a 64-bit hash, the finalizer of splitmix64: the same at every gateway."""
+    number = (number ^ number >> 30) * 0xBF58476D1CE4E5B9 & UINT64_MASK
+    number = (number ^ number >> 27) * 0x94D049BB133111EB & UINT64_MASK
     return number ^ number >> 31
 
 
 class Partition:
-    """The part of a long list that one gateway keeps, so that what it holds doesn't grow with the fleet.
+    """The part of a long list that one gateway holds: its memory doesn't grow with the fleet.
 
-    Backends and gateways are dealt to as many parts, a power of two. Short lists are one part.
+    Backends are dealt by hash, and gateways by index, to a number of partitions that is a power of
+    two. A short list is one partition.
     """
 
     def __init__(self, gateways: int, index: int, partition_count: int = 1) -> None:
-        self.gateways, self.index, self.partition_count = gateways, index, partition_count
-
-    @property
-    def divisible(self) -> bool:
-        """Twice as many parts would still have gateways enough for their backends."""
-        return 2 * self.partition_count * MIN_PARTITION_GATEWAYS <= self.gateways
+        self.gateways = gateways
+        self.index = index
+        self.partition_count = partition_count
 
     def holds(self, backend: int) -> bool:
-        return (
-            self.partition_count == 1
-            or splitmix64(backend) % self.partition_count == self.index % self.partition_count
-        )
+        """Return whether the backend is of this gateway's partition."""
+        return self.partition_count == 1 or self.holds_hash(splitmix64(backend))
+
+    def holds_hash(self, backend_hash: int) -> bool:
+        """Return whether the backend with this hash is of this gateway's partition."""
+        return backend_hash % self.partition_count == self.index % self.partition_count
 
     def grow_for(self, listed: int) -> bool:
-        """Divide on until a list of this length is borne; true if that changed the part."""
+        """Divide until a list of this length fits; return whether that changed the partition."""
         before = self.partition_count
-        while listed > self.partition_count * MAX_PARTITION_BACKENDS and self.divisible:
+        while listed > self.partition_count * MAX_PARTITION_BACKENDS and self._is_divisible():
             self.partition_count *= 2
         return self.partition_count != before
 
-    def needs_repartitioning(self, kept: int) -> bool:
-        """The fleet has grown or shrunk so much that the whole list is to be divided anew."""
-        if kept > 2 * MAX_PARTITION_BACKENDS:
-            return self.divisible
-        return self.partition_count > 1 and kept < MAX_PARTITION_BACKENDS / 4
+    def needs_repartitioning(self, held: int) -> bool:
+        """Return whether the fleet has outgrown this partition count, or shrunk far below it.
+
+        held: backends of this partition.
+        """
+        if held > 2 * MAX_PARTITION_BACKENDS:
+            return self._is_divisible()
+        return self.partition_count > 1 and held < MAX_PARTITION_BACKENDS / 4
+
+    def _is_divisible(self) -> bool:
+        """Return whether twice as many partitions would have enough gateways each."""
+        return 2 * self.partition_count * MIN_PARTITION_GATEWAYS <= self.gateways
+
+
+class ReadyBackend(NamedTuple):
+    """A ready backend with its draws, which follow from its hash. Sorted by hash."""
+
+    hash: int
+    backend: int
+    first_gateway: int  # where its probe sequence begins
+    step: int  # from one gateway of the sequence to the next
+    fraction: float  # in [0, 1): decides whether the mean is rounded up or down
+
+
+class Assignment(NamedTuple):
+    """The subsets of all gateways of a shard."""
+
+    subsets: list[list[int]]  # of each gateway
+    gateway_counts: dict[int, int]  # gateways of each backend, within the shard
 
 
 class Subset:
-    """The ready backends that each gateway of a part keeps to: evenly, and few change when one backend does.
+    """The ready backends of its partition that a gateway sends to.
 
-    Consistent hashing with bounded loads. Each backend, in the order of the hashes, takes the gateways that
-    its own hash names one after another, but those that have enough already; then gateways that were left
-    with fewer than the mean take further backends. The same list gives the same pairs at every gateway,
-    whatever came before. A large fleet draws in teams of gateways, which share out a backend's users.
+    Consistent hashing with bounded loads: each backend, in the order of the hashes, takes gateways
+    along its own probe sequence, skipping those that have enough; then gateways left with fewer
+    than the mean take further backends. Loads are even, and few pairs change when a backend does.
+    The result doesn't depend on the history of the list. The gateways of a large fleet form shards
+    that compute their subsets separately and share out a backend's gateways.
     """
 
     def __init__(self, gateways: int, index: int, partition_count: int = 1) -> None:
-        mates, place = (
-            len(range(index % partition_count, gateways, partition_count)),
-            index // partition_count,
-        )
-        self.teams = 1
-        while mates > self.teams * TEAM:
-            self.teams *= 2
-        self.team, self.own = place % self.teams, place // self.teams
-        self.gateways = len(range(self.team, mates, self.teams))
-        self.steps = [n for n in range(1, max(2, self.gateways)) if gcd(n, self.gateways) == 1]
-        # of each ready backend, in order: hash, number, first gateway, way to the next, and a draw in [0, 1)
-        self.ready: list[tuple[int, int, int, int, float]] = []
-        self.fresh = False  # members and users are those of the present list
-        self.kept: list[int] = []
-        self.used: dict[int, int] = {}
-
-    def place(self, backend: int, ready: bool) -> None:
-        """A backend is ready from now on, or is not."""
-        number = splitmix64(backend)
-        draw = splitmix64(number)
-        step = self.steps[(draw >> 20) % len(self.steps)]
-        place = number, backend, draw % self.gateways, step, (draw >> 40) / (1 << 24)
-        at = bisect_left(self.ready, place)
-        there = self.ready[at : at + 1] == [place]
-        if there != ready:
-            self.ready[at : at + there] = [place] * ready
-            self.fresh = False
+        partition_gateways = len(range(index % partition_count, gateways, partition_count))
+        position = index // partition_count
+        self.shard_count = 1
+        while partition_gateways > self.shard_count * MAX_SHARD_GATEWAYS:
+            self.shard_count *= 2
+        self.shard = position % self.shard_count
+        self.shard_gateways = len(range(self.shard, partition_gateways, self.shard_count))
+        self.ready: list[ReadyBackend] = []
+        self._shard_position = position // self.shard_count
+        # A step that is coprime to the number of gateways leads to each of them once.
+        self._steps = [
+            step
+            for step in range(1, max(2, self.shard_gateways))
+            if gcd(step, self.shard_gateways) == 1
+        ]
+        self._is_current = False  # whether the two below are those of the present list
+        self._members: list[int] = []
+        self._gateway_counts: dict[int, int] = {}
+
+    def set_ready(self, backend: int, ready: bool, backend_hash: int | None = None) -> None:
+        """Record whether a backend is ready; backend_hash: its splitmix64, where that is known."""
+        key = (splitmix64(backend) if backend_hash is None else backend_hash, backend)
+        position = bisect_left(self.ready, key)
+        was_ready = self.ready[position : position + 1] and self.ready[position][:2] == key
+        if ready and not was_ready:
+            self.ready.insert(position, self._with_draws(*key))
+            self._is_current = False
+        elif was_ready and not ready:
+            del self.ready[position]
+            self._is_current = False
 
     def members(self) -> list[int]:
-        """The backends that this gateway keeps to."""
-        if not self.fresh:
-            pairs, self.used = self.pairs()
-            self.kept, self.fresh = pairs[self.own], True
-        return self.kept
-
-    def users(self, backend: int) -> int:
-        """How many gateways keep to this backend."""
-        self.members()
-        return max(1, self.used.get(backend, 1)) * self.teams
-
-    def pairs(self) -> tuple[list[list[int]], dict[int, int]]:
-        """Of this gateway's team: each gateway's backends, and how many gateways each backend has."""
-        backends, gateways, shift = len(self.ready), self.gateways, self.team / self.teams
-        mean = max(USERS / self.teams, USERS * gateways / max(1, backends))  # gateways of a backend
-        most = ceil(SPREAD * max(USERS, backends * mean / gateways) - 1e-9)
-        kept: list[list[int]] = [[] for _ in range(gateways)]
-        used = {}
-        room = [most] * gateways
-        for _, backend, at, step, draw in self.ready:
-            wanted = used[backend] = min(gateways, int(mean + (draw + shift) % 1))
-            for _ in range(gateways if wanted else 0):
-                if room[at]:
-                    room[at] -= 1
-                    kept[at].append(backend)
-                    wanted -= 1
-                    if not wanted:
-                        break
-                at = (at + step) % gateways
-            used[backend] -= wanted
-        least = min(backends, max(USERS, ceil(backends * mean / gateways - 1e-9)))
-        for number, mine in enumerate(kept):
-            place, tries = number, 0
-            while len(mine) < least:
-                place, tries = splitmix64(place + 1), tries + 1
-                backend = self.ready[bisect_left(self.ready, (place,)) % backends][1]
-                if backend not in mine and used[backend] <= mean + tries / LOOK:
-                    mine.append(backend)
-                    used[backend] += 1
-        return kept, used
+        """Return the backends of this gateway."""
+        self._update()
+        return self._members
+
+    def gateways_of(self, backend: int) -> int:
+        """Return how many gateways send to this backend, all shards together."""
+        self._update()
+        return max(1, self._gateway_counts.get(backend, 1)) * self.shard_count
+
+    def assign(self) -> Assignment:
+        """Compute the subsets of all gateways of this shard."""
+        backend_count = len(self.ready)
+        mean_gateways = max(
+            MIN_SUBSET_SIZE / self.shard_count,
+            MIN_SUBSET_SIZE * self.shard_gateways / max(1, backend_count),
+        )
+        mean_size = backend_count * mean_gateways / self.shard_gateways
+        max_size = ceil(MAX_LOAD_FACTOR * max(MIN_SUBSET_SIZE, mean_size) - ROUNDING_ERROR)
+        min_size = max(MIN_SUBSET_SIZE, ceil(mean_size - ROUNDING_ERROR))
+        assignment = self._assign_bounded(mean_gateways, max_size)
+        self._fill_up(assignment, mean_gateways, min(backend_count, min_size))
+        return assignment
+
+    def _update(self) -> None:
+        if not self._is_current:
+            subsets, self._gateway_counts = self.assign()
+            self._members = subsets[self._shard_position]
+            self._is_current = True
+
+    def _with_draws(self, backend_hash: int, backend: int) -> ReadyBackend:
+        draw = splitmix64(backend_hash)
+        step = self._steps[(draw >> 20) % len(self._steps)]
+        fraction = (draw >> 40) / (1 << 24)
+        return ReadyBackend(backend_hash, backend, draw % self.shard_gateways, step, fraction)
+
+    def _assign_bounded(self, mean_gateways: float, max_size: int) -> Assignment:
+        """Give each backend its gateways along its probe sequence, none more than max_size."""
+        gateways = self.shard_gateways
+        subsets: list[list[int]] = [[] for _ in range(gateways)]
+        gateway_counts = {}
+        free_places = [max_size] * gateways
+        shift = self.shard / self.shard_count  # so that the shards round differently
+        for _, backend, first_gateway, step, fraction in self.ready:
+            wanted = min(gateways, int(mean_gateways + (fraction + shift) % 1))
+            missing = wanted
+            gateway = first_gateway
+            for _ in range(gateways):
+                if not missing:
+                    break
+                if free_places[gateway]:
+                    free_places[gateway] -= 1
+                    subsets[gateway].append(backend)
+                    missing -= 1
+                gateway = (gateway + step) % gateways
+            gateway_counts[backend] = wanted - missing
+        return Assignment(subsets, gateway_counts)
+
+    def _fill_up(self, assignment: Assignment, mean_gateways: float, min_size: int) -> None:
+        """Add backends to gateways with fewer than min_size, first those that few gateways have."""
+        gateway_counts = assignment.gateway_counts
+        for gateway, subset in enumerate(assignment.subsets):
+            draw = gateway
+            attempts = 0
+            while len(subset) < min_size:
+                draw = splitmix64(draw + 1)
+                attempts += 1
+                position = bisect_left(self.ready, (draw,)) % len(self.ready)
+                backend = self.ready[position].backend
+                max_gateways = mean_gateways + attempts / RELAXATION_ATTEMPTS
+                if backend not in subset and gateway_counts[backend] <= max_gateways:
+                    subset.append(backend)
+                    gateway_counts[backend] += 1
--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -8,7 +8,14 @@
 import pytest
 
 from sumacpost.model import Endpoint, EndpointListUpdate, Outcome, Send, UpdateKind
-from sumacpost.policy.subsetting import LOOK, MAX_PARTITION_BACKENDS, TEAM, USERS, Partition, Subset
+from sumacpost.policy.subsetting import (
+    MAX_CANDIDATES,
+    MAX_PARTITION_BACKENDS,
+    MAX_SHARD_GATEWAYS,
+    MIN_SUBSET_SIZE,
+    Partition,
+    Subset,
+)
 from tests.support.builders import KEYED, SAFE, START, ended, fleet, gateway, request
 
 SIZES = [
@@ -33,13 +40,13 @@
 def placed(gateways: int, backends: list[int], index: int = 0, partition_count: int = 1) -> Subset:
     subset = Subset(gateways, index, partition_count)
     for backend in backends:
-        subset.place(backend, True)
+        subset.set_ready(backend, True)
     return subset
 
 
 def pairs(subset: Subset) -> frozenset[tuple[int, int]]:
     return frozenset(
-        (number, backend) for number, kept in enumerate(subset.pairs()[0]) for backend in kept
+        (number, backend) for number, kept in enumerate(subset.assign().subsets) for backend in kept
     )
 
 
@@ -47,11 +54,15 @@
 def test_every_backend_has_enough_gateways_and_every_gateway_enough_backends(
     gateways: int, backends: int
 ) -> None:
-    kept, used = placed(gateways, some(backends)).pairs()
-    assert min(used.values()) >= min(USERS, gateways)
-    assert max(used.values()) <= max(USERS + 1, 1.4 * min(used.values()))
-    assert min(map(len, kept)) >= min(backends, max(USERS, ceil(USERS * backends / gateways)))
-    assert max(map(len, kept)) <= max(USERS + 1, 1.1 * USERS * backends / gateways + 1)
+    kept, used = placed(gateways, some(backends)).assign()
+    assert min(used.values()) >= min(MIN_SUBSET_SIZE, gateways)
+    assert max(used.values()) <= max(MIN_SUBSET_SIZE + 1, 1.4 * min(used.values()))
+    assert min(map(len, kept)) >= min(
+        backends, max(MIN_SUBSET_SIZE, ceil(MIN_SUBSET_SIZE * backends / gateways))
+    )
+    assert max(map(len, kept)) <= max(
+        MIN_SUBSET_SIZE + 1, 1.1 * MIN_SUBSET_SIZE * backends / gateways + 1
+    )
     assert all(len(mine) == len(dict.fromkeys(mine)) for mine in kept)
     counted = dict.fromkeys(used, 0)
     for mine in kept:
@@ -70,9 +81,9 @@
     before, new = pairs(subset), 0
     for _ in range(20):
         at = draw.randrange(backends)
-        subset.place(listed[at], False)
+        subset.set_ready(listed[at], False)
         listed[at] = draw.getrandbits(48)
-        subset.place(listed[at], True)
+        subset.set_ready(listed[at], True)
         now = pairs(subset)
         new += len(now - before)
         before = now
@@ -85,22 +96,28 @@
 ) -> None:
     """Drawn all together, 6,900 gateways before 200 backends took a tenth of a second for each change of the list."""
     listed, used, kept = some(backends), dict.fromkeys(some(backends), 0), []
-    for index in range(Subset(gateways, 0).teams):
+    for index in range(Subset(gateways, 0).shard_count):
         subset = placed(gateways, listed, index)
-        assert subset.gateways <= TEAM
-        mine, users = subset.pairs()
+        assert subset.shard_gateways <= MAX_SHARD_GATEWAYS
+        mine, users = subset.assign()
         kept += mine
         for backend, count in users.items():
             used[backend] += count
         assert subset.members() == mine[0]
         assert (
-            0.8 <= subset.users(listed[0]) / max(USERS, USERS * gateways / backends) <= 1.3
+            0.8
+            <= subset.gateways_of(listed[0])
+            / max(MIN_SUBSET_SIZE, MIN_SUBSET_SIZE * gateways / backends)
+            <= 1.3
             or backends == 1
         )
     assert len(kept) == gateways
-    assert min(map(len, kept)) == min(USERS, backends) and max(map(len, kept)) <= USERS + 1
-    assert min(used.values()) >= min(USERS, gateways)
-    assert max(used.values()) <= max(2 * USERS, 1.4 * min(used.values()))
+    assert (
+        min(map(len, kept)) == min(MIN_SUBSET_SIZE, backends)
+        and max(map(len, kept)) <= MIN_SUBSET_SIZE + 1
+    )
+    assert min(used.values()) >= min(MIN_SUBSET_SIZE, gateways)
+    assert max(used.values()) <= max(2 * MIN_SUBSET_SIZE, 1.4 * min(used.values()))
 
 
 def test_the_same_list_gives_the_same_pairs_whatever_came_before() -> None:
@@ -108,12 +125,12 @@
     direct, roundabout = placed(40, listed), placed(40, some(30, 2))
     for backend in some(30, 2):
         roundabout.members()
-        roundabout.place(backend, False)
+        roundabout.set_ready(backend, False)
     for backend in reversed(listed):
-        roundabout.place(backend, True)
-        roundabout.place(backend, True)  # told twice
+        roundabout.set_ready(backend, True)
+        roundabout.set_ready(backend, True)  # told twice
     assert pairs(direct) == pairs(roundabout)
-    assert direct.members() == direct.pairs()[0][0]
+    assert direct.members() == direct.assign()[0][0]
 
 
 def test_a_fleet_of_the_planned_size_is_kept_evenly_and_lives_through_the_loss_of_a_zone() -> None:
@@ -134,8 +151,8 @@
     assert max(map(len, partition_count)) <= MAX_PARTITION_BACKENDS
     zones = {backend: n % 21 for n, backend in enumerate(listed)}
     for n in range(0, partition.partition_count, 8):
-        kept, used = placed(gateways, partition_count[n], n, partition.partition_count).pairs()
-        assert USERS <= min(used.values()) <= max(used.values()) <= USERS + 2
+        kept, used = placed(gateways, partition_count[n], n, partition.partition_count).assign()
+        assert MIN_SUBSET_SIZE <= min(used.values()) <= max(used.values()) <= MIN_SUBSET_SIZE + 2
         assert min(map(len, kept)) >= 35 and max(map(len, kept)) <= 55
         for mine in kept:
             assert min(sum(zones[b] != lost for b in mine) for lost in range(21)) >= 0.7 * len(mine)
@@ -147,7 +164,7 @@
         partition.grow_for(backends)
         assert backends / partition.partition_count <= MAX_PARTITION_BACKENDS
         assert (
-            gateways / partition.partition_count >= 10 * USERS
+            gateways / partition.partition_count >= 10 * MIN_SUBSET_SIZE
         )  # so that backends are spread well within it
     few = Partition(3, 0)
     assert not few.grow_for(5000) and few.holds(7)  # three gateways can't spare any
@@ -191,9 +208,9 @@
         g.handle(START, fleet(*range(1, 41), kind=UpdateKind.CHANGES, up=START))
         (backend, *_) = g.subset.members()
         g.slow_start_budget(START, g.backends[backend], 1.0)
-        budgets.append((g.backends[backend].cold_left, g.subset.users(backend)))
+        budgets.append((g.backends[backend].cold_left, g.subset.gateways_of(backend)))
     (few, two), (many, more) = budgets
-    assert two == 2 and more >= USERS
+    assert two == 2 and more >= MIN_SUBSET_SIZE
     assert many <= few
 
 
@@ -219,11 +236,11 @@
             and again[0].backend != send.backend
             and zones[again[0].backend] == zones[send.backend]
         )
-        assert len(g.candidates(g.calls[1])) == USERS
+        assert len(g.candidates(g.calls[1])) == MIN_SUBSET_SIZE
 
 
 def test_a_decision_compares_no_more_backends_in_a_large_part() -> None:
     g = gateway(*some(1000), gateways=40, classes=(SAFE,))
     g.handle(START, request(1))
-    assert len(g.subset.members()) > LOOK
-    assert len(g.candidates(g.calls[1])) == LOOK
+    assert len(g.subset.members()) > MAX_CANDIDATES
+    assert len(g.candidates(g.calls[1])) == MAX_CANDIDATES
