--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,8 +15,7 @@
 from sumacpost.errors import ConfigError
 from sumacpost.settings_json import flatten
 from sumacpost.simulator import codec
-from tests.support.configuration import GOOD
-from tests.support.loopback import SETTINGS
+from tests.support.configuration import GOOD, SETTINGS
 from tests.support.paths import ROOT
 
 
