--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -8,8 +8,10 @@
 
 import pytest
 
-from tests.support.http_client import OK, SILENT, sent
-from tests.support.loopback import HEALTH, Client, answer, request, run, silence, until, world
+from tests.support.event_loop import run, until
+from tests.support.http_client import HEALTH, OK, SILENT, Client, request, sent
+from tests.support.ingress import world
+from tests.support.peers import answer, silence
 
 
 @pytest.mark.parametrize("begin", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
@@ -18,7 +20,7 @@
 ) -> None:
     """Drip-fed bytes win no time: the client gets an error or a close."""
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
-    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
+    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
         async with world(answer()) as w:
@@ -43,7 +45,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
-    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.05)
+    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
         async with world(answer()) as w:
@@ -211,7 +213,7 @@
 ) -> None:
     """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.1)
-    monkeypatch.setattr("sumacpost.service.SWEEP_S", 0.02)
+    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.02)
 
     async def test() -> None:
         async with world(silence) as w:
