Split the simulator's codec into record layouts, codec and settings text

One module held the wire's layouts, the conversion of events and actions and the parser of the settings text, which the configuration file uses as well; codes were bare numbers and lengths of records were written out by hand.

The layouts and an IntEnum of codes for each direction are now in records.py, the settings text is in settings_text.py, and the error is CodecError, under SumacpostError and ValueError. Actions of fixed length are packed by functions that know their header, found by the action's type.

Only the prefix of the adapter's error line changes: it named a module that is no more.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -20,7 +20,7 @@
 from sumacpost.errors import ConfigError
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import DeduplicationScope, EndpointListUpdate, Settings, UpdateKind
-from sumacpost.simulator.codec import parse_settings
+from sumacpost.simulator.settings_text import parse_settings
 
 MIN_SOCKETS = 64
 MIN_MEMORY_MB = 24
@@ -51,7 +51,7 @@
 
 
 def flatten(value: object, path: str = "") -> Iterator[str]:
-    """Nested settings as the simulator's path=value lines, so that wire.parse_settings validates both."""
+    """Nested settings as the simulator's path=value lines, so that parse_settings validates both."""
     match value:
         case dict():
             for key, item in value.items():
--- a/sumacpost/errors.py
+++ b/sumacpost/errors.py
@@ -30,3 +30,7 @@
 
 class CounterProtocolError(SumacpostError, ValueError):
     """The counter sent what is no reply; after that none can be matched to its call."""
+
+
+class CodecError(SumacpostError, ValueError):
+    """A record or settings text of the simulator is malformed; the message says what and where."""
--- a/sumacpost/simulator/adapter.py
+++ b/sumacpost/simulator/adapter.py
@@ -1,74 +1,99 @@
-"""The adapter: the simulator's wire on standard input and output, one Gateway for each instance."""
+"""The gateway as a process of the simulator: batches on standard input, replies on standard output.
+
+One process holds many instances, each with a Gateway of its own.
+"""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
+from sumacpost.errors import CodecError
 from sumacpost.policy.gateway import Gateway
-from sumacpost.simulator import codec
+from sumacpost.simulator import codec, records
+from sumacpost.simulator.records import EventCode
+
+EXIT_MALFORMED_INPUT = 2
+
+# Plain integers: an enumeration's members are slow to look up and to compare, once for each event.
+_PROVISION = int(EventCode.PROVISION)
+_DOWN = int(EventCode.DOWN)
+
+
+class Adapter:
+    """The gateways of all instances that this process holds."""
+
+    def __init__(self) -> None:
+        self._gateways: dict[int, Gateway] = {}
 
+    def handle_batch(self, now_ms: float, count: int, body: bytes) -> bytes:
+        """Hand each event to its instance and return the records of the actions.
 
-def _exactly(source: BinaryIO, count: int, what: str) -> bytes:
+        Raise CodecError, with the record's number and place, if the batch is malformed.
+        """
+        reply: list[bytes] = []
+        offset = 0
+        for number in range(1, count + 1):
+            if len(body) - offset < records.RECORD_HEADER.size:
+                raise CodecError(f"record {number} at byte {offset}: truncated header")
+            code, length = records.RECORD_HEADER.unpack_from(body, offset)
+            start = offset + records.RECORD_HEADER.size
+            fields = body[start : start + length]
+            if len(fields) < max(length, records.INSTANCE.size):
+                raise CodecError(f"record {number} at byte {offset}: truncated fields")
+            try:
+                reply += self._handle_record(now_ms, code, fields)
+            except ValueError as error:
+                raise CodecError(
+                    f"record {number} at byte {offset}, code {code}: {error}"
+                ) from error
+            offset = start + length
+        if offset != len(body):
+            raise CodecError(f"byte {offset}: {len(body) - offset} bytes after the last record")
+        return b"".join(reply)
+
+    def _handle_record(self, now_ms: float, code: int, fields: bytes) -> list[bytes]:
+        (instance,) = records.INSTANCE.unpack_from(fields)
+        if code == _PROVISION:
+            seed, settings = codec.read_provision(fields)
+            self._gateways[instance] = Gateway(settings, seed)
+            return []
+        if code == _DOWN:
+            self._gateways.pop(instance, None)
+            return []
+        gateway = self._gateways.get(instance)
+        if gateway is None:
+            raise CodecError(f"instance {instance} has not been started")
+        event = codec.read_event(code, fields, gateway.settings)
+        return [codec.write_action(instance, action) for action in gateway.handle(now_ms, event)]
+
+
+def _read_exactly(source: BinaryIO, count: int) -> bytes:
     data = source.read(count)
     if len(data) != count:
-        raise codec.WireError(f"{what}: input ends after {len(data)} of {count} bytes")
+        raise CodecError(f"batch: input ends after {len(data)} of {count} bytes")
     return data
 
 
-def answer_batch(gateways: dict[int, Gateway], now: float, count: int, body: bytes) -> bytes:
-    """Hand each event to its instance and collect the reply's records."""
-    out: list[bytes] = []
-    at = 0
-    for number in range(1, count + 1):
-        if len(body) - at < codec.RECORD.size:
-            raise codec.WireError(f"record {number} at byte {at}: truncated header")
-        code, length = codec.RECORD.unpack_from(body, at)
-        fields = body[at + codec.RECORD.size : at + codec.RECORD.size + length]
-        if len(fields) < max(length, codec.INSTANCE.size):
-            raise codec.WireError(f"record {number} at byte {at}: truncated fields")
-        (instance,) = codec.INSTANCE.unpack_from(fields)
-        try:
-            if code == codec.PROVISION:
-                seed, settings = codec.read_provision(fields)
-                gateways[instance] = Gateway(settings, seed)
-            elif code == codec.STOPPED:
-                gateways.pop(instance, None)
-            elif instance in gateways:
-                gateway = gateways[instance]
-                event = codec.read_event(code, fields, gateway.settings)
-                out += [
-                    codec.write_action(instance, action) for action in gateway.handle(now, event)
-                ]
-            else:
-                raise codec.WireError(f"instance {instance} has not been started")
-        except ValueError as error:
-            raise codec.WireError(f"record {number} at byte {at}, code {code}: {error}") from error
-        at += codec.RECORD.size + length
-    if at != len(body):
-        raise codec.WireError(f"byte {at}: {len(body) - at} bytes after the last record")
-    return b"".join(out)
-
-
 def run(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends."""
-    gateways: dict[int, Gateway] = {}
-    while head := source.read(codec.BATCH_HEAD.size):
-        if len(head) < codec.BATCH_HEAD.size:
-            raise codec.WireError(f"batch header: input ends after {len(head)} bytes")
-        length, now, count = codec.BATCH_HEAD.unpack(head)
-        reply = answer_batch(gateways, now, count, _exactly(source, length, "batch"))
-        sink.write(codec.REPLY_HEAD.pack(len(reply)) + reply)
+    """Reply to batches until the input ends; CodecError on the first that is malformed."""
+    adapter = Adapter()
+    while header := source.read(records.BATCH_HEADER.size):
+        if len(header) < records.BATCH_HEADER.size:
+            raise CodecError(f"batch header: input ends after {len(header)} bytes")
+        length, now_ms, count = records.BATCH_HEADER.unpack(header)
+        reply = adapter.handle_batch(now_ms, count, _read_exactly(source, length))
+        sink.write(records.REPLY_HEADER.pack(len(reply)) + reply)
         sink.flush()
 
 
 def main() -> int:
-    """Exit 0 at the end of input, 2 with one plain line on malformed input."""
+    """Return 0 at the end of the input, 2 after one line on standard error if it is malformed."""
     try:
         run(sys.stdin.buffer, sys.stdout.buffer)
-    except codec.WireError as error:
-        print(f"benchlink: {error}", file=sys.stderr)
-        return 2
+    except CodecError as error:
+        print(f"sumacpost.simulator: {error}", file=sys.stderr)
+        return EXIT_MALFORMED_INPUT
     return 0
 
 
--- a/sumacpost/simulator/codec.py
+++ b/sumacpost/simulator/codec.py
@@ -1,36 +1,40 @@
-"""The simulator's binary wire: frames, records and the settings text."""
+"""Conversion between the simulator's records and the typed messages of the gateway.
+
+`read_event` and `read_provision` take the fields of a record, without its header, and raise
+CodecError if they are malformed. `write_action` returns a whole record.
+"""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+import struct
+from collections.abc import Callable
+from enum import IntEnum
+from functools import partial
 from struct import Struct
-from typing import Any
+from typing import Any, TypeVar
 
+from sumacpost.errors import CodecError
 from sumacpost.model import (
     Action,
     AddToCounter,
     AttemptEnded,
+    BackendId,
     Cancel,
     CheckHealth,
     CounterReplied,
-    DeduplicationScope,
     Endpoint,
     EndpointListUpdate,
     EndpointStatus,
     Event,
     Fail,
     HealthCheckEnded,
-    Idempotency,
     Log,
     Outcome,
     PeerMessage,
-    Plan,
     Reject,
     RequestArrived,
     RequestCancelled,
-    RequestClass,
     ResponseStarted,
     Send,
     SendPeerMessage,
@@ -39,394 +43,296 @@
     TimerFired,
     UpdateKind,
 )
-from sumacpost.model.settings import SettingsError
-
-
-class WireError(ValueError):
-    """Malformed input: what is wrong and where."""
-
-
-PROVISION, STOPPED = 1000, 1080
-BATCH_HEAD = Struct("<IdI")
-REPLY_HEAD = Struct("<I")
-RECORD = Struct("<HI")
-INSTANCE = Struct("<I")
-_PROVISION = Struct("<IQI")
-_VIEW = Struct("<IBQI")
-_ENTRY = Struct("<IHHHHBfd")
-_ACCEPT = Struct("<IQfffBdQHB")
-_BEGUN = Struct("<IQHIHd")
-_ENDED = Struct("<IQHIHBdBHHB")
-_WITHDRAWN = Struct("<IQ")
-_FIRED = Struct("<IQ")
-_PROBED = Struct("<IIHBdB")
-_PEER = Struct("<IHH")
-_COUNTED = Struct("<IQBdf")
-
-_OUT_SEND = Struct("<HIIQdIH")
-_OUT_CANCEL = Struct("<HIIQH")
-_OUT_REFUSE = Struct("<HIIQd")
-_OUT_FAIL = Struct("<HIIQ")
-_OUT_TIMER = Struct("<HIIdQ")
-_OUT_PROBE = Struct("<HIIIH")
-_OUT_TELL = Struct("<HIIIH")
-_OUT_COUNT = Struct("<HIIQfd")
-_OUT_TEXT = Struct("<HIIH")
-LOG_CODE, FAULT_CODE = 1030, 1090
-EVERY_PEER = 0xFFFFFFFF
-RETRY_BIT = 2
-
-
-def _backend(address: int, port: int) -> int:
-    return address << 16 | port
-
-
-def _fixed(shape: Struct, body: bytes, what: str) -> tuple[Any, ...]:
-    """Unpack a record that has no variable part."""
-    if len(body) != shape.size:
-        raise WireError(f"{what}: {len(body)} bytes of fields, {shape.size} expected")
-    return shape.unpack(body)
-
-
-def _counted(
-    shape: Struct, body: bytes, item_size: int, what: str
+from sumacpost.simulator import records
+from sumacpost.simulator.records import ActionCode, EventCode
+from sumacpost.simulator.settings_text import parse_settings
+
+Member = TypeVar("Member", bound=IntEnum)
+
+PORT_BITS = 16
+PORT_MASK = 0xFFFF
+
+
+# ---- fields
+
+
+def _backend_id(address: int, port: int) -> BackendId:
+    return address << PORT_BITS | port
+
+
+def _unpack_fixed(layout: Struct, fields: bytes, record: str) -> tuple[Any, ...]:
+    """Unpack a record without variable part; CodecError unless its length fits."""
+    if len(fields) != layout.size:
+        raise CodecError(f"{record}: {len(fields)} bytes of fields, {layout.size} expected")
+    return layout.unpack(fields)
+
+
+def _unpack_counted(
+    layout: Struct, fields: bytes, item_size: int, record: str
 ) -> tuple[tuple[Any, ...], bytes]:
-    """Unpack a record whose last fixed field counts the items that follow."""
-    if len(body) < shape.size:
-        raise WireError(f"{what}: {len(body)} bytes of fields, at least {shape.size} expected")
-    head = shape.unpack_from(body)
-    rest = body[shape.size :]
-    if len(rest) != head[-1] * item_size:
-        raise WireError(
-            f"{what}: {len(rest)} bytes follow, {head[-1]} items of {item_size} bytes announced"
+    """Unpack a record whose last fixed field counts the items behind it; return both parts."""
+    if len(fields) < layout.size:
+        raise CodecError(
+            f"{record}: {len(fields)} bytes of fields, at least {layout.size} expected"
+        )
+    fixed = layout.unpack_from(fields)
+    items = fields[layout.size :]
+    count = fixed[-1]
+    if len(items) != count * item_size:
+        raise CodecError(
+            f"{record}: {len(items)} bytes follow, {count} items of {item_size} bytes announced"
         )
-    return head, rest
+    return fixed, items
 
 
-def _number(value: float, what: str, least: float = 0.0) -> float:
-    if not (math.isfinite(value) and value >= least):
-        raise WireError(f"{what}: {value!r} is not a finite number of at least {least:g}")
+def _number(value: float, field: str, minimum: float = 0.0) -> float:
+    """Return the value; CodecError unless it is finite and not below the minimum."""
+    if not (math.isfinite(value) and value >= minimum):
+        raise CodecError(f"{field}: {value!r} is not a finite number of at least {minimum:g}")
     return value
 
 
-def _choice(kind: Callable[[Any], Any], value: Any, what: str) -> Any:
+def _member(kind: type[Member], value: int, field: str) -> Member:
+    """Return the member of an enumeration that has this value."""
     try:
         return kind(value)
     except ValueError:
-        raise WireError(f"{what}: {value!r} is unknown") from None
+        raise CodecError(f"{field}: {value!r} is unknown") from None
 
 
-def _floats(data: bytes, what: str) -> tuple[float, ...]:
-    values = Struct(f"<{len(data) // 4}f").unpack(data)
+def _report(data: bytes, field: str) -> tuple[float, ...]:
+    """Return the values of a load report."""
+    values: tuple[float, ...] = struct.unpack(f"<{len(data) // records.REPORT_VALUE_SIZE}f", data)
     for value in values:
-        _number(value, what, -math.inf)
+        _number(value, field, -math.inf)
     return values
 
 
-def _read_view(body: bytes) -> Event:
-    (_, form, serial, _), rest = _counted(_VIEW, body, _ENTRY.size, "VIEW")
+# ---- events
+
+
+def _read_view(fields: bytes) -> EndpointListUpdate:
+    fixed, items = _unpack_counted(records.VIEW, fields, records.VIEW_ENTRY.size, "VIEW")
+    _, form, serial, _ = fixed
     entries = []
-    for address, port, zone, kind, cell, state, size, up in _ENTRY.iter_unpack(rest):
-        ready = _choice(EndpointStatus, state, "VIEW availability")
+    for address, port, zone, kind, cell, status, size, up_since in records.VIEW_ENTRY.iter_unpack(
+        items
+    ):
         entries.append(
             Endpoint(
-                _backend(address, port),
-                ready,
+                _backend_id(address, port),
+                _member(EndpointStatus, status, "VIEW availability"),
                 zone,
                 kind,
                 cell,
                 _number(size, "VIEW size"),
-                _number(up, "VIEW up_since"),
+                _number(up_since, "VIEW up_since"),
             )
         )
-    return EndpointListUpdate(_choice(UpdateKind, form, "VIEW form"), entries, serial)
+    return EndpointListUpdate(_member(UpdateKind, form, "VIEW form"), entries, serial)
 
 
-def _read_accept(body: bytes) -> Event:
-    _, call, units, first, width, request_class, left, customer, plan, bits = _fixed(
-        _ACCEPT, body, "ACCEPT"
+def _read_accept(fields: bytes) -> RequestArrived:
+    _, request, units, first, width, request_class, time_left, customer, plan, bits = _unpack_fixed(
+        records.ACCEPT, fields, "ACCEPT"
     )
     return RequestArrived(
-        call,
-        customer,
-        plan,
-        request_class,
-        _number(units, "ACCEPT price_units"),
-        int(_number(first, "ACCEPT set_from")),
-        int(_number(width, "ACCEPT width", 1)),
-        _number(left, "ACCEPT time_left"),
-        bool(bits & RETRY_BIT),
+        request=request,
+        customer=customer,
+        plan=plan,
+        request_class=request_class,
+        units=_number(units, "ACCEPT price_units"),
+        first_gateway=int(_number(first, "ACCEPT set_from")),
+        gateway_spread=int(_number(width, "ACCEPT width", 1)),
+        time_left_ms=_number(time_left, "ACCEPT time_left"),
+        retry=bool(bits & records.RETRY_BIT),
     )
 
 
-def _read_begun(body: bytes) -> Event:
-    _, call, n, address, port, spent = _fixed(_BEGUN, body, "BEGUN")
-    return ResponseStarted(call, n, _backend(address, port), _number(spent, "BEGUN spent"))
+def _read_begun(fields: bytes) -> ResponseStarted:
+    _, request, attempt, address, port, spent = _unpack_fixed(records.BEGUN, fields, "BEGUN")
+    return ResponseStarted(
+        request, attempt, _backend_id(address, port), _number(spent, "BEGUN spent")
+    )
 
 
-def _read_ended(body: bytes) -> Event:
-    head, rest = _counted(_ENDED, body, 4, "COMPLETED")
-    _, call, n, address, port, verdict, spent, over, used, units, _ = head
+def _read_completed(fields: bytes) -> AttemptEnded:
+    fixed, items = _unpack_counted(
+        records.COMPLETED, fields, records.REPORT_VALUE_SIZE, "COMPLETED"
+    )
+    _, request, attempt, address, port, verdict, spent, over, used, units, _ = fixed
     return AttemptEnded(
-        call,
-        n,
-        _backend(address, port),
-        _choice(Outcome, verdict, "COMPLETED verdict"),
-        _number(spent, "COMPLETED spent"),
-        bool(over),
-        used - 1.0 if used else None,
-        float(units),
-        _floats(rest, "COMPLETED telemetry"),
+        request=request,
+        attempt=attempt,
+        backend=_backend_id(address, port),
+        outcome=_member(Outcome, verdict, "COMPLETED verdict"),
+        elapsed_ms=_number(spent, "COMPLETED spent"),
+        concluded=bool(over),
+        # The wire has the percentage plus 1, as 0 stands for an absent one.
+        quota_used_percent=used - 1.0 if used else None,
+        actual_units=float(units),
+        report=_report(items, "COMPLETED telemetry"),
     )
 
 
-def _read_withdrawn(body: bytes) -> Event:
-    return RequestCancelled(_fixed(_WITHDRAWN, body, "WITHDRAWN")[1])
+def _read_withdrawn(fields: bytes) -> RequestCancelled:
+    _, request = _unpack_fixed(records.WITHDRAWN, fields, "WITHDRAWN")
+    return RequestCancelled(request)
 
 
-def _read_fired(body: bytes) -> Event:
-    return TimerFired(_fixed(_FIRED, body, "DEADLINE_HIT")[1])
+def _read_deadline_hit(fields: bytes) -> TimerFired:
+    _, label = _unpack_fixed(records.DEADLINE_HIT, fields, "DEADLINE_HIT")
+    return TimerFired(label)
 
 
-def _read_probed(body: bytes) -> Event:
-    (_, address, port, verdict, spent, _), rest = _counted(_PROBED, body, 4, "STATUS_BACK")
+def _read_status_back(fields: bytes) -> HealthCheckEnded:
+    fixed, items = _unpack_counted(
+        records.STATUS_BACK, fields, records.REPORT_VALUE_SIZE, "STATUS_BACK"
+    )
+    _, address, port, verdict, spent, _ = fixed
     return HealthCheckEnded(
-        _backend(address, port),
-        _choice(Outcome, verdict, "STATUS_BACK verdict"),
+        _backend_id(address, port),
+        _member(Outcome, verdict, "STATUS_BACK verdict"),
         _number(spent, "STATUS_BACK spent"),
-        _floats(rest, "STATUS_BACK telemetry"),
+        _report(items, "STATUS_BACK telemetry"),
     )
 
 
-def _read_peer(body: bytes) -> Event:
-    (_, author, _), rest = _counted(_PEER, body, 1, "MESSAGE")
-    return PeerMessage(author, rest)
+def _read_message(fields: bytes) -> PeerMessage:
+    fixed, body = _unpack_counted(records.MESSAGE, fields, 1, "MESSAGE")
+    _, author, _ = fixed
+    return PeerMessage(author, body)
 
 
-def _read_counted(body: bytes) -> Event:
-    _, key, verdict, spent, reading = _fixed(_COUNTED, body, "LEDGER_REPLY")
-    outcome = _choice(Outcome, verdict, "LEDGER_REPLY verdict")
+def _read_ledger_reply(fields: bytes) -> CounterReplied:
+    _, name, verdict, spent, reading = _unpack_fixed(records.LEDGER_REPLY, fields, "LEDGER_REPLY")
+    outcome = _member(Outcome, verdict, "LEDGER_REPLY verdict")
     if outcome is Outcome.OK:
         _number(reading, "LEDGER_REPLY reading", -math.inf)
-    return CounterReplied(key, outcome, _number(spent, "LEDGER_REPLY spent"), reading)
+    return CounterReplied(name, outcome, _number(spent, "LEDGER_REPLY spent"), reading)
 
 
 _READERS: dict[int, Callable[[bytes], Event]] = {
-    1050: _read_view,
-    1060: _read_accept,
-    1070: _read_begun,
-    1030: _read_ended,
-    1020: _read_withdrawn,
-    1090: _read_fired,
-    1010: _read_probed,
-    1040: _read_peer,
-    1100: _read_counted,
+    EventCode.VIEW: _read_view,
+    EventCode.ACCEPT: _read_accept,
+    EventCode.BEGUN: _read_begun,
+    EventCode.COMPLETED: _read_completed,
+    EventCode.WITHDRAWN: _read_withdrawn,
+    EventCode.DEADLINE_HIT: _read_deadline_hit,
+    EventCode.STATUS_BACK: _read_status_back,
+    EventCode.MESSAGE: _read_message,
+    EventCode.LEDGER_REPLY: _read_ledger_reply,
 }
 
 
-def read_event(code: int, body: bytes, settings: Settings) -> Event:
-    """The event in a record that is neither a start nor a stop."""
+def read_event(code: int, fields: bytes, settings: Settings) -> Event:
+    """Return the event in a record that is neither the start nor the stop of an instance.
+
+    Raise CodecError if the record is malformed or names a class or plan that the settings lack.
+    """
     reader = _READERS.get(code)
     if reader is None:
-        raise WireError(f"unknown event code {code}")
-    event = reader(body)
+        raise CodecError(f"unknown event code {code}")
+    event = reader(fields)
     if isinstance(event, RequestArrived):
-        for what, number, known in (
-            ("band", event.request_class, len(settings.classes)),
-            ("tariff", event.plan, len(settings.plans)),
-        ):
-            if number >= known:
-                raise WireError(f"ACCEPT {what}: {number} is not below {known}")
+        _check_index(event.request_class, len(settings.classes), "ACCEPT band")
+        _check_index(event.plan, len(settings.plans), "ACCEPT tariff")
     return event
 
 
-def read_provision(body: bytes) -> tuple[int, Settings]:
-    """Seed and settings of an instance that starts."""
-    (_, seed, _), text = _counted(_PROVISION, body, 1, "PROVISION")
+def _check_index(index: int, count: int, field: str) -> None:
+    if index >= count:
+        raise CodecError(f"{field}: {index} is not below {count}")
+
+
+def read_provision(fields: bytes) -> tuple[int, Settings]:
+    """Return the seed and the settings of an instance that starts."""
+    fixed, text = _unpack_counted(records.PROVISION, fields, 1, "PROVISION")
+    _, seed, _ = fixed
     try:
         return seed, parse_settings(text.decode())
     except UnicodeDecodeError:
-        raise WireError("PROVISION settings: not UTF-8 text") from None
+        raise CodecError("PROVISION settings: not UTF-8 text") from None
 
 
-def write_action(instance: int, action: Action) -> bytes:
-    """One action as a record."""
-    match action:
-        case Send(call, backend, timeout):
-            return _OUT_SEND.pack(
-                1070, 26, instance, call, timeout, backend >> 16, backend & 0xFFFF
-            )
-        case Reject(call, retry_after):
-            return _OUT_REFUSE.pack(1100, 20, instance, call, retry_after)
-        case AddToCounter(name, amount, ttl):
-            return _OUT_COUNT.pack(1020, 24, instance, name, amount, ttl)
-        case SetTimer(after, label):
-            return _OUT_TIMER.pack(1050, 20, instance, after, label)
-        case Fail(call):
-            return _OUT_FAIL.pack(1010, 12, instance, call)
-        case Cancel(call, attempt):
-            return _OUT_CANCEL.pack(1080, 14, instance, call, attempt)
-        case CheckHealth(backend):
-            return _OUT_PROBE.pack(1000, 10, instance, backend >> 16, backend & 0xFFFF)
-        case SendPeerMessage(gateway, message):
-            whom = EVERY_PEER if gateway is None else gateway
-            return _OUT_TELL.pack(1120, 10 + len(message), instance, whom, len(message)) + message
-        case Log(text):
-            return write_text(LOG_CODE, instance, text)
-
-
-def write_text(code: int, instance: int, text: str) -> bytes:
-    """A log line or a fault as a record."""
-    data = text.encode()[:60_000]
-    return _OUT_TEXT.pack(code, 6 + len(data), instance, len(data)) + data
-
-
-# ---- settings
-
-_IDEMPOTENCY = {
-    "pure": Idempotency.IDEMPOTENT,
-    "token": Idempotency.IDEMPOTENCY_KEY,
-    "side_effect": Idempotency.NOT_IDEMPOTENT,
-}
+# ---- actions
 
 
-class _Reader:
-    """Typed look-ups in the settings text; missing or malformed values are named."""
-
-    def __init__(self, text: str) -> None:
-        self.values: dict[str, str] = {}
-        for number, line in enumerate(text.splitlines(), 1):
-            key, equals, value = line.partition("=")
-            if not equals:
-                raise WireError(f"settings line {number}: no '=' in {line[:40]!r}")
-            self.values[key] = value
-
-    def text(self, key: str, default: str | None = None) -> str:
-        value = self.values.get(key, default)
-        if value is None:
-            raise WireError(f"settings: {key} is missing")
-        return value
-
-    def number(self, key: str, default: float | None = None) -> float:
-        value = self.text(key, None if default is None else str(default))
-        try:
-            return float(value)
-        except ValueError:
-            raise WireError(f"settings: {key}: {value!r} is not a number") from None
-
-    def whole(self, key: str, default: int | None = None) -> int:
-        value = self.number(key, default)
-        if not value.is_integer():
-            raise WireError(f"settings: {key}: {value!r} is not a whole number")
-        return int(value)
-
-    def truth(self, key: str) -> bool:
-        value = self.text(key, "false")
-        if value not in ("true", "false"):
-            raise WireError(f"settings: {key}: {value!r} is neither true nor false")
-        return value == "true"
-
-    def items(self, key: str) -> list[str]:
-        return [f"{key}.{i}." for i in range(self.whole(f"{key}.count"))]
-
-
-# the settings' keys of the fields that the model checks
-_CLASS_KEYS = {
-    "latency_objective_ms": "aim",
-    "deadline_ms": "hard_limit",
-    "priority_weight": "points",
-    "deduplication_window_ms": "dedup_window",
-    "late_priority_weight": "late_worth",
-}
-_PLAN_KEYS = {
-    "rate": "per_second",
-    "burst": "peak_units",
-    "open_limit": "at_once",
-    "over_quota_weight": "over_worth",
-    "over_quota_cost": "excess_cost",
-    "ceiling_rate": "cap_rate",
-    "ceiling_slack": "tolerance",
-}
+def _fixed_packer(code: ActionCode, fields: str) -> Callable[..., bytes]:
+    """Return a function that packs these fields behind the header of their record."""
+    layout = Struct(records.RECORD_HEADER.format + fields)
+    return partial(layout.pack, int(code), layout.size - records.RECORD_HEADER.size)
 
 
-@contextmanager
-def _named_by_key(prefix: str, keys: dict[str, str]) -> Iterator[None]:
-    """Name a bad value by its key in the settings, as that is what the operators wrote."""
-    try:
-        yield
-    except SettingsError as error:
-        key = keys.get(error.field, error.field)
-        raise WireError(f"settings: {prefix}{key}: {error.reason}") from error
-
-
-def _parse_class(r: _Reader, prefix: str) -> RequestClass:
-    idempotency = r.text(prefix + "idempotency")
-    if idempotency not in _IDEMPOTENCY:
-        raise WireError(f"settings: {prefix}idempotency: {idempotency!r} is unknown")
-    scope = r.text(prefix + "group", "all")
-    with _named_by_key(prefix, _CLASS_KEYS):
-        return RequestClass(
-            latency_objective_ms=r.number(prefix + "aim"),
-            deadline_ms=r.number(prefix + "hard_limit"),
-            priority_weight=r.number(prefix + "points"),
-            idempotency=_IDEMPOTENCY[idempotency],
-            deduplication_scope=_choice(DeduplicationScope, scope, f"settings: {prefix}group"),
-            deduplication_window_ms=r.number(prefix + "dedup_window", 0),
-            late_priority_weight=r.number(prefix + "late_worth", 0),
-            name=r.text(prefix + "name", ""),
-        )
+_pack_dispatch = _fixed_packer(ActionCode.DISPATCH, records.DISPATCH_FIELDS)
+_pack_undo_send = _fixed_packer(ActionCode.UNDO_SEND, records.UNDO_SEND_FIELDS)
+_pack_deny = _fixed_packer(ActionCode.DENY, records.DENY_FIELDS)
+_pack_fail = _fixed_packer(ActionCode.FAIL, records.FAIL_FIELDS)
+_pack_wake_me = _fixed_packer(ActionCode.WAKE_ME, records.WAKE_ME_FIELDS)
+_pack_test = _fixed_packer(ActionCode.TEST, records.TEST_FIELDS)
+_pack_bump = _fixed_packer(ActionCode.BUMP, records.BUMP_FIELDS)
 
 
-def _parse_plan(r: _Reader, prefix: str) -> Plan:
-    with _named_by_key(prefix, _PLAN_KEYS):
-        return Plan(
-            rate=r.number(prefix + "per_second"),
-            burst=r.number(prefix + "peak_units"),
-            open_limit=r.whole(prefix + "at_once", 0),
-            price=r.number(prefix + "price", 1),
-            over_quota_weight=r.number(prefix + "over_worth", 0),
-            over_quota_cost=r.number(prefix + "excess_cost", 0),
-            ceiling_rate=r.number(prefix + "cap_rate", 0),
-            ceiling_burst=r.number(prefix + "ceiling_burst", 0),
-            ceiling_slack=r.number(prefix + "tolerance", 0),
-            name=r.text(prefix + "name", ""),
-        )
+def _write_send(instance: int, action: Send) -> bytes:
+    address = action.backend >> PORT_BITS
+    port = action.backend & PORT_MASK
+    return _pack_dispatch(instance, action.request, action.timeout_ms, address, port)
 
 
-def parse_settings(text: str) -> Settings:
-    """Read the settings text; unknown keys are ignored."""
-    r = _Reader(text)
-    classes = [_parse_class(r, prefix) for prefix in r.items("categories")]
-    plans = [_parse_plan(r, prefix) for prefix in r.items("plans")]
-    reported = r.text("telemetry.via", "off") != "off" and r.text("telemetry.fields", "")
-    return Settings(
-        gateways=r.whole("balancers"),
-        index=r.whole("index"),
-        classes=tuple(classes),
-        plans=tuple(plans),
-        max_attempts=r.whole("permissions.most_tries"),
-        initial_capacity=r.number("safety.start_capacity"),
-        slow_start_ms=r.number("safety.cold"),
-        overload_factor=r.number("safety.fall_multiple"),
-        overload_window_ms=r.number("safety.overload_for"),
-        drain_grace_ms=r.number("safety.stop_sending_within"),
-        connect_timeout_ms=r.number("permissions.dial_timeout", 250),
-        response_grace_ms=r.number("safety.grace_to_answer", 0),
-        zone=r.whole("locality", 0),
-        tick_ms=r.number("quantum", 1),
-        max_units=r.number("extra.units_top", 1),
-        clients_mark_retries=r.truth("clients.marks_retry"),
-        retry_after=r.truth("permissions.retry_after"),
-        max_retry_after_ms=r.number("permissions.max_retry_after", 0),
-        hedging=r.truth("permissions.parallel_tries"),
-        cancel=r.truth("permissions.cancel"),
-        probes=r.truth("permissions.probes"),
-        peers=r.truth("permissions.may_tell"),
-        peer_in_per_s=r.number("extra.peer_intake", 0),
-        counter=r.truth("extra.has_counter"),
-        counter_timeout_ms=r.number("extra.count_wait", 0),
-        counter_price=r.number("extra.counter_price", 0),
-        meter_ms=r.number("extra.meter", 0),
-        settled_after=r.truth("extra.cost_after"),
-        report_fields=tuple(reported.split(",")) if reported else (),
-    )
+def _write_cancel(instance: int, action: Cancel) -> bytes:
+    return _pack_undo_send(instance, action.request, action.attempt)
+
+
+def _write_reject(instance: int, action: Reject) -> bytes:
+    return _pack_deny(instance, action.request, action.retry_after_ms)
+
+
+def _write_fail(instance: int, action: Fail) -> bytes:
+    return _pack_fail(instance, action.request)
+
+
+def _write_set_timer(instance: int, action: SetTimer) -> bytes:
+    return _pack_wake_me(instance, action.after_ms, action.label)
+
+
+def _write_check_health(instance: int, action: CheckHealth) -> bytes:
+    return _pack_test(instance, action.backend >> PORT_BITS, action.backend & PORT_MASK)
+
+
+def _write_add_to_counter(instance: int, action: AddToCounter) -> bytes:
+    return _pack_bump(instance, action.name, action.amount, action.ttl_ms)
+
+
+def _write_send_peer_message(instance: int, action: SendPeerMessage) -> bytes:
+    receiver = records.EVERY_PEER if action.gateway is None else action.gateway
+    size = len(action.body)
+    return _pack_counted(records.SHARE, ActionCode.SHARE, size, instance, receiver) + action.body
+
+
+def _write_log(instance: int, action: Log) -> bytes:
+    text = action.text.encode()[: records.MAX_TEXT_BYTES]
+    return _pack_counted(records.DEBUG, ActionCode.DEBUG, len(text), instance) + text
+
+
+def _pack_counted(layout: Struct, code: ActionCode, size: int, *fields: int) -> bytes:
+    """Pack the fixed part of a record that ends with so many bytes."""
+    length = layout.size - records.RECORD_HEADER.size + size
+    return layout.pack(code, length, *fields, size)
+
+
+_WRITERS: dict[type, Callable[[int, Any], bytes]] = {
+    Send: _write_send,
+    Cancel: _write_cancel,
+    Reject: _write_reject,
+    Fail: _write_fail,
+    SetTimer: _write_set_timer,
+    CheckHealth: _write_check_health,
+    AddToCounter: _write_add_to_counter,
+    SendPeerMessage: _write_send_peer_message,
+    Log: _write_log,
+}
+
+
+def write_action(instance: int, action: Action) -> bytes:
+    """Return one action of an instance as a record."""
+    return _WRITERS[type(action)](instance, action)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -18,7 +18,7 @@
 from sumacpost.errors import ConfigError
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import CounterReplied, EndpointStatus, Outcome, UpdateKind
-from sumacpost.simulator import codec
+from sumacpost.simulator.settings_text import parse_settings
 from tests.support.counter_calls import Counting, read_counter_call
 from tests.support.loopback import (
     HEALTH,
@@ -189,7 +189,7 @@
         "g=",
         "plans.count=0",
     ]
-    settings = codec.parse_settings("\n".join(flatten(SETTINGS)))
+    settings = parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
     assert settings.clients_mark_retries and settings.plans[1].rate == 100
 
