--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,9 +11,10 @@
 
 import pytest
 
-from sumacpost.config import flatten, read_config
+from sumacpost.config import read_config
 from sumacpost.errors import ConfigError
-from sumacpost.simulator import codec
+from sumacpost.settings_json import flatten
+from sumacpost.simulator.settings_text import parse_settings
 from tests.support.configuration import GOOD, SETTINGS
 from tests.support.paths import ROOT
 
@@ -41,7 +42,7 @@
         "g=",
         "plans.count=0",
     ]
-    settings = codec.parse_settings("\n".join(flatten(SETTINGS)))
+    settings = parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
     assert settings.clients_mark_retries and settings.plans[1].rate == 100
 
@@ -103,7 +104,7 @@
 def test_the_bound_on_an_answer_follows_the_memory() -> None:
     config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
     small, large = (
-        read_config(json.dumps(config | {"limits": {"memory_mb": mb}})).max_answer
+        read_config(json.dumps(config | {"limits": {"memory_mb": mb}})).max_response_bytes
         for mb in (32, 128)
     )
     assert small > 600_000 and 4 * small == pytest.approx(large, abs=4) and large < 3_000_000
