--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -32,6 +32,11 @@
     CLOSING = auto()  # input is discarded; the connection ends after the responses owed
 
 
+# Up to Python 3.11 each access to a member through its class costs a call.
+_READING = ConnectionState.READING
+_CLOSING = ConnectionState.CLOSING
+
+
 @dataclass(slots=True)
 class ReceivedData:
     """Bytes that were received together."""
@@ -50,7 +55,7 @@
         self._registry = registry
         self._handler = handler
         self._reader = RequestReader(self._on_request)
-        self._state = ConnectionState.READING
+        self._state = _READING
         self._pending_responses: deque[PendingResponse] = deque()
         self._unread: deque[ReceivedData] = deque()
         self._unread_bytes = 0
@@ -72,7 +77,7 @@
 
         Reading from the socket is never paused: only its end tells that the client has left.
         """
-        if self._state is ConnectionState.CLOSING:
+        if self._state is _CLOSING:
             return
         self._unread.append(ReceivedData(time.monotonic(), data))
         self._unread_bytes += len(data)
@@ -106,7 +111,7 @@
         if self._parsing:
             return  # responses that are ready at once go out when the bytes have been parsed
         wrote = self._write_due_responses()
-        while self._may_parse():
+        while self._unread and self._may_parse():
             self._parse_next()
             wrote = self._write_due_responses() or wrote
         self._update_registry(wrote)
@@ -131,8 +136,7 @@
 
     def _may_parse(self) -> bool:
         return (
-            bool(self._unread)
-            and self._state is ConnectionState.READING
+            self._state is _READING
             and not self._writing_paused
             and len(self._pending_responses) < MAX_PIPELINED
         )
@@ -151,7 +155,7 @@
 
     def _on_request(self, message: RequestMessage) -> None:
         """Handle a complete request; called by the reader."""
-        if self._state is ConnectionState.CLOSING:
+        if self._state is _CLOSING:
             return
         if self.has_disconnected():
             self._stop_reading()
@@ -164,7 +168,7 @@
 
     def _reject(self, status: int) -> None:
         """Answer input that is no request; where the next would begin can't be told."""
-        if self._state is ConnectionState.CLOSING:
+        if self._state is _CLOSING:
             return
         response = PendingResponse(self, keep_alive=False, received_at=self._received_at)
         self._pending_responses.append(response)
@@ -180,16 +184,14 @@
                 break
             self._pending_responses.popleft()
             wrote = True
-            is_last = not response.keep_alive or self._ends_for_drain()
+            # In a drain a response ends the connection if no request has come behind its own.
+            drained = self._handler.draining and not (self._pending_responses or self._unread)
+            is_last = drained or not response.keep_alive
             self._write(response.head, response.body, is_last)
             if is_last:
                 self._finish_sending()
         return wrote
 
-    def _ends_for_drain(self) -> bool:
-        """In a drain, a response ends the connection if no request has come behind its own."""
-        return self._handler.draining and not (self._pending_responses or self._unread)
-
     def _write(self, head: bytes, body: bytes, is_last: bool) -> None:
         head += b"\r\nConnection: close\r\n\r\n" if is_last else b"\r\n\r\n"
         if len(body) > MAX_BODY:
@@ -202,7 +204,7 @@
         """Tell the registry what the connection waits for now."""
         if self._pending_responses:
             self._registry.mark_busy(self)
-        elif self._state is ConnectionState.CLOSING:
+        elif self._state is _CLOSING:
             return
         elif self._reader.has_partial_message:
             if wrote or self in self._registry.idle:
@@ -214,19 +216,19 @@
 
     def on_request_timeout(self) -> None:
         """Answer a request that has not come whole in its time, or end a silent connection."""
-        if self._reader.has_partial_message and self._state is ConnectionState.READING:
+        if self._reader.has_partial_message and self._state is _READING:
             self._reject(408)
         else:
             self.close()
 
     def close(self) -> None:
         """Close the connection between requests, once its last response is written."""
-        self._state = ConnectionState.CLOSING
+        self._state = _CLOSING
         self._transport.close()
 
     def evict(self) -> None:
         """Close at once, as the place is needed: a client that does not read would hold it."""
-        self._state = ConnectionState.CLOSING
+        self._state = _CLOSING
         if self._transport.get_write_buffer_size():
             self._transport.abort()
         else:
@@ -234,11 +236,11 @@
 
     def abort(self) -> None:
         """Close at once: the client never reads its response, or never ends its request."""
-        self._state = ConnectionState.CLOSING
+        self._state = _CLOSING
         self._transport.abort()
 
     def _stop_reading(self) -> None:
-        self._state = ConnectionState.CLOSING
+        self._state = _CLOSING
         self._unread.clear()
         self._unread_bytes = 0
 
--- a/sumacpost/server/request.py
+++ b/sumacpost/server/request.py
@@ -79,15 +79,6 @@
     idempotency: Idempotency
 
 
-@dataclass(slots=True)
-class _QuotaInfo:
-    """The header Quota-Info: the cost of a request, and the gateways that share its quota."""
-
-    units: float
-    gateway_spread: int
-    first_gateway: int
-
-
 class RequestParser:
     """Checks complete requests against the settings."""
 
@@ -133,31 +124,32 @@
         plan = self._plans.get(headers.get(b"plan", b""))
         if plan is None:
             raise RequestError(400, "no such plan")
-        account = int(_match(_ACCOUNT, headers, b"account")[0], 16)
-        timeout_s = float(_match(_SECONDS, headers, b"request-timeout")[0])
-        quota = _read_quota_info(headers)
-        if account > MAX_ACCOUNT:
-            raise RequestError(400, "account out of range")
-        self._check_ranges(timeout_s, quota)
-        return RequestArrived(
+        account = _match(_ACCOUNT, headers, b"account")[0]
+        timeout_s = _match(_SECONDS, headers, b"request-timeout")[0]
+        units, spread, first = _match(_QUOTA_INFO, headers, b"quota-info").groups()
+        arrival = RequestArrived(
             request=0,
-            customer=account,
+            customer=int(account, 16),
             plan=plan,
             request_class=class_index,
-            units=quota.units,
-            first_gateway=quota.first_gateway,
-            gateway_spread=quota.gateway_spread,
-            time_left_ms=timeout_s * 1000,
+            units=float(units),
+            first_gateway=int(first),
+            gateway_spread=int(spread),
+            time_left_ms=float(timeout_s) * 1000,
             retry=headers.get(b"client-retry") == b"1",
         )
+        self._check_ranges(arrival)
+        return arrival
 
-    def _check_ranges(self, timeout_s: float, quota: _QuotaInfo) -> None:
+    def _check_ranges(self, arrival: RequestArrived) -> None:
         """Guard what the gateway learns of customers and work from impossible figures."""
+        if arrival.customer > MAX_ACCOUNT:
+            raise RequestError(400, "account out of range")
         if not (
-            timeout_s > 0
-            and 0 < quota.units <= self._max_units
-            and 1 <= quota.gateway_spread <= self._gateways
-            and quota.first_gateway < self._gateways
+            arrival.time_left_ms > 0
+            and 0 < arrival.units <= self._max_units
+            and 1 <= arrival.gateway_spread <= self._gateways
+            and arrival.first_gateway < self._gateways
         ):
             raise RequestError(400, "request-timeout or quota-info out of range")
 
@@ -187,11 +179,6 @@
         raise RequestError(400, "a request of this class has no body")
 
 
-def _read_quota_info(headers: Mapping[bytes, bytes]) -> _QuotaInfo:
-    units, spread, first = _match(_QUOTA_INFO, headers, b"quota-info").groups()
-    return _QuotaInfo(float(units), int(spread), int(first))
-
-
 def _match(
     pattern: re.Pattern[bytes], headers: Mapping[bytes, bytes], name: bytes
 ) -> re.Match[bytes]:
--- a/sumacpost/server/server.py
+++ b/sumacpost/server/server.py
@@ -26,7 +26,7 @@
         """Start accepting; return the address, with the port that the system chose for port 0."""
         return self.listener.open(address)
 
-    def sweep(self) -> None:
+    def enforce_timeouts(self) -> None:
         """End the requests and connections whose time is over; to be called regularly."""
         self.connections.enforce_timeouts()
 
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -116,7 +116,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._ingress.backends.sweep()
-            self._server.sweep()
+            self._server.enforce_timeouts()
 
 
 class ConfigReloader:
