Say what the HTTP/1.1 response reader does in the field's terms

The reader's names told of its writing (done, pending, taken). They are complete, head_size and on_body; the check of Content-Length is a function of its own.

--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -1,4 +1,4 @@
-"""Responses of HTTP/1.1 servers, put together from the bytes of one connection."""
+"""A bounded reader of HTTP/1.1 responses from the bytes of one connection."""
 
 from __future__ import annotations
 
@@ -9,132 +9,146 @@
 
 from sumacpost.errors import ResponseError
 
-MAX_BODY = 64 * 1024  # the protocol's bound on a body
-MAX_HEAD = (
-    16 * 1024
-)  # of a request line or status line with its headers; interim responses count too
+MAX_BODY = 64 * 1024  # bytes: the protocol's bound on a body
+# Bytes of a request line or status line with its headers; those of interim responses count too.
+MAX_HEAD = 16 * 1024
+MAX_CONTENT_LENGTH_DIGITS = 12
 
 
-class _Surplus(Exception):
-    """More has come than belongs to the response."""
+class _TrailingDataError(Exception):
+    """Another response begins before the complete one has been taken."""
 
 
 @dataclass(slots=True)
 class Response:
-    """A whole response."""
+    """A complete response.
+
+    Header names are in lower case; the values of one that is repeated are joined by commas.
+    """
 
     status: int
-    headers: dict[
-        bytes, bytes
-    ]  # names in lower case; one that comes again has its values joined by commas
+    headers: dict[bytes, bytes]
     body: bytes
     keep_alive: bool
 
 
 class ResponseReader:
-    """Feed it what a connection brings; it gives each response once that is whole.
+    """Turns the bytes of one connection into responses, one after another.
 
-    taken: gets the bodies of good answers piece by piece, which are not kept then; what it raises makes the
-    response a bad one.
+    With on_body the body of a response with status 200 goes there piece by piece and is not
+    kept; an exception that it raises makes the response invalid.
     """
 
     __slots__ = (
         "_body",
-        "_done",
+        "_body_size",
+        "_complete",
+        "_head_size",
         "_headers",
         "_headers_done",
         "_max_body",
+        "_on_body",
         "_parser",
-        "_pending",
-        "_size",
-        "_taken",
     )
 
-    def __init__(self, max_body: int, taken: Callable[[bytes], None] | None = None) -> None:
-        self._taken = taken
-        self._parser = httptools.HttpResponseParser(self)
+    def __init__(self, max_body: int, on_body: Callable[[bytes], None] | None = None) -> None:
         self._max_body = max_body
-        self._done: Response | None = None
-        self._pending = 0  # bytes of heads since the last response
+        self._on_body = on_body
+        self._parser = httptools.HttpResponseParser(self)
+        self._complete: Response | None = None
+        self._head_size = 0  # bytes of heads since the last response
         self.on_message_begin()
 
     @property
-    def begun(self) -> bool:
-        """Bytes have come of a response that is not whole."""
-        return self._headers_done or self._pending > 0
+    def response_begun(self) -> bool:
+        """Whether bytes of a response have come that is not complete."""
+        return self._headers_done or self._head_size > 0
 
     def feed(self, data: bytes) -> Response | None:
-        """The response that these bytes complete; what no server should send raises BadResponse.
+        """Return the response that these bytes complete, if they do.
 
-        What stands behind a whole response takes nothing from it, but nobody can tell what that is: the
-        response then says that the connection is of no further use.
+        Bytes behind a complete response leave it valid, but its keep_alive is then False, as nobody
+        can tell what they belong to. Raise ResponseError for an invalid response, or one beyond the
+        bounds.
         """
         if not self._headers_done:
-            self._pending += len(data)
+            self._head_size += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if self._done is None:
-                cause = error.__context__
-                raise ResponseError(
-                    str(cause)
-                    if isinstance(cause, ValueError | ResponseError)
-                    else repr(cause or error)
-                ) from error
-            self._done.keep_alive = False
-        done, self._done = self._done, None
-        if done is not None:
-            self._pending = 0
-        elif not self._headers_done and self._pending > MAX_HEAD:
+            if self._complete is None:
+                raise ResponseError(_describe(error)) from error
+            self._complete.keep_alive = False
+        response = self._complete
+        if response is not None:
+            self._complete = None
+            self._head_size = 0
+        elif not self._headers_done and self._head_size > MAX_HEAD:
             raise ResponseError(f"a head of over {MAX_HEAD} bytes")
-        return done
+        return response
 
-    # ---- called by the parser
+    # Callbacks of the parser, which wraps what they raise in an HttpParserError.
 
     def on_message_begin(self) -> None:
-        if self._done is not None:
-            raise _Surplus
+        """Reset what is kept of a response."""
+        if self._complete is not None:
+            raise _TrailingDataError
         self._headers: dict[bytes, bytes] = {}
+        self._headers_done = False
         self._body: list[bytes] = []
-        self._size, self._headers_done = 0, False
+        self._body_size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; a repeated one is joined to those before it."""
         name = name.lower()
-        before = self._headers.get(name)
-        self._headers[name] = value if before is None else before + b", " + value
+        previous = self._headers.get(name)
+        self._headers[name] = value if previous is None else previous + b", " + value
 
     def on_headers_complete(self) -> None:
+        """Check that the end of the body can be told, and that its length is within the bound."""
         status = self._parser.get_status_code()
         if status < 200:
             return
         self._headers_done = True
-        length, coding = (
-            self._headers.get(b"content-length"),
-            self._headers.get(b"transfer-encoding"),
-        )
+        length = self._headers.get(b"content-length")
+        coding = self._headers.get(b"transfer-encoding")
         if coding is not None:
             if coding.strip().lower() != b"chunked" or length is not None:
-                raise ResponseError(f"framed by {coding!r} and length {length!r}")
+                raise ResponseError(f"a body framed by {coding!r} and length {length!r}")
         elif length is not None:
-            if not length.isdigit() or len(length) > 12 or int(length) > self._max_body:
-                raise ResponseError(f"a body of {length[:40]!r} bytes")
+            self._check_content_length(length)
         elif status not in (204, 304):
-            # whether such a body is whole could not be told from its connection's end
+            # the end of the connection would not tell whether the body is complete
             raise ResponseError("a body of no stated length")
 
     def on_body(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size > self._max_body:
+        """Keep or pass on a piece of the body."""
+        self._body_size += len(data)
+        if self._body_size > self._max_body:
             raise ResponseError(f"a body of over {self._max_body} bytes")
-        if self._taken is None:
+        if self._on_body is None:
             self._body.append(data)
         elif self._parser.get_status_code() == 200:
-            self._taken(data)
+            self._on_body(data)
 
     def on_message_complete(self) -> None:
+        """Put the response together; an interim response is followed by the real one."""
         status = self._parser.get_status_code()
-        if status >= 200:  # an interim response is followed by the real one
-            self._done = Response(
-                status, self._headers, b"".join(self._body), self._parser.should_keep_alive()
-            )
+        if status >= 200:
+            body = b"".join(self._body)
+            keep_alive = self._parser.should_keep_alive()
+            self._complete = Response(status, self._headers, body, keep_alive)
         self._headers_done = False
+
+    def _check_content_length(self, length: bytes) -> None:
+        too_long = len(length) > MAX_CONTENT_LENGTH_DIGITS
+        if not length.isdigit() or too_long or int(length) > self._max_body:
+            raise ResponseError(f"a body of {length[:40]!r} bytes")
+
+
+def _describe(error: Exception) -> str:
+    """Return what a callback raised, or else what the parser found."""
+    cause = error.__context__
+    if isinstance(cause, ValueError | ResponseError):
+        return str(cause)
+    return repr(cause or error)
