--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -59,7 +59,7 @@
 
 def max_connections_per_side(config: Config) -> int:
     """Return the bound on clients' connections, which is also that on backends' connections."""
-    return (config.sockets - RESERVED_SOCKETS) // 2
+    return (config.max_sockets - RESERVED_SOCKETS) // 2
 
 
 class Clock:
@@ -113,9 +113,9 @@
         self.backends = PoolManager(
             max_connections=max_connections_per_side(config),
             connect_timeout_s=config.connect_timeout_s,
-            backend_idle_timeout_s=config.idle_s,
+            backend_idle_timeout_s=config.backend_idle_timeout_s,
             on_attempt_ended=self._attempt_ended,
-            max_body_bytes=config.max_answer,
+            max_body_bytes=config.max_response_bytes,
             is_wanted=self._is_wanted,
         )
         self.counter: CounterClient | None = None
--- a/tests/support/attempts.py
+++ b/tests/support/attempts.py
@@ -6,7 +6,7 @@
 from sumacpost.model import Outcome
 from sumacpost.upstream.attempt import Attempt
 from sumacpost.upstream.pool_manager import PoolManager
-from tests.support.loopback import until
+from tests.support.event_loop import until
 
 PAYLOAD = b"POST /vat-filing HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
 
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -7,8 +7,9 @@
 from sumacpost.discovery.endpoint_list import EndpointListReader
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.supervisor import SupervisedTask
-from tests.support.discovery_lists import one_line
-from tests.support.loopback import Peer, run, sends, until
+from tests.support.discovery_agent import one_line
+from tests.support.event_loop import run, until
+from tests.support.peers import Peer, sends
 
 
 def test_deep_json_and_failing_work_do_not_end_the_watch(caplog: Any) -> None:
@@ -28,7 +29,7 @@
                 raise RuntimeError("the listener failed")
 
         watch = SupervisedTask(
-            "the watch",
+            "watch",
             DiscoveryWatch(("127.0.0.1", served.port), EndpointListReader((), ()), 0, listen).run,
         )
         await until(lambda: len(served.requests) == 1)
@@ -38,4 +39,4 @@
         served.stop()
 
     run(test())
-    assert "the watch has ended and is started anew" in caplog.text
+    assert "supervised task failed, restarting: task=watch" in caplog.text
