--- a/sumacpost/errors.py
+++ b/sumacpost/errors.py
@@ -39,3 +39,7 @@
 
 class CounterProtocolError(SumacpostError, ValueError):
     """The counter sent something that is not a reply, so later ones can't be matched to calls."""
+
+
+class CodecError(SumacpostError, ValueError):
+    """A record or settings text of the simulator is malformed; the message says what and where."""
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -16,8 +16,8 @@
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
 from sumacpost.ingress import Ingress, max_connections_per_side
-from sumacpost.server.listener import Server
 from sumacpost.server.request import RequestParser
+from sumacpost.server.server import Server
 from sumacpost.supervisor import SupervisedTask
 
 log = logging.getLogger(__name__)
--- a/sumacpost/settings_json.py
+++ b/sumacpost/settings_json.py
@@ -1,7 +1,7 @@
 """The settings of the deployment as the configuration file has them: nested JSON.
 
 They are validated as those of the simulator are: written as its `path=value` lines and parsed by
-its codec, so that both get the same checks and defaults.
+its parser, so that both get the same checks and defaults.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from typing import Any
 
 from sumacpost.model import Settings
-from sumacpost.simulator.codec import parse_settings
+from sumacpost.simulator.settings_text import parse_settings
 
 _OBJECT_LISTS = ("categories", "plans")  # lists of objects even where they are empty
 
@@ -35,7 +35,7 @@
 
 
 def flatten(value: object, path: str = "") -> Iterator[str]:
-    """Yield nested settings as the `path=value` lines that the simulator's codec parses."""
+    """Yield nested settings as the `path=value` lines that `parse_settings` reads."""
     match value:
         case dict():
             for key, item in value.items():
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,7 +14,7 @@
 from sumacpost.config import read_config
 from sumacpost.errors import ConfigError
 from sumacpost.settings_json import flatten
-from sumacpost.simulator import codec
+from sumacpost.simulator.settings_text import parse_settings
 from tests.support.configuration import GOOD, SETTINGS
 from tests.support.paths import ROOT
 
@@ -42,7 +42,7 @@
         "g=",
         "plans.count=0",
     ]
-    settings = codec.parse_settings("\n".join(flatten(SETTINGS)))
+    settings = parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
     assert settings.clients_mark_retries and settings.plans[1].rate == 100
 
