--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -7,11 +7,11 @@
 import pytest
 
 from sumacpost.model import Outcome
-from tests.support.counter_calls import Counting, read_counter_call
+from tests.support.counter_calls import RecordedCounterClient, read_counter_call
 from tests.support.event_loop import run, until
 from tests.support.http_client import request
-from tests.support.ingress import world
-from tests.support.peers import Peer, answer, sends, silence
+from tests.support.ingress import running_ingress
+from tests.support.peers import Peer, never_respond, respond, send_bytes
 
 
 def test_calls_are_written_one_behind_another_and_answered_in_their_order() -> None:
@@ -24,11 +24,11 @@
 
         peer = Peer(when_all_are_there, read_counter_call)
         await peer.start()
-        c = Counting(peer)
-        await c.tried.wait()
+        c = RecordedCounterClient(peer)
+        await c.first_attempt_made.wait()
         for name, amount in ((7, 2.5), (8, 1e-7), (9, -4.0)):
-            c.counter.call(name, amount, 60_000.0)
-        assert not c.answers
+            c.client.call(name, amount, 60_000.0)
+        assert not c.replies
         assert await c.outcomes(3) == [
             (7, Outcome.OK, 2.5),
             (8, Outcome.REJECTED, 0.0),
@@ -52,11 +52,11 @@
 
         peer = Peer(second_wakes_it, read_counter_call)
         await peer.start()
-        c = Counting(peer, 0.1)
-        await c.tried.wait()
-        c.counter.call(7, 1.0, 1000.0)
+        c = RecordedCounterClient(peer, 0.1)
+        await c.first_attempt_made.wait()
+        c.client.call(7, 1.0, 1000.0)
         assert await c.outcomes(1) == [(7, Outcome.TIMEOUT, 0.0)]
-        c.counter.call(8, 1.0, 1000.0)
+        c.client.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.OK, 2.0)
         peer.stop()
 
@@ -76,17 +76,17 @@
 )
 def test_after_nonsense_or_a_break_the_counter_is_connected_anew(nonsense: bytes) -> None:
     async def test() -> None:
-        peer = Peer(sends(nonsense, close=False), read_counter_call)
+        peer = Peer(send_bytes(nonsense, close=False), read_counter_call)
         await peer.start()
-        c = Counting(peer)
-        await c.tried.wait()
-        c.counter.call(7, 1.0, 1000.0)
+        c = RecordedCounterClient(peer)
+        await c.first_attempt_made.wait()
+        c.client.call(7, 1.0, 1000.0)
         ((_, outcome, _),) = await c.outcomes(1)
         assert outcome in (Outcome.TIMEOUT, Outcome.OK)  # it may have been added
         await until(lambda: peer.connections == 2)
-        peer.script = sends(b"$1\r\n5\r\n", close=False)
-        await until(lambda: c.counter.connected)
-        c.counter.call(8, 1.0, 1000.0)
+        peer.script = send_bytes(b"$1\r\n5\r\n", close=False)
+        await until(lambda: c.client.connected)
+        c.client.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.OK, 5.0)
         peer.stop()
 
@@ -95,22 +95,22 @@
 
 def test_a_lost_counter_answers_every_call_and_comes_back() -> None:
     async def test() -> None:
-        peer = Peer(silence, read_counter_call)
+        peer = Peer(never_respond, read_counter_call)
         await peer.start()
         port = peer.port
-        c = Counting(peer)
-        await c.tried.wait()
-        c.counter.call(7, 1.0, 1000.0)
+        c = RecordedCounterClient(peer)
+        await c.first_attempt_made.wait()
+        c.client.call(7, 1.0, 1000.0)
         await until(lambda: len(peer.requests) == 1)
         peer.stop()
         assert await c.outcomes(1) == [(7, Outcome.TIMEOUT, 0.0)]
-        c.counter.call(8, 1.0, 1000.0)
+        c.client.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1] == (8, Outcome.CONNECT_FAILED, 0.0)
-        again = Peer(sends(b"$1\r\n1\r\n", close=False), read_counter_call)
+        again = Peer(send_bytes(b"$1\r\n1\r\n", close=False), read_counter_call)
         await again.start(port)
         await until(lambda: again.connections == 1)
-        await until(lambda: c.counter.connected)
-        c.counter.call(9, 1.0, 1000.0)
+        await until(lambda: c.client.connected)
+        c.client.call(9, 1.0, 1000.0)
         assert (await c.outcomes(3))[2] == (9, Outcome.OK, 1.0)
         again.stop()
 
@@ -119,12 +119,12 @@
 
 def test_a_silent_counter_is_left_for_a_new_connection() -> None:
     async def test() -> None:
-        peer = Peer(silence, read_counter_call)
+        peer = Peer(never_respond, read_counter_call)
         await peer.start()
-        c = Counting(peer, 0.05)
-        await c.tried.wait()
+        c = RecordedCounterClient(peer, 0.05)
+        await c.first_attempt_made.wait()
         while peer.connections < 2:
-            c.counter.call(7, 1.0, 1000.0)
+            c.client.call(7, 1.0, 1000.0)
             await asyncio.sleep(0.05)
         assert {o for _, o, _ in await c.outcomes(1)} <= {Outcome.TIMEOUT, Outcome.CONNECT_FAILED}
         peer.stop()
@@ -134,10 +134,12 @@
 
 def test_service_goes_on_without_the_counter() -> None:
     async def test() -> None:
-        async with world(answer(), counter=silence, read_counter=read_counter_call) as w:
-            told = [(await w.ask(request(number=n)))[0] for n in range(3)]
-            w.counter.stop()
-            told += [(await w.ask(request(number=n)))[0] for n in range(3, 6)]
+        async with running_ingress(
+            respond(), counter=never_respond, read_counter=read_counter_call
+        ) as ingress:
+            told = [(await ingress.send(request(number=n))).status for n in range(3)]
+            ingress.counter.stop()
+            told += [(await ingress.send(request(number=n))).status for n in range(3, 6)]
             assert told == [200] * 6
 
     run(test())
@@ -159,17 +161,17 @@
     spoilt: bytes,
 ) -> None:
     async def test() -> None:
-        peer = Peer(sends(spoilt, close=False), read_counter_call)
+        peer = Peer(send_bytes(spoilt, close=False), read_counter_call)
         await peer.start()
-        c = Counting(peer, 0.3)
-        await c.tried.wait()
+        c = RecordedCounterClient(peer, 0.3)
+        await c.first_attempt_made.wait()
         began = asyncio.get_running_loop().time()
-        c.counter.call(7, 1.0, 1000.0)
+        c.client.call(7, 1.0, 1000.0)
         assert await c.outcomes(1) == [(7, Outcome.TIMEOUT, 0.0)]
         assert asyncio.get_running_loop().time() - began < 0.2
-        peer.script = sends(b"-ERR no such call\r\n", close=False)
-        await until(lambda: c.counter.connected)
-        c.counter.call(8, 1.0, 1000.0)
+        peer.script = send_bytes(b"-ERR no such call\r\n", close=False)
+        await until(lambda: c.client.connected)
+        c.client.call(8, 1.0, 1000.0)
         assert (await c.outcomes(2))[1][1] is Outcome.REJECTED
         peer.stop()
 
@@ -179,33 +181,33 @@
 def test_answers_for_one_name_come_in_the_order_of_its_calls_over_two_connections() -> None:
     async def test() -> None:
         old, new = (
-            Peer(silence, read_counter_call),
-            Peer(sends(b"$1\r\n2\r\n", close=False), read_counter_call),
+            Peer(never_respond, read_counter_call),
+            Peer(send_bytes(b"$1\r\n2\r\n", close=False), read_counter_call),
         )
         await old.start()
         await new.start()
-        c = Counting(old)
-        await c.tried.wait()
-        c.counter.call(7, 1.0, 1000.0)
+        c = RecordedCounterClient(old)
+        await c.first_attempt_made.wait()
+        c.client.call(7, 1.0, 1000.0)
         await until(lambda: len(old.requests) == 1)
-        c.counter.change_address(("127.0.0.1", new.port))
+        c.client.change_address(("127.0.0.1", new.port))
         c.task.cancel()
-        c.task = asyncio.create_task(c.counter.run(asyncio.Event()))
+        c.task = asyncio.create_task(c.client.run(asyncio.Event()))
         await until(lambda: new.connections == 1)
         await until(
             lambda: (
-                c.counter._connection is not None
-                and c.counter._connection._unreplied == c.counter._connection._waiting
-                and not c.counter._connection._unreplied
+                c.client._connection is not None
+                and c.client._connection._unreplied == c.client._connection._waiting
+                and not c.client._connection._unreplied
             )
         )
-        c.counter.call(7, 1.0, 1000.0)
-        c.counter.call(8, 1.0, 1000.0)
-        await until(lambda: len(c.answers) == 1)
-        assert c.answers[0].name == 8  # that of 7 waits for the first of its name
+        c.client.call(7, 1.0, 1000.0)
+        c.client.call(8, 1.0, 1000.0)
+        await until(lambda: len(c.replies) == 1)
+        assert c.replies[0].name == 8  # that of 7 waits for the first of its name
         old.writers[0].write(b"$1\r\n1\r\n")
-        await until(lambda: len(c.answers) == 3)
-        assert [(a.name, a.total) for a in c.answers[1:]] == [(7, 1.0), (7, 2.0)]
+        await until(lambda: len(c.replies) == 3)
+        assert [(a.name, a.total) for a in c.replies[1:]] == [(7, 1.0), (7, 2.0)]
         old.stop()
         new.stop()
 
@@ -214,11 +216,11 @@
 
 def test_a_counter_that_fell_silent_is_left_without_a_further_call() -> None:
     async def test() -> None:
-        peer = Peer(silence, read_counter_call)
+        peer = Peer(never_respond, read_counter_call)
         await peer.start()
-        c = Counting(peer, 0.05)
-        await c.tried.wait()
-        c.counter.call(7, 1.0, 1000.0)
+        c = RecordedCounterClient(peer, 0.05)
+        await c.first_attempt_made.wait()
+        c.client.call(7, 1.0, 1000.0)
         assert await c.outcomes(1) == [(7, Outcome.TIMEOUT, 0.0)]
         await until(lambda: peer.connections == 2)
         peer.stop()
@@ -236,20 +238,20 @@
 
         peer = Peer(once, read_counter_call)
         await peer.start()
-        c = Counting(peer, 0.2)
-        await c.tried.wait()
-        c.counter.call(7, 1.0, 1000.0)
+        c = RecordedCounterClient(peer, 0.2)
+        await c.first_attempt_made.wait()
+        c.client.call(7, 1.0, 1000.0)
         assert await c.outcomes(1) == [(7, Outcome.OK, 4.0)]
-        c.counter._reply_latency.seconds = 0.001  # however slow this machine was just now
-        c.counter.call(8, 1.0, 1000.0)
-        c.counter.call(9, 1.0, 1000.0)
+        c.client._reply_latency.seconds = 0.001  # however slow this machine was just now
+        c.client.call(8, 1.0, 1000.0)
+        c.client.call(9, 1.0, 1000.0)
         assert await c.outcomes(3) == [
             (7, Outcome.OK, 4.0),
             (8, Outcome.RESET, 0.0),
             (9, Outcome.RESET, 0.0),
         ]
-        await until(lambda: peer.connections == 2 and c.counter.connected)
-        c.counter.call(10, 1.0, 1000.0)
+        await until(lambda: peer.connections == 2 and c.client.connected)
+        c.client.call(10, 1.0, 1000.0)
         assert (await c.outcomes(4))[3] == (10, Outcome.OK, 4.0)
         peer.stop()
 
@@ -266,13 +268,13 @@
 
         peer = Peer(late, read_counter_call)
         await peer.start()
-        c = Counting(peer, 0.02)
-        await c.tried.wait()
-        c.counter._reply_latency.seconds = 0.001
+        c = RecordedCounterClient(peer, 0.02)
+        await c.first_attempt_made.wait()
+        c.client._reply_latency.seconds = 0.001
         for name in range(5):
-            c.counter.call(name, 1.0, 1000.0)
+            c.client.call(name, 1.0, 1000.0)
             await until(
-                lambda n=name: len(c.answers) == n + 1 and not c.counter._connection._unreplied
+                lambda n=name: len(c.replies) == n + 1 and not c.client._connection._unreplied
             )
         assert {o for _, o, _ in await c.outcomes(5)} == {Outcome.TIMEOUT}
         assert peer.connections == 1
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -9,9 +9,15 @@
 import pytest
 
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH, OK, SILENT, Client, request, sent
-from tests.support.ingress import world
-from tests.support.peers import answer, silence
+from tests.support.http_client import (
+    HEALTH_REQUEST,
+    LONG_TIMEOUT,
+    OK_RESPONSE,
+    Client,
+    request,
+)
+from tests.support.ingress import running_ingress
+from tests.support.peers import never_respond, respond
 
 
 @pytest.mark.parametrize("begin", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
@@ -23,8 +29,8 @@
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             client.writer.write(begin)
 
             async def drip() -> None:
@@ -36,7 +42,7 @@
             got = await client.reader.read()
             dripping.cancel()
             assert got.startswith(b"HTTP/1.1 408 ") if begin.strip() else got == b""
-            assert (await w.ask(request(number=2)))[0] == 200
+            assert (await ingress.send(request(number=2))).status == 200
 
     run(test())
 
@@ -48,13 +54,13 @@
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
-            assert (await client.ask(request()))[0] == 200
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            assert (await client.send(request())).status == 200
             await asyncio.sleep(0.4)  # between requests there is no such limit
-            assert (await client.ask(request(number=2)))[0] == 200
+            assert (await client.send(request(number=2))).status == 200
             client.writer.write(request(number=3)[:-1])
-            assert (await client.answer())[0] == 408
+            assert (await client.read_response()).status == 408
             assert await client.reader.read() == b""
 
     run(test())
@@ -64,15 +70,15 @@
     """64 descriptors leave eight for clients; none of the forty has sent a whole request."""
 
     async def test() -> None:
-        async with world(answer(), sockets=64) as w:
-            used = await w.client()
-            assert (await used.ask(request()))[0] == 200
+        async with running_ingress(respond(), sockets=64) as ingress:
+            used = await ingress.client()
+            assert (await used.send(request())).status == 200
             for number in range(40):
-                client = await w.client()
+                client = await ingress.client()
                 if number % 2:
                     client.writer.write(request()[:30])
-            assert (await asyncio.wait_for(w.ask(request(number=2)), 1.0))[0] == 200
-            assert (await used.ask(request(number=3)))[0] == 200  # they went before it
+            assert (await asyncio.wait_for(ingress.send(request(number=2)), 1.0))[0] == 200
+            assert (await used.send(request(number=3))).status == 200  # they went before it
 
     run(test())
 
@@ -84,20 +90,20 @@
     """
 
     async def test() -> None:
-        async with world(answer(), sockets=80) as w:
-            server, used = w.service._server, await w.client()
+        async with running_ingress(respond(), sockets=80) as ingress:
+            server, used = ingress.service._server, await ingress.client()
             once = []
             for number in range(0, 20, 2):
-                assert (await used.ask(request(number=number)))[0] == 200
-                once.append(await w.client())
-                assert (await once[-1].ask(request(number=number + 1)))[0] == 200
+                assert (await used.send(request(number=number))).status == 200
+                once.append(await ingress.client())
+                assert (await once[-1].send(request(number=number + 1))).status == 200
             for client in once[:6]:
                 assert (
                     await client.reader.read() == b""
                 )  # closed in good order, with room for all of them
             await until(lambda: len(server.connections.idle) == len(server.connections.open) == 4)
-            assert (await once[-1].ask(request(number=50)))[0] == 200
-            assert (await used.ask(request(number=51)))[0] == 200
+            assert (await once[-1].send(request(number=50))).status == 200
+            assert (await used.send(request(number=51))).status == 200
 
     run(test())
 
@@ -106,22 +112,22 @@
     """64 descriptors leave eight for clients: idle connections make room, busy ones do not."""
 
     async def test() -> None:
-        async with world(*[silence] * 8, sockets=64) as w:
-            idle = [await w.client() for _ in range(8)]
+        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
+            idle = [await ingress.client() for _ in range(8)]
             for client in idle:
-                assert (await client.ask(HEALTH))[0] == 200
+                assert (await client.send(HEALTH_REQUEST)).status == 200
             busy = []
             for number in range(8):
-                busy.append(await w.client())
+                busy.append(await ingress.client())
                 busy[-1].writer.write(
                     request("payment-book", number=number, Request_Timeout="5.000")
                 )
-                await until(lambda: sum(len(b.requests) for b in w.backends) == len(busy))
-            await until(lambda: sum(len(b.requests) for b in w.backends) == 8)
+                await until(lambda: sum(len(b.requests) for b in ingress.backends) == len(busy))
+            await until(lambda: sum(len(b.requests) for b in ingress.backends) == 8)
             assert [await client.reader.read() for client in idle] == [b""] * 8
-            waiting = await w.client()
-            waiting.writer.write(HEALTH)
-            reading = asyncio.create_task(waiting.answer())
+            waiting = await ingress.client()
+            waiting.writer.write(HEALTH_REQUEST)
+            reading = asyncio.create_task(waiting.read_response())
             await asyncio.sleep(0.1)
             assert not reading.done()
             busy[0].writer.close()
@@ -132,28 +138,28 @@
 
 def test_running_out_of_descriptors_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            first = await w.client()
-            assert (await first.ask(HEALTH))[0] == 200
+        async with running_ingress(respond()) as ingress:
+            first = await ingress.client()
+            assert (await first.send(HEALTH_REQUEST)).status == 200
             import resource
 
             soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
             held = []
             try:
-                reader, writer = await asyncio.open_connection(*w.address)
+                reader, writer = await asyncio.open_connection(*ingress.address)
                 resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 256), hard))
                 with pytest.raises(OSError):
                     while True:
                         held.append(os.open("/dev/null", os.O_RDONLY))
-                assert (await first.ask(HEALTH))[0] == 200
-                assert (await first.ask(request()))[
-                    0
-                ] == 429  # no socket for an attempt: nothing was sent
+                assert (await first.send(HEALTH_REQUEST)).status == 200
+                assert (
+                    await first.send(request())
+                ).status == 429  # no socket for an attempt: nothing was sent
             finally:
                 for number in held:
                     os.close(number)
                 resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-            assert (await Client(reader, writer).ask(request(number=2)))[0] == 200
+            assert (await Client(reader, writer).send(request(number=2))).status == 200
             writer.close()
 
     run(test())
@@ -166,27 +172,27 @@
     monkeypatch.setattr("sumacpost.server.connection_registry.IDLE_TIMEOUT_S", 1000.0)
 
     async def test() -> None:
-        async with world(*[silence] * 8, sockets=64) as w:
+        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
             for number in range(8):
-                (await w.client()).writer.write(
-                    request("vat-filing", number, Request_Timeout=SILENT)
+                (await ingress.client()).writer.write(
+                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
                 )
-                await until(lambda n=number: sent(w) == n + 1)
-            late = await w.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
-            await until(lambda: not w.service._server.listener.accepting)
-            w.backends[0].writers[0].write(OK)
-            await until(lambda: sent(w) == 9)
+                await until(lambda n=number: ingress.requests_received == n + 1)
+            late = await ingress.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: not ingress.service._server.listener.accepting)
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            await until(lambda: ingress.requests_received == 9)
 
     run(test())
 
 
 def test_one_that_left_the_door_does_not_keep_those_behind_it_out() -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            server, accepts = w.service._server, []
+        async with running_ingress(respond()) as ingress:
+            server, accepts = ingress.service._server, []
             server.listener.pause()
-            client = await w.client()
+            client = await ingress.client()
             listener = server.listener._socket
 
             class Aborted:
@@ -200,10 +206,9 @@
                     return getattr(listener, name)
 
             server.listener._socket = Aborted()
-            assert (
-                server.listener.accept() and len(accepts) == 3
-            )  # the one behind it, and then nobody
-            assert (await client.ask(request()))[0] == 200
+            assert server.listener.accept()
+            assert len(accepts) == 3
+            assert (await client.send(request())).status == 200
 
     run(test())
 
@@ -216,16 +221,18 @@
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.02)
 
     async def test() -> None:
-        async with world(silence) as w:
-            client = await w.client()
-            client.writer.write(request("vat-filing", Request_Timeout=SILENT, Connection="close"))
-            await until(lambda: sent(w) == 1)
-            server = w.service._server
+        async with running_ingress(never_respond) as ingress:
+            client = await ingress.client()
+            client.writer.write(
+                request("vat-filing", Request_Timeout=LONG_TIMEOUT, Connection="close")
+            )
+            await until(lambda: ingress.requests_received == 1)
+            server = ingress.service._server
             (connection,) = server.connections.open
             assert connection not in server.connections.waiting
             await asyncio.sleep(0.3)  # three times what a message may take
-            w.backends[0].writers[0].write(OK)
-            assert (await client.answer())[0] == 200
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await client.read_response()).status == 200
             assert await client.reader.read() == b""
 
     run(test())
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -11,46 +11,47 @@
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH, OK, SILENT, request, sent
-from tests.support.ingress import world
-from tests.support.peers import answer, silence
+from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, OK_RESPONSE, request
+from tests.support.ingress import running_ingress
+from tests.support.peers import never_respond, respond
 
 
 def test_a_drain_takes_what_comes_finishes_what_was_taken_and_closes_the_rest() -> None:
     async def test() -> None:
-        async with world(silence) as w:
-            idle, busy = await w.client(), await w.client()
-            assert (await idle.ask(HEALTH))[0] == 200
+        async with running_ingress(never_respond) as ingress:
+            idle, busy = await ingress.client(), await ingress.client()
+            assert (await idle.send(HEALTH_REQUEST)).status == 200
             busy.writer.write(request(Request_Timeout="8.000"))
-            await until(lambda: len(w.backends[0].requests) == 1)
-            w.stop.set()
+            await until(lambda: len(ingress.backends[0].requests) == 1)
+            ingress.stop.set()
             assert await idle.reader.read() == b""
-            late = await w.client()  # the front has not noticed yet
-            assert (await late.ask(HEALTH))[0] == 503
-            late = await w.client()
+            late = await ingress.client()  # the front has not noticed yet
+            assert (await late.send(HEALTH_REQUEST)).status == 503
+            late = await ingress.client()
             late.writer.write(request(number=2, Request_Timeout="8.000"))
-            await until(lambda: len(w.backends[0].requests) == 2)
+            await until(lambda: len(ingress.backends[0].requests) == 2)
             await asyncio.sleep(0.8)  # the door is closed by now
             with pytest.raises(ConnectionRefusedError):
-                await w.client()
-            for writer in w.backends[0].writers:
+                await ingress.client()
+            for writer in ingress.backends[0].writers:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
             for client in (busy, late):
-                status, head, body = await client.answer()
-                assert (status, body) == (200, b"done") and b"Connection: close" in head
-            await w.task
+                status, head, body = await client.read_response()
+                assert (status, body) == (200, b"done")
+                assert b"Connection: close" in head
+            await ingress.task
 
     run(test())
 
 
 def test_a_drain_does_not_wait_for_a_request_that_never_ends() -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             client.writer.write(request()[:50])
             await asyncio.sleep(0.05)
-            w.stop.set()
-            await w.task
+            ingress.stop.set()
+            await ingress.task
             assert await client.reader.read() == b""
 
     run(test())
@@ -58,20 +59,21 @@
 
 def test_answers_owed_on_one_connection_all_come_though_service_ends_between_them() -> None:
     async def test() -> None:
-        async with world(silence, silence) as w:
-            client = await w.client()
+        async with running_ingress(never_respond, never_respond) as ingress:
+            client = await ingress.client()
             for number in range(2):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
-            w.stop.set()
-            await until(lambda: w.service._server.handler.draining)
-            for backend in w.backends:
-                backend.writers[0].write(OK)
-            first, second = await client.answer(), await client.answer()
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+                await until(lambda n=number: ingress.requests_received == n + 1)
+            ingress.stop.set()
+            await until(lambda: ingress.service._server.handler.draining)
+            for backend in ingress.backends:
+                backend.writers[0].write(OK_RESPONSE)
+            first, second = await client.read_response(), await client.read_response()
             assert (first[0], second[0]) == (200, 200)
-            assert b"Connection: close" not in first[1] and b"Connection: close" in second[1]
+            assert b"Connection: close" not in first[1]
+            assert b"Connection: close" in second[1]
             assert await client.reader.read() == b""
-            await w.task
+            await ingress.task
 
     run(test())
 
@@ -80,26 +82,30 @@
     """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to a second after it."""
 
     async def test() -> None:
-        async with world(silence) as w:
-            w.stop.set()
-            await until(lambda: w.service._server.handler.draining)
-            late = await w.client()
-            late.writer.write(request("ledger-read", Request_Timeout=SILENT))
-            await until(lambda: sent(w) == 1)
-            (call,) = w.service._ingress._pending.values()
+        async with running_ingress(never_respond) as ingress:
+            ingress.stop.set()
+            await until(lambda: ingress.service._server.handler.draining)
+            late = await ingress.client()
+            late.writer.write(request("ledger-read", Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: ingress.requests_received == 1)
+            (call,) = ingress.service._ingress._pending.values()
             longest = max(c["hard_limit"] for c in SETTINGS["categories"])
             assert (
                 call.deadline
-                <= w.service._ingress._drain_deadline
-                < w.service._ingress._clock.now() + longest + 700
+                <= ingress.service._ingress._drain_deadline
+                < ingress.service._ingress._clock.now() + longest + 700
             )
             told = float(
-                w.backends[0].requests[0].lower().split(b"request-timeout: ")[1].split(b"\r\n")[0]
+                ingress.backends[0]
+                .requests[0]
+                .lower()
+                .split(b"request-timeout: ")[1]
+                .split(b"\r\n")[0]
             )
             assert told < (longest + 700) / 1000
-            w.backends[0].writers[0].write(OK)
-            assert (await late.answer())[0] == 200
-            await w.task
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await late.read_response()).status == 200
+            await ingress.task
 
     run(test())
 
@@ -113,22 +119,22 @@
     monkeypatch.setattr("sumacpost.server.drain.DRAIN_MAX_BACKLOG_S", 1000.0)
 
     async def test() -> None:
-        async with world(*[silence] * 8, sockets=64) as w:
+        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
             for number in range(8):
-                (await w.client()).writer.write(
-                    request("vat-filing", number, Request_Timeout=SILENT)
+                (await ingress.client()).writer.write(
+                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
                 )
-                await until(lambda n=number: sent(w) == n + 1)
-            late = await w.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
-            await until(lambda: not w.service._server.listener.accepting)
-            w.stop.set()
+                await until(lambda n=number: ingress.requests_received == n + 1)
+            late = await ingress.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: not ingress.service._server.listener.accepting)
+            ingress.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
-            for backend in w.backends:
-                backend.script = answer()
-                backend.writers[0].write(OK)
-            assert (await late.answer())[0] == 200
-            await w.task
+            for backend in ingress.backends:
+                backend.script = respond()
+                backend.writers[0].write(OK_RESPONSE)
+            assert (await late.read_response()).status == 200
+            await ingress.task
 
     run(test())
 
@@ -138,11 +144,11 @@
     """One in the drain would have ended the process, with all that it had taken."""
 
     async def test() -> None:
-        async with world(silence) as w:
-            client = await w.client()
-            client.writer.write(request("vat-filing", Request_Timeout=SILENT))
-            await until(lambda: sent(w) == 1)
-            listener = w.service._server.listener._socket
+        async with running_ingress(never_respond) as ingress:
+            client = await ingress.client()
+            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: ingress.requests_received == 1)
+            listener = ingress.service._server.listener._socket
 
             class Failing:
                 def accept(self) -> Any:
@@ -151,12 +157,12 @@
                 def __getattr__(self, name: str) -> Any:
                     return getattr(listener, name)
 
-            w.service._server.listener._socket = Failing()
-            w.stop.set()
+            ingress.service._server.listener._socket = Failing()
+            ingress.stop.set()
             await asyncio.sleep(0.5)  # the door would be closed by now
-            w.backends[0].writers[0].write(OK)
-            assert (await client.answer())[0] == 200
-            await w.task
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await client.read_response()).status == 200
+            await ingress.task
 
     run(test())
 
@@ -168,21 +174,25 @@
     """The client sends what was not read once more, elsewhere; what was read has its answer."""
 
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
-            assert (await client.ask(HEALTH))[0] == 200
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            assert (await client.send(HEALTH_REQUEST)).status == 200
             if end_first:
-                w.stop.set()
+                ingress.stop.set()
                 client.writer.write(request())
             else:
                 client.writer.write(request())
-                w.stop.set()
+                ingress.stop.set()
             try:
                 got = await client.reader.read()
             except ConnectionResetError:
                 got = b""
-            await w.task
-            assert sent(w) == got.count(b"HTTP/1.1 200 ") == (b"Connection: close" in got)
+            await ingress.task
+            assert (
+                ingress.requests_received
+                == got.count(b"HTTP/1.1 200 ")
+                == (b"Connection: close" in got)
+            )
 
     run(test())
 
@@ -190,13 +200,13 @@
 def test_the_end_does_not_wait_for_calls_of_the_counter_that_are_out() -> None:
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
-        async with world(
-            answer(), counter=silence, read_counter=read_counter_call, settings=patient
-        ) as w:
-            w.service._ingress.counter.call(7, 1.0, 1000.0)
-            await until(lambda: len(w.counter.requests) == 1)
-            w.stop.set()
-            await w.task
-            assert len(w.counter.requests) == 1
+        async with running_ingress(
+            respond(), counter=never_respond, read_counter=read_counter_call, settings=patient
+        ) as ingress:
+            ingress.service._ingress.counter.call(7, 1.0, 1000.0)
+            await until(lambda: len(ingress.counter.requests) == 1)
+            ingress.stop.set()
+            await ingress.task
+            assert len(ingress.counter.requests) == 1
 
     run(test())
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -9,17 +9,17 @@
 from sumacpost.ingress import CLIENT_DEADLINE_MARGIN_MS
 from sumacpost.server.connection import MAX_PIPELINED, ConnectionState
 from tests.support.event_loop import run, until
-from tests.support.http_client import OK, SILENT, leave, request, sent
-from tests.support.ingress import world
-from tests.support.peers import answer, silence
+from tests.support.http_client import LONG_TIMEOUT, OK_RESPONSE, request
+from tests.support.ingress import running_ingress
+from tests.support.peers import never_respond, respond
 
 
 def test_more_requests_in_a_row_than_are_taken_at_once_are_all_answered() -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             client.writer.write(b"".join(request(number=n) for n in range(40)))
-            assert {(await client.answer())[0] for _ in range(40)} <= {
+            assert {(await client.read_response()).status for _ in range(40)} <= {
                 200,
                 429,
             }  # some met a pressed backend
@@ -32,26 +32,30 @@
     """With eight answers owed no more is read from the client; its end has to be seen all the same."""
 
     async def test() -> None:
-        async with world(*[silence] * 8) as w:
-            client = await w.client()
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client = await ingress.client()
             for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
-            (connection,) = w.service._server.connections.open
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+                await until(lambda n=number: ingress.requests_received == n + 1)
+            (connection,) = ingress.service._server.connections.open
             for number in (50, 51):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
             await until(
                 lambda: (
                     connection._unread_bytes
-                    == len(request("vat-filing", 50, Request_Timeout=SILENT)) * 2
+                    == len(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT)) * 2
                 )
             )
-            leave(client, how)
+            client.disconnect(how)
             await until(
-                lambda: not w.service._server.connections.open and not w.service._ingress._pending
+                lambda: (
+                    not ingress.service._server.connections.open
+                    and not ingress.service._ingress._pending
+                )
             )
-            await until(lambda: sum(b.closed for b in w.backends) == MAX_PIPELINED)
-            assert sent(w) == MAX_PIPELINED and w.service._ingress.backends.open_connections == 0
+            await until(lambda: sum(b.closed for b in ingress.backends) == MAX_PIPELINED)
+            assert ingress.requests_received == MAX_PIPELINED
+            assert ingress.service._ingress.backends.open_connections == 0
 
     run(test())
 
@@ -60,23 +64,23 @@
     None
 ):
     async def test() -> None:
-        async with world(*[silence] * 8) as w:
-            client = await w.client()
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client = await ingress.client()
             for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
-            (connection,) = w.service._server.connections.open
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+                await until(lambda n=number: ingress.requests_received == n + 1)
+            (connection,) = ingress.service._server.connections.open
             client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
             await until(lambda: connection._unread_bytes > 0)
             await asyncio.sleep(0.05)  # time that it loses
-            for backend in w.backends:
-                backend.script = answer()
+            for backend in ingress.backends:
+                backend.script = respond()
                 for writer in backend.writers:
-                    writer.write(OK)
-            assert [(await client.answer())[0] for _ in range(MAX_PIPELINED + 1)] == [200] * (
-                MAX_PIPELINED + 1
-            )
-            (told,) = [r for b in w.backends for r in b.requests if b"%016x" % 50 in r]
+                    writer.write(OK_RESPONSE)
+            assert [(await client.read_response()).status for _ in range(MAX_PIPELINED + 1)] == [
+                200
+            ] * (MAX_PIPELINED + 1)
+            (told,) = [r for b in ingress.backends for r in b.requests if b"%016x" % 50 in r]
             left = float(told.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
             assert left <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
 
@@ -85,25 +89,26 @@
 
 def test_more_than_may_be_held_ends_the_connection_after_the_answers_owed() -> None:
     async def test() -> None:
-        async with world(*[silence] * 8) as w:
-            client = await w.client()
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client = await ingress.client()
             for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+                await until(lambda n=number: ingress.requests_received == n + 1)
             client.writer.write(
                 b"".join(request("vat-filing", 100 + n) for n in range(400))
             )  # some 90 KB
-            (connection,) = w.service._server.connections.open
+            (connection,) = ingress.service._server.connections.open
             await until(lambda: connection._state is ConnectionState.CLOSING)
             assert connection._unread_bytes == 0
-            for backend in w.backends:
+            for backend in ingress.backends:
                 for writer in backend.writers:
-                    writer.write(OK)
-            assert [(await client.answer())[0] for _ in range(MAX_PIPELINED)] == [
+                    writer.write(OK_RESPONSE)
+            assert [(await client.read_response()).status for _ in range(MAX_PIPELINED)] == [
                 200
             ] * MAX_PIPELINED
-            assert (await client.answer())[0] == 429
-            assert await client.reader.read() == b"" and sent(w) == MAX_PIPELINED
+            assert (await client.read_response()).status == 429
+            assert await client.reader.read() == b""
+            assert ingress.requests_received == MAX_PIPELINED
 
     run(test())
 
@@ -112,24 +117,27 @@
     """Its answers would pile up here without end."""
 
     async def test() -> None:
-        async with world(answer(b"x" * 60_000)) as w:
-            client = await w.client()
+        async with running_ingress(respond(b"x" * 60_000)) as ingress:
+            client = await ingress.client()
             client.writer.transport.pause_reading()
             number = 0
             while not (
-                w.service._server.connections.open
-                and (connection := next(iter(w.service._server.connections.open)))._writing_paused
+                ingress.service._server.connections.open
+                and (
+                    connection := next(iter(ingress.service._server.connections.open))
+                )._writing_paused
             ):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
                 await until(lambda: not connection._pending_responses or connection._writing_paused)
                 await asyncio.sleep(0)
-            before = sent(w)
-            client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+            before = ingress.requests_received
+            client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: connection._unread_bytes > 0)
-            assert sent(w) == before
+            assert ingress.requests_received == before
             client.writer.transport.resume_reading()
-            told = [(await client.answer())[0] for _ in range(number + 1)]
-            assert 200 in told and not connection._unread
+            told = [(await client.read_response()).status for _ in range(number + 1)]
+            assert 200 in told
+            assert not connection._unread
 
     run(test())
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -88,4 +88,5 @@
     "tiers": ["ledger-fleet"],
 }
 
-GOOD = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+MINIMAL_CONFIG = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+GOOD = MINIMAL_CONFIG
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,7 +15,7 @@
 from sumacpost.errors import ConfigError
 from sumacpost.settings_json import flatten
 from sumacpost.simulator.settings_text import parse_settings
-from tests.support.configuration import GOOD, SETTINGS
+from tests.support.configuration import MINIMAL_CONFIG, SETTINGS
 from tests.support.paths import ROOT
 
 
@@ -44,7 +44,8 @@
     ]
     settings = parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
-    assert settings.clients_mark_retries and settings.plans[1].rate == 100
+    assert settings.clients_mark_retries
+    assert settings.plans[1].rate == 100
 
 
 @pytest.mark.parametrize(
@@ -63,7 +64,7 @@
 )
 def test_a_bad_configuration_is_named(change: dict[str, Any], said: str) -> None:
     with pytest.raises(ConfigError, match=said):
-        read_config(json.dumps(GOOD | change))
+        read_config(json.dumps(MINIMAL_CONFIG | change))
 
 
 @pytest.mark.parametrize("text", [None, "", "{", "[]", '{"listen": "127.0.0.1:0"}', "\udcff"])
@@ -80,7 +81,8 @@
         check=False,
     )
     assert done.returncode == 2
-    assert done.stderr.startswith(b"sumacpost: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"sumacpost: ")
+    assert done.stderr.count(b"\n") == 1
 
 
 @pytest.mark.parametrize(
@@ -107,4 +109,6 @@
         read_config(json.dumps(config | {"limits": {"memory_mb": mb}})).max_response_bytes
         for mb in (32, 128)
     )
-    assert small > 600_000 and 4 * small == pytest.approx(large, abs=4) and large < 3_000_000
+    assert small > 600_000
+    assert 4 * small == pytest.approx(large, abs=4)
+    assert large < 3_000_000
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -12,22 +12,22 @@
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH, OK, request
-from tests.support.ingress import world
-from tests.support.peers import Peer, answer, sends, silence
+from tests.support.http_client import HEALTH_REQUEST, OK_RESPONSE, request
+from tests.support.ingress import running_ingress
+from tests.support.peers import Peer, never_respond, respond, send_bytes
 
 
 def test_an_exception_fails_its_own_request_only(
     monkeypatch: pytest.MonkeyPatch, caplog: Any
 ) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
+        async with running_ingress(respond()) as ingress:
             from sumacpost.policy.gateway import Gateway
 
             with monkeypatch.context() as patched:
                 patched.setattr(Gateway, "choose", lambda *_: 1 / 0)
-                assert (await w.ask(request()))[0] == 500
-            assert (await w.ask(request(number=2)))[0] == 200
+                assert (await ingress.send(request())).status == 500
+            assert (await ingress.send(request(number=2))).status == 200
 
     run(test())
     assert "ZeroDivisionError" in caplog.text
@@ -37,12 +37,12 @@
     monkeypatch: pytest.MonkeyPatch, caplog: Any
 ) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
+        async with running_ingress(respond()) as ingress:
             from sumacpost.model import CheckHealth
             from sumacpost.policy.gateway import Gateway
 
             monkeypatch.setattr(Gateway, "handle", lambda *_: [CheckHealth(7)])
-            assert (await w.ask(request()))[0] == 500
+            assert (await ingress.send(request())).status == 500
 
     run(test())
     assert "CheckHealth(backend=7)" in caplog.text
@@ -54,9 +54,11 @@
     """The event names no request, but the action that failed does."""
 
     async def test() -> None:
-        async with world(
-            answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_counter_call
-        ) as w:
+        async with running_ingress(
+            respond(),
+            counter=send_bytes(b"$1\r\n0\r\n", close=False),
+            read_counter=read_counter_call,
+        ) as ingress:
             from sumacpost.model import AddToCounter, Send
             from sumacpost.policy.gateway import Gateway
 
@@ -68,24 +70,24 @@
                 )
 
             monkeypatch.setattr(Gateway, "handle", to_nowhere)
-            assert (await w.ask(request(Request_Timeout="25.000")))[0] == 500
+            assert (await ingress.send(request(Request_Timeout="25.000"))).status == 500
 
     run(test())
 
 
 def test_an_id_of_an_open_request_is_refused_and_never_sent_on() -> None:
     async def test() -> None:
-        async with world(silence) as w:
-            first = await w.client()
+        async with running_ingress(never_respond) as ingress:
+            first = await ingress.client()
             first.writer.write(request())
-            await until(lambda: len(w.backends[0].requests) == 1)
-            assert (await w.ask(request()))[0] == 409
-            assert (await w.ask(request(Account="0000000000000008")))[0] == 409
-            w.backends[0].writers[0].write(OK)
-            assert (await first.answer())[0] == 200
-            w.backends[0].script = answer()
-            assert (await w.ask(request()))[0] == 200  # it is open no more
-            assert len(w.backends[0].requests) == 2
+            await until(lambda: len(ingress.backends[0].requests) == 1)
+            assert (await ingress.send(request())).status == 409
+            assert (await ingress.send(request(Account="0000000000000008"))).status == 409
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await first.read_response()).status == 200
+            ingress.backends[0].script = respond()
+            assert (await ingress.send(request())).status == 200  # it is open no more
+            assert len(ingress.backends[0].requests) == 2
 
     run(test())
 
@@ -101,8 +103,8 @@
 )
 def test_a_figure_that_no_request_has_moves_nothing(quota: str) -> None:
     async def test() -> None:
-        async with world(
-            answer(),
+        async with running_ingress(
+            respond(),
             settings={
                 "plans": [
                     {
@@ -115,11 +117,12 @@
                     }
                 ]
             },
-        ) as w:
-            gateway = w.service._ingress._gateway
+        ) as ingress:
+            gateway = ingress.service._ingress._gateway
             before = gateway.mean_work
-            assert (await w.ask(request(Quota_Info=quota)))[0] == 400
-            assert gateway.mean_work == before and not gateway.customers
+            assert (await ingress.send(request(Quota_Info=quota))).status == 400
+            assert gateway.mean_work == before
+            assert not gateway.customers
 
     run(test())
 
@@ -142,9 +145,9 @@
     billed: str, believed: float
 ) -> None:
     async def test() -> None:
-        async with world(answer(head=f"Billed-Units: {billed}\r\n".encode())) as w:
-            assert (await w.ask(request()))[0] == 200
-            (customer,) = w.service._ingress._gateway.customers.values()
+        async with running_ingress(respond(head=f"Billed-Units: {billed}\r\n".encode())) as ingress:
+            assert (await ingress.send(request())).status == 200
+            (customer,) = ingress.service._ingress._gateway.customers.values()
             assert customer.unit_sum == believed
 
     run(test())
@@ -152,8 +155,8 @@
 
 def test_without_any_backend_the_ingress_is_not_ready() -> None:
     async def test() -> None:
-        async with world() as w:
-            assert (await w.ask(HEALTH))[0] == 503
+        async with running_ingress() as ingress:
+            assert (await ingress.send(HEALTH_REQUEST)).status == 503
 
     run(test())
 
@@ -168,15 +171,17 @@
             await asyncio.sleep(0.6)
             writer.write(b"$4\r\n1000\r\n")  # others have used the whole quota
 
-        async with world(
-            answer(), counter=late, read_counter=read_counter_call, settings={"extra": stated}
-        ) as w:
-            status, head, _ = await w.ask(
+        async with running_ingress(
+            respond(), counter=late, read_counter=read_counter_call, settings={"extra": stated}
+        ) as ingress:
+            status, head, _ = await ingress.send(
                 request(
                     Plan="basis", Request_Timeout="25.000", Quota_Info="units=3,spread=3,first=0"
                 )
             )
-            assert status == 429 and b"Retry-After" in head
-            assert len(w.counter.requests) == 1 and not w.backends[0].requests
+            assert status == 429
+            assert b"Retry-After" in head
+            assert len(ingress.counter.requests) == 1
+            assert not ingress.backends[0].requests
 
     run(test())
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -10,27 +10,27 @@
 
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.discovery_agent import Agent, target
+from tests.support.discovery_agent import DiscoveryAgent, endpoint_entry
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH, ask_once
-from tests.support.peers import Peer, Script, answer, keep_port, silence
+from tests.support.http_client import HEALTH_REQUEST, send_once
+from tests.support.peers import Peer, Script, never_respond, reserve_port, respond
 from tests.support.program import end_program, start_program
 
 READY_S = 10.0
 
 
-def once(agent: Agent, trouble: Script) -> Script:
+def once(agent: DiscoveryAgent, trouble: Script) -> Script:
     """A trouble that only the first call after the restart meets."""
 
     async def first(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        agent.trouble = None
+        agent.fault = None
         await trouble(peer, data, writer)
 
     return first
 
 
 async def ready(port: int) -> None:
-    while (await ask_once(port, HEALTH, READY_S))[0] != 200:
+    while (await send_once(port, HEALTH_REQUEST, READY_S)).status != 200:
         await asyncio.sleep(0.05)
 
 
@@ -43,8 +43,12 @@
     number: int, trouble: str, knows: bool, backend: Peer, turn: asyncio.Semaphore, path: Path
 ) -> bool:
     """One process is ended, by SIGTERM or SIGKILL, and started anew; is it ready in time?"""
-    before, after, door, gone = Agent(), Agent(), keep_port(), keep_port()
-    discovery, counter, port = Peer(before), Peer(silence, read_counter_call), door.getsockname()[1]
+    before, after, door, gone = DiscoveryAgent(), DiscoveryAgent(), reserve_port(), reserve_port()
+    discovery, counter, port = (
+        Peer(before),
+        Peer(never_respond, read_counter_call),
+        door.getsockname()[1],
+    )
     async with AsyncExitStack() as stack:
         for peer in (discovery, counter):
             await peer.start()
@@ -53,8 +57,8 @@
             stack.callback(port_kept.close)
         nowhere = f"127.0.0.1:{gone.getsockname()[1]}"
         for agent in (before, after):
-            agent.list(target(backend, "s-1"))
-        stale = [target(backend, f"s-{n}", endpoint=nowhere) for n in (8, 9)]
+            agent.publish(endpoint_entry(backend, "s-1"))
+        stale = [endpoint_entry(backend, f"s-{n}", endpoint=nowhere) for n in (8, 9)]
         config: dict[str, Any] = {
             "name": f"n{number}",
             "listen": f"127.0.0.1:{port}",
@@ -69,7 +73,7 @@
             process = await start_program(config, log)
             stack.push_async_callback(end_program, process)
             await ready(port)
-            await until(lambda: bool(before.held))
+            await until(lambda: bool(before.held_polls))
             process.send_signal(signal.SIGKILL if number % 2 else signal.SIGTERM)
             assert await process.wait() == (-signal.SIGKILL if number % 2 else 0)
             discovery.script = after  # its calls are those of the new process alone
@@ -78,12 +82,14 @@
                 returns = asyncio.create_task(listen_later(discovery))
                 stack.callback(returns.cancel)
             elif trouble:
-                after.suffer(
+                after.inject_fault(
                     once(
                         after,
-                        {"silent": silence, "cut": after.cut, "cut and left open": after.stall}[
-                            trouble
-                        ],
+                        {
+                            "silent": never_respond,
+                            "cut": after.truncate_and_close,
+                            "cut and left open": after.truncate_and_stall,
+                        }[trouble],
                     )
                 )
             process = await start_program(config, log)
@@ -105,7 +111,7 @@
     """
 
     async def test() -> None:
-        backend, turn = Peer(answer()), asyncio.Semaphore(2)
+        backend, turn = Peer(respond()), asyncio.Semaphore(2)
         await backend.start()
         cases = [
             (trouble, knows)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -18,14 +18,20 @@
 from sumacpost.counter.client import CounterClient
 from sumacpost.model import Outcome
 from sumacpost.service import serve
-from tests.support.configuration import GOOD, SETTINGS
+from tests.support.configuration import MINIMAL_CONFIG, SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.discovery_agent import one_line, target
+from tests.support.discovery_agent import endpoint_entry, list_response
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH, OK, SILENT, Client, request, sent
-from tests.support.ingress import world
+from tests.support.http_client import (
+    HEALTH_REQUEST,
+    LONG_TIMEOUT,
+    OK_RESPONSE,
+    Client,
+    request,
+)
+from tests.support.ingress import running_ingress
 from tests.support.paths import ROOT
-from tests.support.peers import Peer, answer, sends, silence
+from tests.support.peers import Peer, never_respond, respond, send_bytes
 
 
 async def spawn(
@@ -53,13 +59,15 @@
     """Discovery is not there at all: the last known list is enough."""
 
     async def test() -> None:
-        backend = Peer(answer())
+        backend = Peer(respond())
         await backend.start()
-        config = GOOD | {"known": {"rev": 3, "all": True, "targets": [target(backend, "s-1")]}}
+        config = MINIMAL_CONFIG | {
+            "known": {"rev": 3, "all": True, "targets": [endpoint_entry(backend, "s-1")]}
+        }
         for number in (1, 2):
             process, client = await spawn(config, tmp_path)
-            assert (await client.ask(HEALTH))[0] == 200
-            assert (await client.ask(request(number=number)))[0] == 200
+            assert (await client.send(HEALTH_REQUEST)).status == 200
+            assert (await client.send(request(number=number))).status == 200
             process.send_signal(signal.SIGTERM if number == 1 else signal.SIGINT)
             assert await process.wait() == 0
         backend.stop()
@@ -70,47 +78,51 @@
 def test_a_reload_moves_discovery_and_counter_and_loses_no_call() -> None:
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 5000.0}}
-        async with world(
-            answer(b"old"), counter=silence, read_counter=read_counter_call, settings=patient
-        ) as w:
-            await until(lambda: len(w.discovery.requests) == 1)
+        async with running_ingress(
+            respond(b"old"), counter=never_respond, read_counter=read_counter_call, settings=patient
+        ) as ingress:
+            await until(lambda: len(ingress.discovery.requests) == 1)
             new_backend, counter = (
-                Peer(answer(b"new")),
-                Peer(sends(b"$1\r\n1\r\n", close=False), read_counter_call),
+                Peer(respond(b"new")),
+                Peer(send_bytes(b"$1\r\n1\r\n", close=False), read_counter_call),
             )
             await new_backend.start()
 
             async def tell(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
                 if b"from=" not in data:
                     writer.write(
-                        one_line(new_backend, "s-new", 2)
+                        list_response(new_backend, "s-new", 2)
                     )  # of a lower version than the old agent's
 
             agent = Peer(tell)
             await agent.start()
             await counter.start()
             told = []
-            w.service._ingress.counter._on_reply = told.append
-            w.service._ingress.counter.call(7, 1.0, 1000.0)
-            await until(lambda: len(w.counter.requests) == 1)
-            w.service.reload(
+            ingress.service._ingress.counter._on_reply = told.append
+            ingress.service._ingress.counter.call(7, 1.0, 1000.0)
+            await until(lambda: len(ingress.counter.requests) == 1)
+            ingress.service.reload(
                 read_config(
-                    json.dumps(w.config | {"discovery": agent.address, "counter": counter.address})
+                    json.dumps(
+                        ingress.config | {"discovery": agent.address, "counter": counter.address}
+                    )
                 )
             )
             await until(lambda: len(agent.requests) == 2 and counter.connections == 1)
-            assert b"from=" not in agent.requests[0] and b"from=2&" in agent.requests[1]
-            await until(lambda: w.discovery.closed == 1)
-            w.counter.writers[0].write(
+            assert b"from=" not in agent.requests[0]
+            assert b"from=2&" in agent.requests[1]
+            await until(lambda: ingress.discovery.closed == 1)
+            ingress.counter.writers[0].write(
                 b"$1\r\n4\r\n"
             )  # the call on the old connection has its answer
             await until(lambda: len(told) == 1)
-            assert told[0].outcome is Outcome.OK and told[0].total == 4
-            await until(lambda: w.counter.closed == 1)
-            w.service._ingress.counter.call(8, 1.0, 1000.0)
+            assert told[0].outcome is Outcome.OK
+            assert told[0].total == 4
+            await until(lambda: ingress.counter.closed == 1)
+            ingress.service._ingress.counter.call(8, 1.0, 1000.0)
             await until(lambda: len(told) >= 2)
             assert told[1].outcome is Outcome.OK
-            assert (await w.ask(request()))[2] == b"new"
+            assert (await ingress.send(request())).body == b"new"
             for peer in (agent, counter, new_backend):
                 peer.stop()
 
@@ -119,7 +131,7 @@
 
 def test_sighup_rereads_the_file_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
-        backend, first, second = Peer(answer()), Peer(silence), Peer(silence)
+        backend, first, second = Peer(respond()), Peer(never_respond), Peer(never_respond)
         for peer in (backend, first, second):
             await peer.start()
         path = tmp_path / "config.json"
@@ -129,7 +141,7 @@
             "discovery": first.address,
             "seed": "07",
             "settings": SETTINGS,
-            "known": {"rev": 5, "all": True, "targets": [target(backend, "s-0")]},
+            "known": {"rev": 5, "all": True, "targets": [endpoint_entry(backend, "s-0")]},
         }
         path.write_text(json.dumps(config))
         process = await asyncio.create_subprocess_exec(
@@ -223,19 +235,21 @@
 
 def test_a_new_configuration_in_the_midst_of_a_drain_changes_nothing_that_is_owed() -> None:
     async def test() -> None:
-        async with world(silence) as w:
-            client = await w.client()
-            client.writer.write(request("vat-filing", Request_Timeout=SILENT))
-            await until(lambda: sent(w) == 1)
-            w.stop.set()
-            await until(lambda: w.service._server.handler.draining)
+        async with running_ingress(never_respond) as ingress:
+            client = await ingress.client()
+            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: ingress.requests_received == 1)
+            ingress.stop.set()
+            await until(lambda: ingress.service._server.handler.draining)
             for _ in range(2):
-                w.service.reload(read_config(json.dumps(w.config)))
-            w.backends[0].writers[0].write(OK)
-            assert (await client.answer())[0] == 200
-            await w.task
-            w.service.reload(read_config(json.dumps(w.config)))  # after the end no task begins anew
-            watch = w.service._discovery_task._task
+                ingress.service.reload(read_config(json.dumps(ingress.config)))
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await client.read_response()).status == 200
+            await ingress.task
+            ingress.service.reload(
+                read_config(json.dumps(ingress.config))
+            )  # after the end no task begins anew
+            watch = ingress.service._discovery_task._task
             await until(watch.done)
 
     run(test())
