--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -16,8 +16,9 @@
 
 import pytest
 
-from sumacpost.server.listener import MAX_PIPELINED
-from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
+from sumacpost.server.connection import MAX_PIPELINED
+from sumacpost.upstream.connection import BackendConnection
+from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
@@ -60,7 +61,7 @@
             for writer in backend.writers:
                 writer.write(OK)
         await until(lambda: [len(p.idle) for p in pools(w)] == [each] * backends)
-        await asyncio.sleep(2 * REST_S)
+        await asyncio.sleep(2 * REUSE_DELAY_S)
         yield w
 
 
@@ -87,14 +88,16 @@
     if how == "stays":
         await until(lambda: len(attempts(w)) == before + 1)
         return
-    await until(lambda: not any(c.request.id == b"%016x" % NUMBER for c in ingress._calls.values()))
+    await until(
+        lambda: not any(c.request.id == b"%016x" % NUMBER for c in ingress._pending.values())
+    )
     for backend in w.backends:
         backend.script = answer()
     assert (await w.ask(ask(number=900)))[
         0
     ] == 200  # whatever was written before it has come by now
     assert len(attempts(w)) == before
-    assert NUMBER not in [int(c.request.id, 16) for c in ingress._calls.values()]
+    assert NUMBER not in [int(c.request.id, 16) for c in ingress._pending.values()]
 
 
 # ---- waiting for the counter
@@ -299,11 +302,11 @@
                 await until(lambda n=number: len(attempts(w, n)) == 1)
             server = w.service._server
             client.write(ask("vat-filing"))
-            await until(lambda: any(c._held for c in server._clients))
+            await until(lambda: any(c._unread for c in server.connections.open))
             (first,) = attempts(w, 100)
             client.write(behind)
             meet(client, how, lambda: write_now(first.writers[-1], OK), gone_first)
-            await asyncio.sleep(2 * REST_S)  # a connection that it could have
+            await asyncio.sleep(2 * REUSE_DELAY_S)  # a connection that it could have
             await expect(w, how, 0)
 
     run(test())
@@ -319,7 +322,7 @@
         async with warm() as w:
             client = HeldClient(w.address) if where == "unread" else None
             if client is not None:
-                await until(lambda: len(w.service._server._clients) == 3)
+                await until(lambda: len(w.service._server.connections.open) == 3)
             client = client or HeldClient(w.address)
             client.write(ask() + behind)
             meet(client, how, lambda: None, True)
@@ -328,7 +331,7 @@
                     how == "stays"
                     or not any(
                         c._sock.fileno() >= 0 and c.has_disconnected()
-                        for c in w.service._server._clients
+                        for c in w.service._server.connections.open
                     )
                 )
             )
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
+from sumacpost.server.connection import ClientConnection
+from sumacpost.upstream.connection import BackendConnection
+from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.dials import Dials
@@ -23,18 +25,24 @@
 
     async def test() -> None:
         async with world(answer()) as w:
-            server, seen = w.service._server, []
+            server = w.service._server
+            seen = []
             assert (await w.ask(request("vat-filing")))[0] == 200
-            await asyncio.sleep(2 * REST_S)
-            server._pause()
+            await asyncio.sleep(2 * REUSE_DELAY_S)
+            server.listener.pause()
             late = await w.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
             await until(lambda: not late.writer.transport.get_write_buffer_size())
             leave(late, how)
-            admitted = server.admit
-            server.admit = lambda connection: (seen.append(connection), admitted(connection))
-            server._resume()
-            await until(lambda: len(seen) == 1 and seen[0] not in server._clients)
+            connection_opened = server.connections.connection_opened
+
+            def record_opened(connection: ClientConnection) -> None:
+                seen.append(connection)
+                connection_opened(connection)
+
+            server.connections.connection_opened = record_opened
+            server.listener.resume()
+            await until(lambda: len(seen) == 1 and seen[0] not in server.connections.open)
             assert (await w.ask(request("vat-filing", 51)))[
                 0
             ] == 200  # whatever was written before it has come by now
@@ -53,9 +61,9 @@
             client.writer.write(request("vat-filing", Request_Timeout=SILENT))
             await until(lambda: dials.begun == 1)
             leave(client, "closed")
-            await until(lambda: not w.service._server._clients)
+            await until(lambda: not w.service._server.connections.open)
             dials.let.set()
-            await until(lambda: w.service._ingress.backends.open == 0)
+            await until(lambda: w.service._ingress.backends.open_connections == 0)
             assert sent(w) == 0 and not w.service._ingress._gateway.calls
             assert (await w.ask(request("vat-filing", 2)))[0] == 200 and sent(w) == 1
 
@@ -85,7 +93,7 @@
                 lambda: any(call for asked in gateway.counts.values() for *_, call in asked)
             )
             leave(client, "closed")
-            await until(lambda: not w.service._server._clients)
+            await until(lambda: not w.service._server.connections.open)
             let.set()
             await until(
                 lambda: not any(call for asked in gateway.counts.values() for *_, call in asked)
@@ -104,7 +112,7 @@
             class Leaving(BackendConnection):
                 def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
                     super().__init__(pool, sock)
-                    for call in list(w.service._ingress._calls.values()):
+                    for call in list(w.service._ingress._pending.values()):
                         w.service._ingress.cancel_request(call)
 
             with monkeypatch.context() as patched:
@@ -115,7 +123,7 @@
                 await until(
                     lambda: any(pool.idle for pool in pools)
                 )  # what came up is kept for others
-            await asyncio.sleep(2 * REST_S)
+            await asyncio.sleep(2 * REUSE_DELAY_S)
             assert sent(w) == 0
             assert (await w.ask(request("vat-filing", 2)))[0] == 200
             assert sent(w) == w.backends[0].connections == 1
