Send Connection: close again in the test of a client that asks once

A rename of Connection to BackendConnection had reached the header that the test sends. The connection then stayed open and ended by its idle time-out, so the test passed without the case that it is for.

--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -218,9 +218,7 @@
     async def test() -> None:
         async with world(silence) as w:
             client = await w.client()
-            client.writer.write(
-                request("vat-filing", Request_Timeout=SILENT, BackendConnection="close")
-            )
+            client.writer.write(request("vat-filing", Request_Timeout=SILENT, Connection="close"))
             await until(lambda: sent(w) == 1)
             server = w.service._server
             (connection,) = server.connections.open
