Name the tests of the server after behaviour, and state what they share once

The tests read in the terms of the field; the sockets that fail, the clients that occupy backends and the times that are shortened are fixtures or support. An assertion on several things at once is one for each. The error of exhausted descriptors is now matched exactly (EMFILE), any OSError passed before.

--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -3,236 +3,248 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
-from typing import Any
+import resource
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
 from tests.support.event_loop import run, until
-from tests.support.http_client import (
-    HEALTH_REQUEST,
-    LONG_TIMEOUT,
-    OK_RESPONSE,
-    Client,
-    request,
-)
+from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, request
 from tests.support.ingress import running_ingress
-from tests.support.peers import never_respond, respond
+from tests.support.peers import OK_RESPONSE, never_respond, respond
 
+SOCKETS_FOR_EIGHT_CLIENTS = 64
+SOCKETS_FOR_SIXTEEN_CLIENTS = 80
 
-@pytest.mark.parametrize("begin", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
-def test_a_message_has_its_time_from_the_connections_start(
-    begin: bytes, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Drip-fed bytes win no time: the client gets an error or a close."""
+
+@pytest.fixture
+def short_request_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
+
+@pytest.mark.usefixtures("short_request_timeout")
+@pytest.mark.parametrize("start", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
+def test_first_request_times_out_counted_from_the_connect(start: bytes) -> None:
+    """Bytes that trickle in win no time: the client gets an error or a close."""
+
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(begin)
+            client.write(start)
 
-            async def drip() -> None:
-                while begin.startswith(b"POST"):
+            async def trickle() -> None:
+                while start.startswith(b"POST"):
                     await asyncio.sleep(0.05)
-                    client.writer.write(b"x" if begin.endswith(b"fi") else b"")
-
-            dripping = asyncio.create_task(drip())
-            got = await client.reader.read()
-            dripping.cancel()
-            assert got.startswith(b"HTTP/1.1 408 ") if begin.strip() else got == b""
+                    client.write(b"x" if start.endswith(b"fi") else b"")
+
+            trickling = asyncio.create_task(trickle())
+            received = await client.read_to_end()
+            trickling.cancel()
+            if start.strip():
+                assert received.startswith(b"HTTP/1.1 408 ")
+            else:
+                assert received == b""
             assert (await ingress.send(request(number=2))).status == 200
 
     run(test())
 
 
-def test_a_message_on_a_used_connection_has_its_time_from_its_first_byte(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
-    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
-
+@pytest.mark.usefixtures("short_request_timeout")
+def test_later_request_times_out_counted_from_its_first_byte() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
             assert (await client.send(request())).status == 200
             await asyncio.sleep(0.4)  # between requests there is no such limit
             assert (await client.send(request(number=2))).status == 200
-            client.writer.write(request(number=3)[:-1])
+            client.write(request(number=3)[:-1])
             assert (await client.read_response()).status == 408
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
 
 
-def test_silent_and_half_sent_connections_do_not_keep_others_out() -> None:
-    """64 descriptors leave eight for clients; none of the forty has sent a whole request."""
+def test_silent_and_incomplete_connections_do_not_keep_others_out() -> None:
+    """None of the forty has sent a complete request."""
 
     async def test() -> None:
-        async with running_ingress(respond(), sockets=64) as ingress:
+        async with running_ingress(respond(), sockets=SOCKETS_FOR_EIGHT_CLIENTS) as ingress:
             used = await ingress.client()
             assert (await used.send(request())).status == 200
             for number in range(40):
                 client = await ingress.client()
                 if number % 2:
-                    client.writer.write(request()[:30])
-            assert (await asyncio.wait_for(ingress.send(request(number=2)), 1.0))[0] == 200
-            assert (await used.send(request(number=3))).status == 200  # they went before it
+                    client.write(request()[:30])
+            other = await asyncio.wait_for(ingress.send(request(number=2)), 1.0)
+            assert other.status == 200
+            assert (await used.send(request(number=3))).status == 200  # they were evicted first
 
     run(test())
 
 
-def test_connections_between_requests_take_only_a_part_of_the_places() -> None:
-    """Found in incident r1a30be: clients that ask once and stay had filled what they may hold, and asked no more.
+def test_idle_connections_take_only_a_part_of_the_places() -> None:
+    """Found in incident r1a30be: clients that sent one request and stayed had filled all places.
 
-    80 descriptors leave 16 places for clients. The one that asks again and again is never the longest idle.
+    The client that sends again and again is never the longest idle.
     """
 
     async def test() -> None:
-        async with running_ingress(respond(), sockets=80) as ingress:
-            server, used = ingress.service._server, await ingress.client()
-            once = []
+        async with running_ingress(respond(), sockets=SOCKETS_FOR_SIXTEEN_CLIENTS) as ingress:
+            connections = ingress.server.connections
+            used = await ingress.client()
+            idle = []
             for number in range(0, 20, 2):
                 assert (await used.send(request(number=number))).status == 200
-                once.append(await ingress.client())
-                assert (await once[-1].send(request(number=number + 1))).status == 200
-            for client in once[:6]:
-                assert (
-                    await client.reader.read() == b""
-                )  # closed in good order, with room for all of them
-            await until(lambda: len(server.connections.idle) == len(server.connections.open) == 4)
-            assert (await once[-1].send(request(number=50))).status == 200
+                idle.append(await ingress.client())
+                assert (await idle[-1].send(request(number=number + 1))).status == 200
+            for client in idle[:6]:
+                # Closed in good order, though there is capacity for all of them.
+                assert await client.read_to_end() == b""
+            await until(lambda: len(connections.idle) == len(connections.open) == 4)
+            assert (await idle[-1].send(request(number=50))).status == 200
             assert (await used.send(request(number=51))).status == 200
 
     run(test())
 
 
 def test_clients_past_the_bound_wait_for_a_place() -> None:
-    """64 descriptors leave eight for clients: idle connections make room, busy ones do not."""
+    """Idle connections are evicted, busy ones are not."""
 
     async def test() -> None:
-        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
+        async with running_ingress(
+            *[never_respond] * 8, sockets=SOCKETS_FOR_EIGHT_CLIENTS
+        ) as ingress:
             idle = [await ingress.client() for _ in range(8)]
             for client in idle:
                 assert (await client.send(HEALTH_REQUEST)).status == 200
             busy = []
             for number in range(8):
-                busy.append(await ingress.client())
-                busy[-1].writer.write(
-                    request("payment-book", number=number, Request_Timeout="5.000")
-                )
-                await until(lambda: sum(len(b.requests) for b in ingress.backends) == len(busy))
-            await until(lambda: sum(len(b.requests) for b in ingress.backends) == 8)
-            assert [await client.reader.read() for client in idle] == [b""] * 8
+                client = await ingress.client()
+                data = request("payment-book", number, Request_Timeout="5.000")
+                await ingress.forward(client, data)
+                busy.append(client)
+            assert [await client.read_to_end() for client in idle] == [b""] * 8
             waiting = await ingress.client()
-            waiting.writer.write(HEALTH_REQUEST)
+            waiting.write(HEALTH_REQUEST)
             reading = asyncio.create_task(waiting.read_response())
             await asyncio.sleep(0.1)
             assert not reading.done()
             busy[0].writer.close()
-            assert (await reading)[0] == 200
+            assert (await reading).status == 200
 
     run(test())
 
 
-def test_running_out_of_descriptors_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+@contextmanager
+def no_descriptors_left() -> Iterator[None]:
+    """Use up the descriptors that this process may open."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    held: list[int] = []
+
+    def use_up() -> None:
+        while True:
+            held.append(os.open("/dev/null", os.O_RDONLY))
+
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 256), hard))
+        with pytest.raises(OSError, match=os.strerror(errno.EMFILE)):
+            use_up()
+        yield
+    finally:
+        for descriptor in held:
+            os.close(descriptor)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_running_out_of_descriptors_closes_no_connection() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             first = await ingress.client()
             assert (await first.send(HEALTH_REQUEST)).status == 200
-            import resource
-
-            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-            held = []
-            try:
-                reader, writer = await asyncio.open_connection(*ingress.address)
-                resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 256), hard))
-                with pytest.raises(OSError):
-                    while True:
-                        held.append(os.open("/dev/null", os.O_RDONLY))
+            second = await ingress.client()
+            with no_descriptors_left():
                 assert (await first.send(HEALTH_REQUEST)).status == 200
-                assert (
-                    await first.send(request())
-                ).status == 429  # no socket for an attempt: nothing was sent
-            finally:
-                for number in held:
-                    os.close(number)
-                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-            assert (await Client(reader, writer).send(request(number=2))).status == 200
-            writer.close()
+                # There is no socket for an attempt: nothing was sent.
+                assert (await first.send(request())).status == 429
+            assert (await second.send(request(number=2))).status == 200
 
     run(test())
 
 
-def test_one_at_the_door_comes_in_as_soon_as_a_client_has_its_answer(
+def test_waiting_client_is_accepted_as_soon_as_another_has_its_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Found by reading: it waited until a connection ended, though one between requests makes room."""
+    """Found by reading: it waited for a close, though an idle connection can be evicted."""
     monkeypatch.setattr("sumacpost.server.connection_registry.IDLE_TIMEOUT_S", 1000.0)
 
     async def test() -> None:
-        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
+        async with running_ingress(
+            *[never_respond] * 8, sockets=SOCKETS_FOR_EIGHT_CLIENTS
+        ) as ingress:
             for number in range(8):
-                (await ingress.client()).writer.write(
-                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
-                )
-                await until(lambda n=number: ingress.requests_received == n + 1)
+                data = request(number=number, Request_Timeout=LONG_TIMEOUT)
+                await ingress.forward(await ingress.client(), data)
             late = await ingress.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: not ingress.service._server.listener.accepting)
+            late.write(request(number=50, Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: not ingress.server.listener.accepting)
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             await until(lambda: ingress.requests_received == 9)
 
     run(test())
 
 
-def test_one_that_left_the_door_does_not_keep_those_behind_it_out() -> None:
-    async def test() -> None:
-        async with running_ingress(respond()) as ingress:
-            server, accepts = ingress.service._server, []
-            server.listener.pause()
-            client = await ingress.client()
-            listener = server.listener._socket
+class AbortedFirst:
+    """A listening socket whose first connection has been aborted before it is accepted."""
+
+    def __init__(self, listening: socket.socket) -> None:
+        self.accepts = 0
+        self._listening = listening
+
+    def accept(self) -> tuple[socket.socket, object]:
+        self.accepts += 1
+        if self.accepts == 1:
+            raise ConnectionAbortedError
+        return self._listening.accept()
 
-            class Aborted:
-                def accept(self) -> Any:
-                    accepts.append(1)
-                    if len(accepts) == 1:
-                        raise ConnectionAbortedError
-                    return listener.accept()
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._listening, name)
 
-                def __getattr__(self, name: str) -> Any:
-                    return getattr(listener, name)
 
-            server.listener._socket = Aborted()
-            assert server.listener.accept()
-            assert len(accepts) == 3
+def test_aborted_connection_does_not_delay_those_queued_behind_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with running_ingress(respond()) as ingress:
+            listener = ingress.server.listener
+            listener.pause()
+            client = await ingress.client()
+            aborted_first = AbortedFirst(listener._socket)
+            monkeypatch.setattr(listener, "_socket", aborted_first)
+            assert listener.accept()
+            assert aborted_first.accepts == 3  # the one behind it, and then nobody
             assert (await client.send(request())).status == 200
 
     run(test())
 
 
-def test_a_client_that_asks_once_and_says_so_is_waited_for_like_any_other(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
-    monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.1)
-    monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.02)
+@pytest.mark.usefixtures("short_request_timeout")
+def test_client_that_sends_connection_close_is_waited_for_like_any_other() -> None:
+    """It was taken for one that had not sent its request, and dropped after 2 s."""
 
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             client = await ingress.client()
-            client.writer.write(
-                request("vat-filing", Request_Timeout=LONG_TIMEOUT, Connection="close")
-            )
-            await until(lambda: ingress.requests_received == 1)
-            server = ingress.service._server
-            (connection,) = server.connections.open
-            assert connection not in server.connections.waiting
-            await asyncio.sleep(0.3)  # three times what a message may take
+            await ingress.forward(client, request(Request_Timeout=LONG_TIMEOUT, Connection="close"))
+            (connection,) = ingress.server.connections.open
+            assert connection not in ingress.server.connections.waiting
+            await asyncio.sleep(0.6)  # three times what a request may take to arrive
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             assert (await client.read_response()).status == 200
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -1,108 +1,100 @@
-"""The end of service: what has come is answered, then all is closed."""
+"""The graceful shutdown: what has arrived is answered, then all is closed."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
-from typing import Any
+import socket
 
 import pytest
 
 from tests.support.configuration import SETTINGS
-from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, OK_RESPONSE, request
+from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, request
 from tests.support.ingress import running_ingress
-from tests.support.peers import never_respond, respond
+from tests.support.peers import OK_RESPONSE, never_respond, respond
 
 
-def test_a_drain_takes_what_comes_finishes_what_was_taken_and_closes_the_rest() -> None:
+def forwarded_timeout_s(data: bytes) -> float:
+    """Return the Request-Timeout that a backend received."""
+    return float(data.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
+
+
+def test_drain_accepts_late_clients_finishes_requests_and_closes_the_rest() -> None:
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
-            idle, busy = await ingress.client(), await ingress.client()
+            idle = await ingress.client()
+            busy = await ingress.client()
             assert (await idle.send(HEALTH_REQUEST)).status == 200
-            busy.writer.write(request(Request_Timeout="8.000"))
-            await until(lambda: len(ingress.backends[0].requests) == 1)
+            await ingress.forward(busy, request(Request_Timeout="8.000"))
             ingress.stop.set()
-            assert await idle.reader.read() == b""
-            late = await ingress.client()  # the front has not noticed yet
-            assert (await late.send(HEALTH_REQUEST)).status == 503
+            assert await idle.read_to_end() == b""
+            # The load balancer in front has not noticed yet.
+            assert (await ingress.send(HEALTH_REQUEST)).status == 503
             late = await ingress.client()
-            late.writer.write(request(number=2, Request_Timeout="8.000"))
-            await until(lambda: len(ingress.backends[0].requests) == 2)
-            await asyncio.sleep(0.8)  # the door is closed by now
+            await ingress.forward(late, request(number=2, Request_Timeout="8.000"))
+            await asyncio.sleep(0.8)  # the listener is closed by now
             with pytest.raises(ConnectionRefusedError):
                 await ingress.client()
-            for writer in ingress.backends[0].writers:
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+            ingress.respond_to_all()
             for client in (busy, late):
-                status, head, body = await client.read_response()
-                assert (status, body) == (200, b"done")
-                assert b"Connection: close" in head
+                response = await client.read_response()
+                assert response.status == 200
+                assert response.body == b"done"
+                assert b"Connection: close" in response.head
             await ingress.task
 
     run(test())
 
 
-def test_a_drain_does_not_wait_for_a_request_that_never_ends() -> None:
+def test_drain_does_not_wait_for_an_incomplete_request() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(request()[:50])
+            client.write(request()[:50])
             await asyncio.sleep(0.05)
             ingress.stop.set()
             await ingress.task
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
 
 
-def test_answers_owed_on_one_connection_all_come_though_service_ends_between_them() -> None:
+def test_pipelined_requests_are_all_answered_though_the_drain_starts_between_them() -> None:
     async def test() -> None:
         async with running_ingress(never_respond, never_respond) as ingress:
             client = await ingress.client()
-            for number in range(2):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
-                await until(lambda n=number: ingress.requests_received == n + 1)
+            await ingress.occupy_backends(client, 2)
             ingress.stop.set()
-            await until(lambda: ingress.service._server.handler.draining)
+            await until(lambda: ingress.server.handler.draining)
             for backend in ingress.backends:
                 backend.writers[0].write(OK_RESPONSE)
-            first, second = await client.read_response(), await client.read_response()
-            assert (first[0], second[0]) == (200, 200)
-            assert b"Connection: close" not in first[1]
-            assert b"Connection: close" in second[1]
-            assert await client.reader.read() == b""
+            first = await client.read_response()
+            second = await client.read_response()
+            assert (first.status, second.status) == (200, 200)
+            assert b"Connection: close" not in first.head
+            assert b"Connection: close" in second.head
+            assert await client.read_to_end() == b""
             await ingress.task
 
     run(test())
 
 
-def test_what_comes_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
-    """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to a second after it."""
+def test_late_request_in_a_drain_is_answered_before_the_process_is_killed() -> None:
+    """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to 1 s after it."""
 
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             ingress.stop.set()
-            await until(lambda: ingress.service._server.handler.draining)
+            await until(lambda: ingress.server.handler.draining)
             late = await ingress.client()
-            late.writer.write(request("ledger-read", Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: ingress.requests_received == 1)
-            (call,) = ingress.service._ingress._pending.values()
-            longest = max(c["hard_limit"] for c in SETTINGS["categories"])
-            assert (
-                call.deadline
-                <= ingress.service._ingress._drain_deadline
-                < ingress.service._ingress._clock.now() + longest + 700
-            )
-            told = float(
-                ingress.backends[0]
-                .requests[0]
-                .lower()
-                .split(b"request-timeout: ")[1]
-                .split(b"\r\n")[0]
-            )
-            assert told < (longest + 700) / 1000
+            await ingress.forward(late, request("ledger-read", Request_Timeout=LONG_TIMEOUT))
+            (pending,) = ingress.bridge._pending.values()
+            longest_ms = max(category["hard_limit"] for category in SETTINGS["categories"])
+            kill_at = ingress.bridge._clock.now() + longest_ms + 700
+            assert pending.deadline <= ingress.bridge._drain_deadline < kill_at
+            timeout_s = forwarded_timeout_s(ingress.backends[0].requests[0])
+            assert timeout_s < (longest_ms + 700) / 1000
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             assert (await late.read_response()).status == 200
             await ingress.task
@@ -110,10 +102,10 @@
     run(test())
 
 
-def test_who_stands_at_the_door_as_it_closes_gets_an_answer(
+def test_client_in_the_accept_queue_as_the_listener_closes_gets_a_response(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """All eight places are taken: the listener was closed, and the ninth was reset with its request."""
+    """With all eight places taken the listener was closed, and the ninth client was reset."""
     for name in ("DRAIN_MIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MAX_ACCEPT_S"):
         monkeypatch.setattr(f"sumacpost.server.drain.{name}", 0.05)
     monkeypatch.setattr("sumacpost.server.drain.DRAIN_MAX_BACKLOG_S", 1000.0)
@@ -121,13 +113,11 @@
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
             for number in range(8):
-                (await ingress.client()).writer.write(
-                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
-                )
-                await until(lambda n=number: ingress.requests_received == n + 1)
+                data = request(number=number, Request_Timeout=LONG_TIMEOUT)
+                await ingress.forward(await ingress.client(), data)
             late = await ingress.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: not ingress.service._server.listener.accepting)
+            late.write(request(number=50, Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: not ingress.server.listener.accepting)
             ingress.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
             for backend in ingress.backends:
@@ -139,27 +129,32 @@
     run(test())
 
 
+class FailingSocket:
+    """A listening socket whose accept fails."""
+
+    def __init__(self, listening: socket.socket, error: int) -> None:
+        self._listening = listening
+        self._error = error
+
+    def accept(self) -> tuple[socket.socket, object]:
+        raise OSError(self._error, "no")
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._listening, name)
+
+
 @pytest.mark.parametrize("error", [errno.EMFILE, errno.EPROTO, errno.EPERM])
-def test_an_accept_that_fails_ends_nothing(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
-    """One in the drain would have ended the process, with all that it had taken."""
+def test_failing_accept_does_not_end_a_drain(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It would have ended the process, with all the requests that it had read."""
 
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             client = await ingress.client()
-            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: ingress.requests_received == 1)
-            listener = ingress.service._server.listener._socket
-
-            class Failing:
-                def accept(self) -> Any:
-                    raise OSError(error, "no")
-
-                def __getattr__(self, name: str) -> Any:
-                    return getattr(listener, name)
-
-            ingress.service._server.listener._socket = Failing()
+            await ingress.forward(client, request(Request_Timeout=LONG_TIMEOUT))
+            listener = ingress.server.listener
+            monkeypatch.setattr(listener, "_socket", FailingSocket(listener._socket, error))
             ingress.stop.set()
-            await asyncio.sleep(0.5)  # the door would be closed by now
+            await asyncio.sleep(0.5)  # the listener would be closed by now
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             assert (await client.read_response()).status == 200
             await ingress.task
@@ -167,43 +162,38 @@
     run(test())
 
 
-@pytest.mark.parametrize("end_first", [True, False])
-def test_a_request_that_crosses_the_close_of_its_connection_is_answered_or_never_read(
-    end_first: bool,
+@pytest.mark.parametrize("drain_first", [True, False])
+def test_request_that_crosses_the_close_of_its_connection_is_answered_or_never_read(
+    drain_first: bool,
 ) -> None:
-    """The client sends what was not read once more, elsewhere; what was read has its answer."""
+    """The client retries elsewhere what was not read; what was read gets its response."""
 
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
             assert (await client.send(HEALTH_REQUEST)).status == 200
-            if end_first:
+            if drain_first:
                 ingress.stop.set()
-                client.writer.write(request())
+                client.write(request())
             else:
-                client.writer.write(request())
+                client.write(request())
                 ingress.stop.set()
             try:
-                got = await client.reader.read()
+                received = await client.read_to_end()
             except ConnectionResetError:
-                got = b""
+                received = b""
             await ingress.task
-            assert (
-                ingress.requests_received
-                == got.count(b"HTTP/1.1 200 ")
-                == (b"Connection: close" in got)
-            )
+            assert ingress.requests_received == received.count(b"HTTP/1.1 200 ")
+            assert ingress.requests_received == (b"Connection: close" in received)
 
     run(test())
 
 
-def test_the_end_does_not_wait_for_calls_of_the_counter_that_are_out() -> None:
+def test_drain_does_not_wait_for_counter_calls_in_flight() -> None:
     async def test() -> None:
-        patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
-        async with running_ingress(
-            respond(), counter=never_respond, read_counter=read_counter_call, settings=patient
-        ) as ingress:
-            ingress.service._ingress.counter.call(7, 1.0, 1000.0)
+        settings = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
+        async with running_ingress(respond(), counter=never_respond, settings=settings) as ingress:
+            ingress.counter_client.call(7, 1.0, 1000.0)
             await until(lambda: len(ingress.counter.requests) == 1)
             ingress.stop.set()
             await ingress.task
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -7,137 +7,115 @@
 import pytest
 
 from sumacpost.ingress import CLIENT_DEADLINE_MARGIN_MS
-from sumacpost.server.connection import MAX_PIPELINED, ConnectionState
+from sumacpost.server.connection import MAX_PIPELINED, ClientConnection, ConnectionState
 from tests.support.event_loop import run, until
-from tests.support.http_client import LONG_TIMEOUT, OK_RESPONSE, request
-from tests.support.ingress import running_ingress
+from tests.support.http_client import LONG_TIMEOUT, request
+from tests.support.ingress import RunningIngress, running_ingress
 from tests.support.peers import never_respond, respond
 
 
-def test_more_requests_in_a_row_than_are_taken_at_once_are_all_answered() -> None:
+def only_connection(ingress: RunningIngress) -> ClientConnection:
+    (connection,) = ingress.server.connections.open
+    return connection
+
+
+def test_more_requests_in_a_row_than_may_be_pipelined_are_all_answered() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(b"".join(request(number=n) for n in range(40)))
-            assert {(await client.read_response()).status for _ in range(40)} <= {
-                200,
-                429,
-            }  # some met a pressed backend
+            client.write(b"".join(request(number=number) for number in range(40)))
+            statuses = {response.status for response in await client.read_responses(40)}
+            assert statuses <= {200, 429}  # some were shed
 
     run(test())
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_what_stands_behind_others_is_dropped_with_its_client(how: str) -> None:
-    """With eight answers owed no more is read from the client; its end has to be seen all the same."""
+def test_buffered_requests_are_dropped_with_their_client(how: str) -> None:
+    """With eight responses owed no request is parsed, yet the disconnect has to be seen."""
 
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client = await ingress.client()
-            for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
-                await until(lambda n=number: ingress.requests_received == n + 1)
-            (connection,) = ingress.service._server.connections.open
-            for number in (50, 51):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
-            await until(
-                lambda: (
-                    connection._unread_bytes
-                    == len(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT)) * 2
-                )
-            )
+            await ingress.occupy_backends(client, MAX_PIPELINED)
+            connection = only_connection(ingress)
+            buffered = [request(number=n, Request_Timeout=LONG_TIMEOUT) for n in (50, 51)]
+            for data in buffered:
+                client.write(data)
+            await until(lambda: connection._unread_bytes == len(b"".join(buffered)))
             client.disconnect(how)
-            await until(
-                lambda: (
-                    not ingress.service._server.connections.open
-                    and not ingress.service._ingress._pending
-                )
-            )
-            await until(lambda: sum(b.closed for b in ingress.backends) == MAX_PIPELINED)
+            await until(lambda: not ingress.server.connections.open)
+            await until(lambda: not ingress.bridge._pending)
+            await until(lambda: sum(peer.closed for peer in ingress.backends) == MAX_PIPELINED)
             assert ingress.requests_received == MAX_PIPELINED
-            assert ingress.service._ingress.backends.open_connections == 0
+            assert ingress.pool_manager.open_connections == 0
 
     run(test())
 
 
-def test_what_stands_behind_others_is_read_once_they_are_answered_and_its_time_counts_from_its_coming() -> (
-    None
-):
+def test_buffered_request_is_read_in_turn_and_its_time_counts_from_its_arrival() -> None:
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client = await ingress.client()
-            for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
-                await until(lambda n=number: ingress.requests_received == n + 1)
-            (connection,) = ingress.service._server.connections.open
-            client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
+            await ingress.occupy_backends(client, MAX_PIPELINED)
+            connection = only_connection(ingress)
+            client.write(request(number=50, Request_Timeout="5.000"))
             await until(lambda: connection._unread_bytes > 0)
             await asyncio.sleep(0.05)  # time that it loses
             for backend in ingress.backends:
                 backend.script = respond()
-                for writer in backend.writers:
-                    writer.write(OK_RESPONSE)
-            assert [(await client.read_response()).status for _ in range(MAX_PIPELINED + 1)] == [
-                200
-            ] * (MAX_PIPELINED + 1)
-            (told,) = [r for b in ingress.backends for r in b.requests if b"%016x" % 50 in r]
-            left = float(told.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
-            assert left <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
+            ingress.respond_to_all()
+            responses = await client.read_responses(MAX_PIPELINED + 1)
+            assert [response.status for response in responses] == [200] * (MAX_PIPELINED + 1)
+            received = [data for peer in ingress.backends for data in peer.requests]
+            (forwarded,) = [data for data in received if b"%016x" % 50 in data]
+            timeout_s = float(forwarded.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
+            assert timeout_s <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
 
     run(test())
 
 
-def test_more_than_may_be_held_ends_the_connection_after_the_answers_owed() -> None:
+def test_too_many_buffered_bytes_end_the_connection_after_the_responses_owed() -> None:
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client = await ingress.client()
-            for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
-                await until(lambda n=number: ingress.requests_received == n + 1)
-            client.writer.write(
-                b"".join(request("vat-filing", 100 + n) for n in range(400))
-            )  # some 90 KB
-            (connection,) = ingress.service._server.connections.open
+            await ingress.occupy_backends(client, MAX_PIPELINED)
+            client.write(b"".join(request(number=100 + n) for n in range(400)))  # some 90 KB
+            connection = only_connection(ingress)
             await until(lambda: connection._state is ConnectionState.CLOSING)
             assert connection._unread_bytes == 0
-            for backend in ingress.backends:
-                for writer in backend.writers:
-                    writer.write(OK_RESPONSE)
-            assert [(await client.read_response()).status for _ in range(MAX_PIPELINED)] == [
-                200
-            ] * MAX_PIPELINED
+            ingress.respond_to_all()
+            responses = await client.read_responses(MAX_PIPELINED)
+            assert [response.status for response in responses] == [200] * MAX_PIPELINED
             assert (await client.read_response()).status == 429
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
             assert ingress.requests_received == MAX_PIPELINED
 
     run(test())
 
 
-def test_a_client_that_takes_no_answers_is_read_no_further() -> None:
-    """Its answers would pile up here without end."""
+def test_client_that_reads_no_responses_is_not_read_from() -> None:
+    """Its responses would be buffered without bound."""
 
     async def test() -> None:
         async with running_ingress(respond(b"x" * 60_000)) as ingress:
             client = await ingress.client()
-            client.writer.transport.pause_reading()
+            client.pause_reading()
+            await until(lambda: len(ingress.server.connections.open) == 1)
+            connection = only_connection(ingress)
             number = 0
-            while not (
-                ingress.service._server.connections.open
-                and (
-                    connection := next(iter(ingress.service._server.connections.open))
-                )._writing_paused
-            ):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+            while not connection._writing_paused:
+                client.write(request(number=number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
                 await until(lambda: not connection._pending_responses or connection._writing_paused)
                 await asyncio.sleep(0)
             before = ingress.requests_received
-            client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+            client.write(request(number=number, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: connection._unread_bytes > 0)
             assert ingress.requests_received == before
-            client.writer.transport.resume_reading()
-            told = [(await client.read_response()).status for _ in range(number + 1)]
-            assert 200 in told
+            client.resume_reading()
+            statuses = [response.status for response in await client.read_responses(number + 1)]
+            assert 200 in statuses
             assert not connection._unread
 
     run(test())
--- a/tests/support/counter_calls.py
+++ b/tests/support/counter_calls.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 from sumacpost.counter.client import CounterClient
 from sumacpost.model import CounterReplied, Outcome
 from tests.support.event_loop import until
-from tests.support.peers import Peer
+from tests.support.peers import Peer, Script
 
 
 async def read_counter_call(reader: asyncio.StreamReader) -> bytes:
@@ -42,6 +44,11 @@
         await until(lambda: len(self.replies) >= count)
         return [CallOutcome(reply.name, reply.outcome, reply.total) for reply in self.replies]
 
+    @property
+    def totals(self) -> list[tuple[int, float]]:
+        """The names and totals of the replies so far."""
+        return [(reply.name, reply.total) for reply in self.replies]
+
     @property
     def counter(self) -> CounterClient:
         return self.client
@@ -55,4 +62,18 @@
         return self.first_attempt_made
 
 
+@asynccontextmanager
+async def scripted_counter(
+    script: Script, timeout_s: float = 5.0
+) -> AsyncIterator[tuple[Peer, RecordedCounterClient]]:
+    """Run a scripted counter and a client of it that has made its first attempt to connect."""
+    peer = Peer(script, read_counter_call)
+    await peer.start()
+    recorded = RecordedCounterClient(peer, timeout_s)
+    await recorded.first_attempt_made.wait()
+    yield peer, recorded
+    recorded.task.cancel()
+    peer.stop()
+
+
 Counting = RecordedCounterClient
--- a/tests/support/http_client.py
+++ b/tests/support/http_client.py
@@ -5,21 +5,21 @@
 import asyncio
 import socket
 import struct
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
 from tests.support.peers import OK_RESPONSE, read_message
 
 HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 LONG_TIMEOUT = "60.000"  # a Request-Timeout that no step of a test reaches
 
-# With these a close sends RST.
+# As the SO_LINGER of a socket: its close sends RST.
 LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 def request(request_class: str = "vat-filing", number: int = 1, **changes: str | None) -> bytes:
     """Return a request as a client sends it.
 
-    Each change names a header, with `_` for `-`, or `method`, `path` or `body`; None omits a header.
+    Each change names a header, with `_` for `-`, or `method`, `path` or `body`; None omits it.
     """
     method = "GET" if request_class == "ledger-read" else "POST"
     headers: dict[str, str | None] = {
@@ -58,9 +58,13 @@
         self.reader = reader
         self.writer = writer
 
+    def write(self, data: bytes) -> None:
+        """Write bytes of requests."""
+        self.writer.write(data)
+
     async def send(self, data: bytes) -> Response:
         """Send a request and return the next response on the connection."""
-        self.writer.write(data)
+        self.write(data)
         return await self.read_response()
 
     async def read_response(self) -> Response:
@@ -72,6 +76,22 @@
         """Return the next responses on the connection."""
         return [await self.read_response() for _ in range(count)]
 
+    async def read_to_end(self) -> bytes:
+        """Return all that still comes until the ingress closes the connection."""
+        return await self.reader.read()
+
+    def pause_reading(self) -> None:
+        """Take no more bytes from the kernel."""
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Undo `pause_reading`."""
+        self._transport.resume_reading()
+
+    @property
+    def _transport(self) -> asyncio.Transport:
+        return cast(asyncio.Transport, self.writer.transport)
+
     def disconnect(self, how: str) -> None:
         """Leave at once, by a FIN ("closed") or by an RST ("reset")."""
         if how == "reset":
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -11,12 +11,18 @@
 from typing import Any
 
 from sumacpost.config import read_config
+from sumacpost.counter.client import CounterClient
+from sumacpost.ingress import Ingress
+from sumacpost.policy.gateway import Gateway
+from sumacpost.server.server import Server
 from sumacpost.service import Service, serve
+from sumacpost.upstream.pool_manager import PoolManager
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import endpoint_entry
-from tests.support.http_client import Client, Response
-from tests.support.peers import Peer, Script, never_respond
+from tests.support.event_loop import until
+from tests.support.http_client import LONG_TIMEOUT, Client, Response, request
+from tests.support.peers import OK_RESPONSE, Peer, Script, never_respond
 
 
 @dataclass
@@ -42,6 +48,32 @@
         """How many requests the backends have received altogether."""
         return sum(len(backend.requests) for backend in self.backends)
 
+    @property
+    def server(self) -> Server:
+        """The side of the clients."""
+        return self.service._server
+
+    @property
+    def bridge(self) -> Ingress:
+        """What connects sockets and gateway."""
+        return self.service._ingress
+
+    @property
+    def gateway(self) -> Gateway:
+        """The decisions."""
+        return self.bridge._gateway
+
+    @property
+    def pool_manager(self) -> PoolManager:
+        """The side of the backends."""
+        return self.bridge.backends
+
+    @property
+    def counter_client(self) -> CounterClient:
+        """The client of the counter, where there is one."""
+        assert self.bridge.counter is not None
+        return self.bridge.counter
+
     async def client(self) -> Client:
         """Connect a client, to be closed at the end."""
         reader, writer = await asyncio.open_connection(*self.address)
@@ -53,6 +85,23 @@
         client = await self.client()
         return await client.send(data)
 
+    async def forward(self, client: Client, data: bytes) -> None:
+        """Write a request and wait until a backend has received it."""
+        expected = self.requests_received + 1
+        client.write(data)
+        await until(lambda: self.requests_received == expected)
+
+    async def occupy_backends(self, client: Client, count: int) -> None:
+        """Forward that many requests of one client, numbered from 0."""
+        for number in range(count):
+            await self.forward(client, request(number=number, Request_Timeout=LONG_TIMEOUT))
+
+    def respond_to_all(self) -> None:
+        """Send one good response on every connection to a backend."""
+        for backend in self.backends:
+            for writer in backend.writers:
+                writer.write(OK_RESPONSE)
+
     ask = send
 
 
