--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -106,14 +106,14 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("event", ["it grants", "it is lost"])
-def test_what_the_counter_lets_go_is_not_sent_for_a_client_that_left_in_that_turn(
+def test_counter_reply_starts_no_attempt_for_a_client_that_left_in_that_turn(
     how: str, gone_first: bool, event: str
 ) -> None:
     run(_counter(how, gone_first, event))
 
 
 @each_way_to_go
-def test_a_counter_that_falls_silent_lets_nothing_go_for_a_client_that_left(how: str) -> None:
+def test_counter_timeout_starts_no_attempt_for_a_client_that_left(how: str) -> None:
     """Its time-out is a timer: in a late turn of the loop it comes before any socket is looked at."""
     run(_counter(how, True, "it is silent"))
 
@@ -165,7 +165,7 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("event", ["turned away", "spoilt", "ended"])
-def test_no_further_attempt_follows_one_that_fails_as_its_client_leaves(
+def test_no_retry_follows_an_attempt_that_fails_as_its_client_leaves(
     how: str, gone_first: bool, event: str
 ) -> None:
     async def test() -> None:
@@ -199,7 +199,7 @@
 
 @each_way_to_go
 @pytest.mark.parametrize("late", [True, False])
-def test_no_second_copy_follows_for_a_client_that_left_before_its_timer(
+def test_no_hedged_request_follows_for_a_client_that_left_before_its_timer(
     how: str, late: bool
 ) -> None:
     """In a late turn of the loop timers come before any socket is looked at."""
@@ -253,7 +253,7 @@
 @each_way_to_go
 @pytest.mark.parametrize("moment", ["connected", "ready"])
 @pytest.mark.parametrize("which", ["first", "further", "second copy"])
-def test_a_connection_that_comes_up_as_its_client_leaves_carries_no_attempt(
+def test_connection_opened_as_its_client_leaves_carries_no_attempt(
     how: str, moment: str, which: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A connection dialled is no attempt: that begins with its bytes, a turn of the loop or two later."""
@@ -289,7 +289,7 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("behind", [b"", ask(number=501), ask(number=501)[:40]])
-def test_what_stands_behind_others_is_not_sent_as_they_are_answered_and_its_client_leaves(
+def test_unread_request_is_not_forwarded_if_its_client_leaves_as_a_response_goes_out(
     how: str, gone_first: bool, behind: bytes
 ) -> None:
     """More that the client sent may stand unread before its end."""
@@ -315,7 +315,7 @@
 @each_way_to_go
 @pytest.mark.parametrize("where", ["unread", "at the door"])
 @pytest.mark.parametrize("behind", [b"", ask(number=501), ask(number=501)[:40]])
-def test_what_came_and_was_not_read_before_its_client_left_is_not_sent(
+def test_request_unread_when_its_client_left_is_not_forwarded(
     how: str, where: str, behind: bytes
 ) -> None:
     async def test() -> None:
@@ -341,7 +341,7 @@
 
 
 @each_way_to_go
-def test_unread_bytes_before_its_end_do_not_hide_that_a_client_left(how: str) -> None:
+def test_unread_bytes_do_not_hide_that_a_client_left(how: str) -> None:
     """A further request of the client stands unread before its end, so that a peek would show no end."""
 
     async def test() -> None:
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -15,7 +15,7 @@
 
 
 @pytest.mark.parametrize("begin", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
-def test_a_message_has_its_time_from_the_connections_start(
+def test_first_request_times_out_from_the_connections_start(
     begin: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Drip-fed bytes win no time: the client gets an error or a close."""
@@ -41,7 +41,7 @@
     run(test())
 
 
-def test_a_message_on_a_used_connection_has_its_time_from_its_first_byte(
+def test_later_request_times_out_from_its_first_byte(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
@@ -60,7 +60,7 @@
     run(test())
 
 
-def test_silent_and_half_sent_connections_do_not_keep_others_out() -> None:
+def test_connections_without_a_complete_request_do_not_keep_others_out() -> None:
     """64 descriptors leave eight for clients; none of the forty has sent a whole request."""
 
     async def test() -> None:
@@ -77,7 +77,7 @@
     run(test())
 
 
-def test_connections_between_requests_take_only_a_part_of_the_places() -> None:
+def test_idle_connections_take_only_part_of_the_capacity() -> None:
     """Found in incident r1a30be: clients that ask once and stay had filled what they may hold, and asked no more.
 
     80 descriptors leave 16 places for clients. The one that asks again and again is never the longest idle.
@@ -102,7 +102,7 @@
     run(test())
 
 
-def test_clients_past_the_bound_wait_for_a_place() -> None:
+def test_clients_beyond_the_limit_wait_for_capacity() -> None:
     """64 descriptors leave eight for clients: idle connections make room, busy ones do not."""
 
     async def test() -> None:
@@ -130,7 +130,7 @@
     run(test())
 
 
-def test_running_out_of_descriptors_ends_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_running_out_of_descriptors_ends_no_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with world(answer()) as w:
             first = await w.client()
@@ -159,7 +159,7 @@
     run(test())
 
 
-def test_one_at_the_door_comes_in_as_soon_as_a_client_has_its_answer(
+def test_waiting_connection_is_accepted_as_soon_as_another_becomes_idle(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Found by reading: it waited until a connection ended, though one between requests makes room."""
@@ -181,7 +181,7 @@
     run(test())
 
 
-def test_one_that_left_the_door_does_not_keep_those_behind_it_out() -> None:
+def test_connection_aborted_before_accept_does_not_stop_accepting() -> None:
     async def test() -> None:
         async with world(answer()) as w:
             server, accepts = w.service._server, []
@@ -208,7 +208,7 @@
     run(test())
 
 
-def test_a_client_that_asks_once_and_says_so_is_waited_for_like_any_other(
+def test_request_with_connection_close_is_not_timed_out_as_incomplete(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -20,7 +20,7 @@
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_a_request_whose_client_left_before_it_was_read_is_not_sent_on(how: str) -> None:
+def test_request_of_a_client_that_left_the_listen_queue_is_not_forwarded(how: str) -> None:
     """It waited at the door, in the kernel's hands; a connection to its backend stands ready to be written to."""
 
     async def test() -> None:
@@ -51,7 +51,7 @@
     run(test())
 
 
-def test_what_waits_for_a_connection_is_dropped_with_its_client(
+def test_request_waiting_for_a_connection_is_cancelled_with_its_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
@@ -70,7 +70,7 @@
     run(test())
 
 
-def test_what_waits_for_the_counter_is_dropped_with_its_client() -> None:
+def test_request_waiting_for_the_counter_is_cancelled_with_its_client() -> None:
     async def test() -> None:
         async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
             total[0] += float(
@@ -103,7 +103,7 @@
     run(test())
 
 
-def test_a_client_that_leaves_as_the_connection_for_its_request_comes_up_is_not_sent_on(
+def test_request_cancelled_as_its_connection_opens_is_not_forwarded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -16,7 +16,7 @@
 from tests.support.peers import answer, silence
 
 
-def test_a_drain_takes_what_comes_finishes_what_was_taken_and_closes_the_rest() -> None:
+def test_drain_accepts_and_finishes_requests_and_closes_idle_connections() -> None:
     async def test() -> None:
         async with world(silence) as w:
             idle, busy = await w.client(), await w.client()
@@ -43,7 +43,7 @@
     run(test())
 
 
-def test_a_drain_does_not_wait_for_a_request_that_never_ends() -> None:
+def test_drain_does_not_wait_for_an_incomplete_request() -> None:
     async def test() -> None:
         async with world(answer()) as w:
             client = await w.client()
@@ -56,7 +56,7 @@
     run(test())
 
 
-def test_answers_owed_on_one_connection_all_come_though_service_ends_between_them() -> None:
+def test_pipelined_responses_are_all_sent_though_the_drain_starts_between_them() -> None:
     async def test() -> None:
         async with world(silence, silence) as w:
             client = await w.client()
@@ -76,7 +76,7 @@
     run(test())
 
 
-def test_what_comes_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
+def test_request_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
     """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to a second after it."""
 
     async def test() -> None:
@@ -104,7 +104,7 @@
     run(test())
 
 
-def test_who_stands_at_the_door_as_it_closes_gets_an_answer(
+def test_connection_in_the_listen_queue_is_accepted_before_the_listener_closes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """All eight places are taken: the listener was closed, and the ninth was reset with its request."""
@@ -134,7 +134,7 @@
 
 
 @pytest.mark.parametrize("error", [errno.EMFILE, errno.EPROTO, errno.EPERM])
-def test_an_accept_that_fails_ends_nothing(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_failing_accept_does_not_end_a_drain(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """One in the drain would have ended the process, with all that it had taken."""
 
     async def test() -> None:
@@ -162,7 +162,7 @@
 
 
 @pytest.mark.parametrize("end_first", [True, False])
-def test_a_request_that_crosses_the_close_of_its_connection_is_answered_or_never_read(
+def test_request_crossing_the_close_of_its_connection_is_answered_or_never_read(
     end_first: bool,
 ) -> None:
     """The client sends what was not read once more, elsewhere; what was read has its answer."""
@@ -187,7 +187,7 @@
     run(test())
 
 
-def test_the_end_does_not_wait_for_calls_of_the_counter_that_are_out() -> None:
+def test_drain_does_not_wait_for_outstanding_counter_calls() -> None:
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
         async with world(
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -14,7 +14,7 @@
 from tests.support.peers import answer, silence
 
 
-def test_more_requests_in_a_row_than_are_taken_at_once_are_all_answered() -> None:
+def test_more_pipelined_requests_than_the_limit_are_all_answered() -> None:
     async def test() -> None:
         async with world(answer()) as w:
             client = await w.client()
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_what_stands_behind_others_is_dropped_with_its_client(how: str) -> None:
+def test_unread_requests_are_dropped_when_the_client_disconnects(how: str) -> None:
     """With eight answers owed no more is read from the client; its end has to be seen all the same."""
 
     async def test() -> None:
@@ -56,9 +56,7 @@
     run(test())
 
 
-def test_what_stands_behind_others_is_read_once_they_are_answered_and_its_time_counts_from_its_coming() -> (
-    None
-):
+def test_unread_request_is_handled_later_and_its_deadline_counts_from_its_arrival() -> None:
     async def test() -> None:
         async with world(*[silence] * 8) as w:
             client = await w.client()
@@ -83,7 +81,7 @@
     run(test())
 
 
-def test_more_than_may_be_held_ends_the_connection_after_the_answers_owed() -> None:
+def test_too_much_unread_input_ends_the_connection_after_the_pending_responses() -> None:
     async def test() -> None:
         async with world(*[silence] * 8) as w:
             client = await w.client()
@@ -108,7 +106,7 @@
     run(test())
 
 
-def test_a_client_that_takes_no_answers_is_read_no_further() -> None:
+def test_no_request_is_handled_for_a_client_that_reads_no_responses() -> None:
     """Its answers would pile up here without end."""
 
     async def test() -> None:
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -59,7 +59,7 @@
         ),
     ],
 )
-def test_bad_input_reaches_no_backend(data: bytes, status: int) -> None:
+def test_invalid_request_is_rejected_and_reaches_no_backend(data: bytes, status: int) -> None:
     async def test() -> None:
         async with world(answer()) as w:
             assert (await w.ask(data))[0] == status
@@ -69,7 +69,7 @@
     run(test())
 
 
-def test_requests_may_come_in_pieces_in_a_row_and_chunked() -> None:
+def test_requests_may_come_in_pieces_pipelined_and_chunked() -> None:
     async def test() -> None:
         async with world(answer()) as w:
             client = await w.client()
@@ -114,7 +114,7 @@
         "Transfer-Encoding: chunked;q=1",
     ],
 )
-def test_a_request_whose_end_cannot_be_told_hides_none(head: str) -> None:
+def test_ambiguous_framing_smuggles_no_request(head: str) -> None:
     """Guards against a second request in the body of the first: 400, and nothing behind it is read."""
 
     async def test() -> None:
@@ -137,7 +137,7 @@
 @pytest.mark.parametrize(
     ("length", "status"), [(MAX_BODY + 1, 413), (60_000_000, 413), (10**30, 400)]
 )
-def test_a_body_that_is_too_long_is_refused_at_its_head(length: int, status: int) -> None:
+def test_body_that_is_too_long_is_rejected_at_its_head(length: int, status: int) -> None:
     async def test() -> None:
         async with world(answer()) as w:
             client = await w.client()
@@ -149,7 +149,7 @@
     run(test())
 
 
-def test_an_error_arrives_though_the_client_sends_on() -> None:
+def test_error_arrives_though_the_client_keeps_sending() -> None:
     """What is only drained is not read as a request, and no reset takes the error away."""
 
     async def test() -> None:
@@ -165,7 +165,7 @@
     run(test())
 
 
-def test_names_are_taken_as_clients_send_them() -> None:
+def test_plan_names_are_matched_as_clients_send_them() -> None:
     """Found by playing a variant: every request of the plan "half crate, red" got 400, as it was known as half_crate_red."""
 
     async def test() -> None:
