Give the parser, the backoff and the watch of discovery named states, types and modules

The incremental decoder, the deduplication peers and the backoff are modules of their own. The backoff is pure: it is given the bytes that came and the time, so its tests need no event loop.

The watch logs "endpoint list rejected", "discovery poll failed" and "discovery recovered", with their fields as key=value and the time to the next connection. The assertion on the log follows with the whole new words. The assertion had failed since the errors were renamed: it named the old class.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -21,9 +21,8 @@
     AddressByBackend,
     EndpointListParser,
     EndpointListReader,
-    IncrementalJson,
-    JsonEvent,
 )
+from sumacpost.discovery.incremental_json import IncrementalJson, JsonEvent
 from sumacpost.errors import ConfigError
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import DeduplicationScope, EndpointListUpdate, Settings, UpdateKind
@@ -145,7 +144,7 @@
     endpoints = EndpointListUpdate(UpdateKind.CACHED, [])
     addresses: AddressByBackend = {}
     if first_pass.has_known:
-        parser = reader.begin()
+        parser = reader.new_parser()
         yield from _decode(open_pieces(), _ConfigBuilder(parser))
         endpoints, addresses = parser.result(cached=True)
         reader.adopt(parser, endpoints)
--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -1,4 +1,4 @@
-"""Discovery: the list of backends and the watch that keeps it fresh."""
+"""The watch of discovery: polls the agent for changes of the endpoint list."""
 
 from __future__ import annotations
 
@@ -9,196 +9,231 @@
 from contextlib import suppress
 from dataclasses import replace
 from math import inf
-from random import uniform
 
 from sumacpost.address import Address
+from sumacpost.discovery.backoff import (
+    MAX_LIMITED_RESPONSE_BYTES,
+    SMALL_LIST_BYTES,
+    PollBackoff,
+)
 from sumacpost.discovery.endpoint_list import (
-    MAX_LIST,
+    MAX_LIST_BYTES,
     AddressByBackend,
+    EndpointList,
     EndpointListReader,
-    IncrementalJson,
 )
+from sumacpost.discovery.incremental_json import IncrementalJson
 from sumacpost.errors import EndpointListError, ResponseError
 from sumacpost.http1 import Response, ResponseReader
 from sumacpost.model import EndpointListUpdate, UpdateKind
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = (
-    1000  # how long a call of the watch waits for news: only its end shows a silent connection
-)
-BACK_MS = 1  # the same while the agent is silent: what it has at its return counts as told at once
-LATE_S = 0.5  # an answer later than that after the wait: the agent is silent
-LATE_PART, LATE_LEAST_S = (
-    0.5,
-    0.1,
-)  # of a drain's grace, at most: a silent agent's return is seen within it
-# An answer on its way has so long in all, and the longer the more comes, at so many bytes a second; its
-# pieces are late like any answer. One that drips without end is given up in time for another call within 6 s.
-WHOLE_S, LEAST_RATE = 3.0, 256 * 1024
-PIECE = 4 * 1024  # bytes read in one turn of the loop: some thirty entries, a millisecond at most
-TOLD_AT_ONCE = 64  # entries: a millisecond
-PAUSE_S = (
-    0.1  # before a new connection; with the time to connect it stays within the watch's 200 ms
-)
-# After bytes that were of no use the pause doubles, up to this: a change counts as told 6 s after discovery
-# had it, whatever failed before, and the next call needs its time too.
-PAUSE_MOST_S = 4.0
-# A longer list that can't be read costs more than the bytes a second that an ingress may spend on control.
-# For a minute, twice as long each further time until all is paid for, only answers that fit the pauses are
-# taken: changes do. The rest is for heads and for what is on its way when a connection is closed.
-SMALL_LIST, FRUGAL_RATE, FRUGAL_LEAST_S = 64 * 1024, 3000, 60.0
-FRUGAL_MOST = int(FRUGAL_RATE * PAUSE_MOST_S / 2)
-
-Listener = Callable[[EndpointListUpdate, AddressByBackend], None]
+# How long the agent may hold a poll until there is a change. A silent connection shows only then.
+LONG_POLL_MS = 1000
+# The same while the agent is unavailable: a change that it has at its return is due at once.
+RECOVERY_POLL_MS = 1
+# Time for a response to begin after the hold, and for each further piece of it. It is shorter where
+# the grace of a drain is short, so that the return of a silent agent is seen within the grace.
+RESPONSE_TIMEOUT_S = 0.5
+RESPONSE_TIMEOUT_GRACE_FRACTION = 0.5
+MIN_RESPONSE_TIMEOUT_S = 0.1
+# Time for a whole response, extended by what it brings at the least rate: one that trickles without
+# end is given up in time for another poll within 6 s.
+TRANSFER_TIMEOUT_S = 3.0
+MIN_TRANSFER_BYTES_PER_S = 256 * 1024
+# Read in one turn of the event loop: some thirty entries, a millisecond at most.
+READ_BYTES = 4 * 1024
+UPDATE_BATCH_ENTRIES = 64  # handed on in one turn of the event loop: a millisecond
+HTTP_OK = 200
+
+UpdateListener = Callable[[EndpointListUpdate, AddressByBackend], None]
 
 
 class DiscoveryWatch:
-    """Watches the agent and tells every change."""
+    """Polls the discovery agent and hands each change of the endpoint list to a listener.
+
+    While the agent is unavailable, or what it sends can't be used, the last list stands.
+    """
 
     def __init__(
         self,
         address: Address,
         reader: EndpointListReader,
         version: int,
-        told: Listener,
-        grace_s: float = inf,
+        on_update: UpdateListener,
+        drain_grace_s: float = inf,
     ) -> None:
-        self._address, self._read, self._told = address, reader, told
-        self._late_s = max(LATE_LEAST_S, min(LATE_S, grace_s * LATE_PART))
-        self._version: int | None = (
-            version  # of the last good list; None: there is none to go on from
+        self._address = address
+        self._reader = reader
+        self._on_update = on_update
+        self._response_timeout_s = max(
+            MIN_RESPONSE_TIMEOUT_S,
+            min(RESPONSE_TIMEOUT_S, drain_grace_s * RESPONSE_TIMEOUT_GRACE_FRACTION),
         )
-        self._whole = False  # the whole list is wanted, though changes could be asked for
-        self._whole_size = 0  # bytes of the last whole list
-        self._down = False
-        self._came = 0  # bytes of the answer under way
-        self._vain = 0  # answers in a row that were of no use
-        self._unread = 0  # long lists among them that could not be read
-        self._frugal_until = -inf  # by the loop's clock
+        self._backoff = PollBackoff()
+        self._version: int | None = version  # of the last good list, if changes to it will do
+        self._wants_full_list = False  # though there is a version to poll from
+        self._full_list_bytes = 0  # size of the last full list
+        self._agent_available = True
+        self._received_bytes = 0  # of the present response
 
     def move(self, address: Address) -> None:
-        """Another agent is to be asked, for the whole list; run is to be started anew."""
-        self._address, self._version = address, None
-        self._forgive()
-
-    def _forgive(self) -> None:
-        self._vain, self._unread, self._frugal_until = 0, 0, -inf
+        """Poll another agent, beginning with the full list; run must be started anew."""
+        self._address = address
+        self._version = None
+        self._backoff.reset()
 
     async def run(self) -> None:
-        """Watch for ever; while the agent is silent or talks nonsense the last list holds."""
+        """Poll for ever."""
         while True:
-            writer, bad = None, False
-            self._came = 0
-            try:
-                async with asyncio.timeout(self._late_s):
-                    reader, writer = await self._connect()
-                while await self._ask(reader, writer):
-                    pass
-            except (OSError, TimeoutError, ValueError, ResponseError) as error:
-                if self._came or not self._down:
-                    log.warning("discovery: %s: %s", type(error).__name__, error)
-                self._down, bad = True, isinstance(error, EndpointListError | ResponseError)
-            finally:
-                if writer is not None:
-                    writer.close()
-            await asyncio.sleep(self._pause(bad))
-
-    @property
-    def _frugal(self) -> bool:
-        return asyncio.get_running_loop().time() < self._frugal_until
-
-    def _pause(self, bad: bool) -> float:
-        """Seconds before the next connection: longer and longer while what comes is of no use.
-
-        A long list that was bad, or has broken off twice, is spared for a while.
-        """
-        if not self._came:
-            return PAUSE_S
-        self._vain += 1
-        if self._came > SMALL_LIST and (bad or self._vain > 1):
-            spared_s = min(self._came / FRUGAL_RATE, FRUGAL_LEAST_S * 2.0 ** min(self._unread, 20))
-            self._frugal_until = asyncio.get_running_loop().time() + spared_s
-            self._unread += 1
-        return min(PAUSE_MOST_S, PAUSE_S * 2.0 ** min(self._vain - 1, 10)) * uniform(0.5, 1.0)
+            delay_s = await self._poll_until_closed()
+            await asyncio.sleep(delay_s)
+
+    async def _poll_until_closed(self) -> float:
+        """Poll on one connection; return the seconds to wait before the next."""
+        writer = None
+        self._received_bytes = 0
+        try:
+            async with asyncio.timeout(self._response_timeout_s):
+                reader, writer = await self._connect()
+            while await self._poll(reader, writer):
+                pass
+        except (OSError, TimeoutError, ValueError, ResponseError) as error:
+            return self._poll_failed(error)
+        finally:
+            if writer is not None:
+                writer.close()
+        return self._backoff.next_delay(self._received_bytes, False, _now())
+
+    def _poll_failed(self, error: Exception) -> float:
+        malformed = isinstance(error, EndpointListError | ResponseError)
+        delay_s = self._backoff.next_delay(self._received_bytes, malformed, _now())
+        if self._received_bytes or self._agent_available:
+            event = "endpoint list rejected" if malformed else "discovery poll failed"
+            log.warning("%s: error=%r retry_after_s=%.3f", event, error, delay_s)
+        self._agent_available = False
+        return delay_s
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        if not self._frugal:
+        if not self._backoff.is_limited(_now()):
             return await asyncio.open_connection(*self._address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
-            with suppress(OSError):  # what is not taken is not to be sent either
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, FRUGAL_MOST // 4)
+            # What is not received is not to be sent either.
+            with suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_LIMITED_RESPONSE_BYTES // 4
+                )
             await asyncio.get_running_loop().sock_connect(sock, self._address)
             return await asyncio.open_connection(sock=sock)
         except BaseException:
             sock.close()
             raise
 
-    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        """One call; true if the connection can take the next."""
-        hold_ms, frugal = BACK_MS if self._down else HOLD_MS, self._frugal
-        since = None if self._whole and not frugal else self._version
-        watch = "" if since is None else f"?from={since}&hold_ms={hold_ms}"
-        writer.write(f"GET /v1/servers{watch} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
-        sink = self._read.begin()
-        pieces = IncrementalJson(sink)
-        parser = ResponseReader(FRUGAL_MOST if frugal else MAX_LIST, pieces.feed)
-        self._came = 0
+    async def _poll(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Poll once; return whether the connection can be used again."""
+        limited = self._backoff.is_limited(_now())
+        since = None if self._wants_full_list and not limited else self._version
+        hold_ms = LONG_POLL_MS if self._agent_available else RECOVERY_POLL_MS
+        writer.write(_request(since, hold_ms))
+        wait_s = self._response_timeout_s
+        if since is not None:
+            wait_s += hold_ms / 1000
+        max_bytes = MAX_LIMITED_RESPONSE_BYTES if limited else MAX_LIST_BYTES
+        parser = self._reader.new_parser()
+        decoder = IncrementalJson(parser)
+        self._received_bytes = 0
         try:
-            response = await self._response(
-                reader, parser, self._late_s + (hold_ms / 1000 if watch else 0.0)
-            )
-            if response.status != 200:
-                raise EndpointListError(f"answered {response.status}")
-            pieces.finish()
-            update, endpoints = sink.result()
-            if update.kind is UpdateKind.CHANGES and (since is None or update.version < since):
-                raise EndpointListError(f"changes up to version {update.version} do not fit")
+            response = await self._receive(reader, ResponseReader(max_bytes, decoder.feed), wait_s)
+            _check_status(response)
+            decoder.finish()
+            endpoint_list = parser.result()
+            _check_continues(endpoint_list.update, since)
         except (EndpointListError, ResponseError):
-            # whatever it tried to say, the whole list holds it; the changes do, where that can't be read
-            self._whole = since is not None and (self._whole_size <= SMALL_LIST or self._vain > 0)
+            # A full list holds whatever the response was to say. Where a long one can't be read,
+            # changes to the last good list may still be.
+            self._wants_full_list = since is not None and (
+                self._full_list_bytes <= SMALL_LIST_BYTES or self._backoff.failures > 0
+            )
             raise
-        self._read.adopt(sink, update)
-        if self._down:
-            log.info("discovery: back, at version %d", update.version)
-        self._down = False
-        self._forgive()
-        if update.kind is UpdateKind.FULL:
-            self._whole_size = pieces.size
-        self._version = None  # should the listener fail, it is to hear the whole list again
-        if update.entries or update.kind is UpdateKind.FULL:
-            await self._tell(update, endpoints)
-        self._version, self._whole = update.version, self._read.needs_repartitioning
+        self._reader.adopt(parser, endpoint_list.update)
+        if endpoint_list.update.kind is UpdateKind.FULL:
+            self._full_list_bytes = decoder.size
+        self._poll_succeeded(endpoint_list.update)
+        await self._apply(endpoint_list)
         return response.keep_alive
 
-    async def _tell(self, update: EndpointListUpdate, endpoints: AddressByBackend) -> None:
-        """Tell a long list bit by bit, then as the whole that it is: the loop is not to be held by it."""
-        for first in range(0, len(update.entries) - TOLD_AT_ONCE, TOLD_AT_ONCE):
+    def _poll_succeeded(self, update: EndpointListUpdate) -> None:
+        if not self._agent_available:
+            log.info("discovery recovered: version=%d", update.version)
+        self._agent_available = True
+        self._backoff.reset()
+
+    async def _apply(self, endpoint_list: EndpointList) -> None:
+        update = endpoint_list.update
+        # Should the listener fail, it is to be handed the full list next.
+        self._version = None
+        if update.entries or update.kind is UpdateKind.FULL:
+            await self._hand_on(endpoint_list)
+        self._version = update.version
+        self._wants_full_list = self._reader.needs_repartitioning
+
+    async def _hand_on(self, endpoint_list: EndpointList) -> None:
+        """Call the listener, with a long list in batches of changes first, then as it is.
+
+        The last call finds little left to do, so that none holds the event loop for long.
+        """
+        update, addresses = endpoint_list
+        for first in range(0, len(update.entries) - UPDATE_BATCH_ENTRIES, UPDATE_BATCH_ENTRIES):
             await asyncio.sleep(0)
-            some = update.entries[first : first + TOLD_AT_ONCE]
-            self._told(
-                replace(update, kind=UpdateKind.CHANGES, entries=some),
-                {entry.backend: endpoints[entry.backend] for entry in some},
+            batch = update.entries[first : first + UPDATE_BATCH_ENTRIES]
+            self._on_update(
+                replace(update, kind=UpdateKind.CHANGES, entries=batch),
+                {entry.backend: addresses[entry.backend] for entry in batch},
             )
-        if len(update.entries) > TOLD_AT_ONCE:
+        if len(update.entries) > UPDATE_BATCH_ENTRIES:
             await asyncio.sleep(0)
-        self._told(update, endpoints)
+        self._on_update(update, addresses)
 
-    async def _response(
-        self, reader: asyncio.StreamReader, parser: ResponseReader, wait_s: float
+    async def _receive(
+        self, reader: asyncio.StreamReader, response_reader: ResponseReader, wait_s: float
     ) -> Response:
-        """Read the answer piece by piece, with turns of the loop in between."""
-        now = asyncio.get_running_loop().time
-        whole = now() + wait_s + WHOLE_S
-        async with asyncio.timeout_at(now() + wait_s) as limit:
-            while data := await reader.read(PIECE):
-                self._came += len(data)
-                if (response := parser.feed(data)) is not None:
+        """Read a response that is to begin within wait_s, yielding to the event loop in between.
+
+        Raise TimeoutError if it is late or too slow, ConnectionResetError if it is incomplete.
+        """
+        complete_by = _now() + wait_s + TRANSFER_TIMEOUT_S
+        async with asyncio.timeout_at(_now() + wait_s) as timeout:
+            while data := await reader.read(READ_BYTES):
+                self._received_bytes += len(data)
+                response = response_reader.feed(data)
+                if response is not None:
                     return response
-                whole += len(data) / LEAST_RATE
-                limit.reschedule(min(whole, now() + self._late_s))
+                complete_by += len(data) / MIN_TRANSFER_BYTES_PER_S
+                timeout.reschedule(min(complete_by, _now() + self._response_timeout_s))
                 await asyncio.sleep(0)
         raise ConnectionResetError(
-            f"closed after {self._came} bytes of an answer that was not whole"
+            f"closed after {self._received_bytes} bytes of an incomplete response"
         )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _request(since: int | None, hold_ms: int) -> bytes:
+    """Return a poll for changes since a version, or for the full list."""
+    query = "" if since is None else f"?from={since}&hold_ms={hold_ms}"
+    return f"GET /v1/servers{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode()
+
+
+def _check_status(response: Response) -> None:
+    if response.status != HTTP_OK:
+        raise EndpointListError(f"the agent answered with status {response.status}")
+
+
+def _check_continues(update: EndpointListUpdate, since: int | None) -> None:
+    """Raise EndpointListError for changes that were not polled for, or to an earlier version."""
+    if update.kind is UpdateKind.CHANGES and (since is None or update.version < since):
+        raise EndpointListError(f"changes up to version {update.version} do not fit")
--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -10,9 +10,12 @@
 import pytest
 
 from sumacpost.config import load_config
-from sumacpost.discovery import endpoint_list
+from sumacpost.discovery import backoff, endpoint_list
 from sumacpost.discovery import watch as discovery_watch
-from sumacpost.discovery.endpoint_list import EndpointListReader, IncrementalJson, backend_id
+from sumacpost.discovery.backoff import PollBackoff
+from sumacpost.discovery.deduplication_peers import DEDUPLICATION_PEERS
+from sumacpost.discovery.endpoint_list import EndpointListReader, backend_id
+from sumacpost.discovery.incremental_json import IncrementalJson
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import EndpointListError
 from sumacpost.model import Endpoint, EndpointListUpdate, Outcome, Send, UpdateKind
@@ -50,7 +53,7 @@
 
 
 def read(reader: EndpointListReader, pieces: Any) -> tuple[EndpointListUpdate, Any]:
-    sink = reader.begin()
+    sink = reader.new_parser()
     decoder = IncrementalJson(sink)
     for piece in pieces:
         decoder.feed(piece)
@@ -82,11 +85,11 @@
 
 def test_of_a_long_list_only_this_gateways_part_is_held_at_any_time() -> None:
     reader = EndpointListReader((), (), FLEET, 77)
-    sink = reader.begin()
+    sink = reader.new_parser()
     decoder, most = IncrementalJson(sink), 0
     for piece in in_pieces(json.dumps(whole(20_000)).encode(), 8192):
         decoder.feed(piece)
-        most = max(most, sink.held)
+        most = max(most, sink.held_count)
     decoder.finish()
     update, endpoints = sink.result()
     reader.adopt(sink, update)
@@ -112,22 +115,23 @@
 
 def test_for_each_cell_of_the_part_some_backends_of_other_parts_are_held_and_followed() -> None:
     """Of the thirty backends of a cell the part has one at most: its keyed repeats need others."""
-    reader = EndpointListReader((), (), FLEET, 77, cells=True)
+    reader = EndpointListReader((), (), FLEET, 77, has_cell_scope=True)
     update, _ = read(reader, [json.dumps(whole(33_000)).encode()])
-    sink = reader.begin()
+    sink = reader.new_parser()
     inside = [e for e in update.entries if sink.partition.holds(e.backend)]
     beside = [e for e in update.entries if not sink.partition.holds(e.backend)]
     assert (
         update.partition_count == 64
         and len(inside) <= MAX_PARTITION_BACKENDS
-        and len(beside) <= endpoint_list.COMPANIONS * len(inside)
+        and len(beside) <= DEDUPLICATION_PEERS * len(inside)
     )
     by_cell: dict[int, int] = {}
     for e in beside:
         by_cell[e.cell] = by_cell.get(e.cell, 0) + 1
-    assert by_cell == dict.fromkeys({e.cell for e in inside}, endpoint_list.COMPANIONS)
+    assert by_cell == dict.fromkeys({e.cell for e in inside}, DEDUPLICATION_PEERS)
     other = read(
-        EndpointListReader((), (), FLEET, 77 + 64, cells=True), [json.dumps(whole(33_000)).encode()]
+        EndpointListReader((), (), FLEET, 77 + 64, has_cell_scope=True),
+        [json.dumps(whole(33_000)).encode()],
     )[0]
     shared = {e.backend for e in beside} & {e.backend for e in other.entries}
     assert len(shared) < len(beside) / 4  # ingresses of one part choose different ones
@@ -189,7 +193,7 @@
 ) -> None:
     monkeypatch.setattr(endpoint_list, "MAX_ENTRIES", 500)
     begun, more = ENDLESS[form]
-    decoder = IncrementalJson(EndpointListReader((), ()).begin())
+    decoder = IncrementalJson(EndpointListReader((), ()).new_parser())
     fed = 0
     with pytest.raises(EndpointListError) as raised:
         decoder.feed(begun)
@@ -218,7 +222,7 @@
     good, _ = read(reader, [json.dumps(whole(3)).encode()])
     with pytest.raises(EndpointListError):
         read(reader, in_pieces(bad, 4096))
-    assert len(reader._numbers) == 3 == len(good.entries)
+    assert len(reader._held) == 3 == len(good.entries)
 
 
 # ---- the watch
@@ -249,6 +253,10 @@
         self.task.stop()
         self.agent.stop()
 
+    @property
+    def limited(self) -> bool:
+        return self.watch._backoff.is_limited(asyncio.get_running_loop().time())
+
     @property
     def asked(self) -> list[bytes]:
         return [r.split()[1].partition(b"hold")[0] for r in self.agent.requests]
@@ -259,7 +267,7 @@
 
 @pytest.fixture
 def hurried(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery_watch, "PAUSE_S", 0.001)
+    monkeypatch.setattr(backoff, "RECONNECT_DELAY_S", 0.001)
 
 
 def test_a_long_list_that_cannot_be_read_is_not_asked_for_again_but_changes_are(
@@ -283,10 +291,11 @@
             assert w.asked[:7] == [WATCH] * 7 or w.asked[:7] == [WATCH, WHOLE, *[WATCH] * 5]
             await until(lambda: len(w.asked) == 8)
             assert w.asked[7] == b"/v1/servers?from=6&"  # all is well again
-            assert not w.watch._frugal
+            assert not w.limited
 
     run(test())
-    assert "discovery: BadList: parse error" in caplog.text and "a body of" in caplog.text
+    assert "endpoint list rejected: error=EndpointListError('parse error" in caplog.text
+    assert "a body of" in caplog.text
 
 
 def test_what_is_taken_of_long_lists_while_they_cannot_be_read_is_bounded(hurried: None) -> None:
@@ -299,52 +308,43 @@
             writer.write(reply(spoilt))
 
         async with Watched(script) as w:
-            await until(lambda: w.watch._frugal)
+            await until(lambda: w.limited)
             asked, came = len(w.agent.requests), []
             for n in range(asked + 1, asked + 8):
                 await until(lambda n=n: len(w.agent.requests) >= n + 1)  # type: ignore[misc]
-                came.append(w.watch._came)
-            assert max(came) <= discovery_watch.PIECE
+                came.append(w.watch._received_bytes)
+            assert max(came) <= discovery_watch.READ_BYTES
             assert not w.told
 
     run(test())
 
 
-def test_the_pause_after_bytes_of_no_use_doubles_up_to_what_the_rule_on_drains_leaves() -> None:
-    async def test() -> None:
-        watch = DiscoveryWatch(("127.0.0.1", 1), EndpointListReader((), ()), 5, lambda *_: None)
-        watch._came = 100
-        pauses = [watch._pause(True) for _ in range(12)]
-        for n, pause in enumerate(pauses):
-            most = min(discovery_watch.PAUSE_MOST_S, 0.1 * 2**n)
-            assert most / 2 <= pause <= most
-        assert (
-            discovery_watch.PAUSE_MOST_S + discovery_watch.LATE_S + 1 < 6
-        )  # a change counts as told then
-        assert not watch._frugal  # a short list costs little
-        watch._came = 0
-        assert watch._pause(False) == 0.1  # who says nothing costs nothing
-
-    run(test())
-
-
-def test_a_long_list_that_broke_off_once_is_asked_for_again_and_one_that_breaks_off_again_is_spared() -> (
-    None
-):
-    async def test() -> None:
-        watch = DiscoveryWatch(("127.0.0.1", 1), EndpointListReader((), ()), 5, lambda *_: None)
-        watch._came = 15_000_000
-        watch._pause(False)
-        assert not watch._frugal
-        spared = []
-        for _ in range(9):
-            watch._pause(False)
-            spared.append(round(watch._frugal_until - asyncio.get_running_loop().time()))
-        assert spared == [60, 120, 240, 480, 960, 1920, 3840, 5000, 5000]
-        watch.move(("127.0.0.1", 2))
-        assert not watch._frugal
-
-    run(test())
+def test_the_delay_after_failed_responses_doubles_up_to_what_the_limit_on_drains_leaves() -> None:
+    failing = PollBackoff()
+    delays = [failing.next_delay(100, malformed=True, now=0.0) for _ in range(12)]
+    for n, delay in enumerate(delays):
+        most = min(backoff.MAX_RECONNECT_DELAY_S, 0.1 * 2**n)
+        assert most / 2 <= delay <= most
+    # A change counts as known then.
+    assert backoff.MAX_RECONNECT_DELAY_S + discovery_watch.RESPONSE_TIMEOUT_S + 1 < 6
+    assert not failing.is_limited(0.0)  # a short list costs little
+    # An agent that sends nothing costs nothing.
+    assert failing.next_delay(0, malformed=False, now=0.0) == 0.1
+
+
+def test_a_long_list_that_broke_off_twice_begins_limits_that_double() -> None:
+    """A list that broke off once may be requested again at once."""
+    watch = DiscoveryWatch(("127.0.0.1", 1), EndpointListReader((), ()), 5, lambda *_: None)
+    failing = watch._backoff
+    failing.next_delay(15_000_000, malformed=False, now=0.0)
+    assert not failing.is_limited(0.0)
+    limits = []
+    for _ in range(9):
+        failing.next_delay(15_000_000, malformed=False, now=0.0)
+        limits.append(round(failing.limited_until))
+    assert limits == [60, 120, 240, 480, 960, 1920, 3840, 5000, 5000]
+    watch.move(("127.0.0.1", 2))
+    assert not failing.is_limited(0.0)
 
 
 def test_a_list_that_breaks_off_is_asked_for_again_from_the_last_good_version(
@@ -376,10 +376,12 @@
             await until(lambda: any(update.kind is UpdateKind.FULL for update in w.told))
             *bits, last = w.told
             assert [update.kind for update in bits] == [UpdateKind.CHANGES] * len(bits)
-            assert max(len(update.entries) for update in bits) <= discovery_watch.TOLD_AT_ONCE
+            assert (
+                max(len(update.entries) for update in bits) <= discovery_watch.UPDATE_BATCH_ENTRIES
+            )
             assert len(last.entries) == 900
             assert {e.backend for u in bits for e in u.entries} <= {e.backend for e in last.entries}
-            assert sum(len(u.entries) for u in bits) >= 900 - discovery_watch.TOLD_AT_ONCE
+            assert sum(len(u.entries) for u in bits) >= 900 - discovery_watch.UPDATE_BATCH_ENTRIES
 
     run(test())
 
--- a/tests/discovery/test_list_updates.py
+++ b/tests/discovery/test_list_updates.py
@@ -176,7 +176,7 @@
     watch = DiscoveryWatch(
         ("127.0.0.1", 1), EndpointListReader((), ()), 0, lambda *_: None, grace_s
     )
-    assert watch._late_s == late_s
+    assert watch._response_timeout_s == late_s
 
 
 def test_a_list_indented_and_in_pieces_is_read_whole() -> None:
