--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -105,7 +105,7 @@
         self._headers[name] = value if previous is None else previous + b", " + value
 
     def on_headers_complete(self) -> None:
-        """Check that the end of the body can be told, and that its length is within the bound."""
+        """Check that the body has a definite end, and that its length is within the bound."""
         status = self._parser.get_status_code()
         if status < 200:
             return
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -150,8 +150,8 @@
     def start_request(self, request: Request, response: PendingResponse) -> PendingRequest:
         """Take a request; it gets its one final response before the client's deadline.
 
-        Raise RequestError if a request of the same id is pending: backends would take the two for
-        one and its copy.
+        Raise RequestError if a request of the same id is pending: backends would take the one for a
+        copy of the other.
         """
         if request.id in self._pending_ids:
             raise RequestError(409, "a request of this id is open")
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -49,7 +49,7 @@
 
 
 class BackendConnection(asyncio.Protocol):
-    """A connection to a backend, from its dial to its close."""
+    """A connection to a backend, as the protocol of its transport."""
 
     def __init__(self, pool: ConnectionOwner, sock: socket.socket) -> None:
         self.attempt: Attempt | None = None
--- a/sumacpost/upstream/reuse_limit.py
+++ b/sumacpost/upstream/reuse_limit.py
@@ -32,14 +32,15 @@
         return self.max_age_s >= TRUSTED_REUSE_AGE_S
 
     def record_reset(self, idle_s: float, elapsed_s: float) -> None:
-        """A reused connection was reset: how long it had been idle, and how long after its request.
+        """Learn from the reset of a reused connection.
 
-        If it was stale, others that have been idle for so long are not to be reused either.
+        idle_s is how long it had been idle, elapsed_s how long after its request it was reset. If
+        it was stale, others that have been idle for so long are not to be reused either.
         """
         if elapsed_s < STALE_RESET_WINDOW_S:
             reduced_s = min(self.max_age_s, idle_s) * REUSE_AGE_DECREASE
             self.max_age_s = max(MIN_REUSE_AGE_S, reduced_s)
 
     def record_success(self) -> None:
-        """A good response came: try connections that have been idle a little longer."""
+        """Learn from a good response: allow a little more."""
         self.max_age_s = min(self.max_idle_s, self.max_age_s * REUSE_AGE_INCREASE)
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,80 @@
+"""The bounded reader of HTTP/1.1 responses, fed directly."""
+
+from __future__ import annotations
+
+import pytest
+
+from sumacpost.errors import ResponseError
+from sumacpost.http1 import MAX_HEAD, Response, ResponseReader
+
+RESPONSE = b"HTTP/1.1 200 OK\r\nX-Part: a\r\nX-Part: b\r\nContent-Length: 4\r\n\r\ndone"
+
+
+@pytest.fixture
+def reader() -> ResponseReader:
+    return ResponseReader(max_body=16)
+
+
+def test_a_response_may_come_byte_by_byte(reader: ResponseReader) -> None:
+    *first, last = [RESPONSE[n : n + 1] for n in range(len(RESPONSE))]
+    assert [reader.feed(byte) for byte in first] == [None] * len(first)
+    assert reader.response_begun
+    headers = {b"x-part": b"a, b", b"content-length": b"4"}
+    assert reader.feed(last) == Response(200, headers, b"done", keep_alive=True)
+    assert not reader.response_begun
+
+
+def test_bytes_behind_a_complete_response_end_the_reuse_of_its_connection(
+    reader: ResponseReader,
+) -> None:
+    response = reader.feed(RESPONSE + RESPONSE)
+    assert response is not None
+    assert response.body == b"done"
+    assert not response.keep_alive
+
+
+def test_the_heads_of_interim_responses_are_bounded_together(reader: ResponseReader) -> None:
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    for _ in range(MAX_HEAD // len(interim)):
+        assert reader.feed(interim) is None
+    with pytest.raises(ResponseError, match="a head of over"):
+        reader.feed(interim)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        RESPONSE.replace(b"Length: 4", b"Length: 17"),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"11\r\nseventeen letters\r\n0\r\n\r\n",
+    ],
+)
+def test_a_body_beyond_the_bound_is_an_error(reader: ResponseReader, response: bytes) -> None:
+    with pytest.raises(ResponseError, match="a body of"):
+        reader.feed(response)
+
+
+def test_the_pieces_of_a_good_body_go_to_the_callback() -> None:
+    pieces: list[bytes] = []
+    reader = ResponseReader(max_body=16, on_body=pieces.append)
+    assert reader.feed(RESPONSE[:-2]) is None
+    response = reader.feed(RESPONSE[-2:])
+    assert response is not None
+    assert response.body == b""
+    assert pieces == [b"do", b"ne"]
+
+
+def test_the_body_of_an_error_does_not_go_to_the_callback() -> None:
+    pieces: list[bytes] = []
+    reader = ResponseReader(max_body=16, on_body=pieces.append)
+    assert reader.feed(RESPONSE.replace(b"200 OK", b"500 NO")) is not None
+    assert pieces == []
+
+
+def test_what_the_callback_raises_makes_the_response_invalid() -> None:
+    def reject(_: bytes) -> None:
+        raise ValueError("not a list")
+
+    reader = ResponseReader(max_body=16, on_body=reject)
+    with pytest.raises(ResponseError, match="not a list"):
+        reader.feed(RESPONSE)
--- a/tests/upstream/test_connection_races.py
+++ b/tests/upstream/test_connection_races.py
@@ -136,7 +136,8 @@
 
 
 @pytest.mark.parametrize(
-    "cut", [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", b"noise that is no answer\r\n\r\n"]
+    "cut",
+    [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", b"noise that is no response\r\n\r\n"],
 )
 def test_an_attempt_has_ended_for_its_backend_before_the_next_is_written(
     cut: bytes, monkeypatch: pytest.MonkeyPatch
@@ -159,7 +160,7 @@
                         seen.append(None)
             original(connection, attempt)
 
-        async def spoil(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        async def break_off(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
             cut_off.append(writer)
             for other in w.backends:
                 other.script = answer()
@@ -180,7 +181,7 @@
             )
             await asyncio.sleep(2 * REUSE_DELAY_S)
             for backend in w.backends:
-                backend.script = spoil
+                backend.script = break_off
             monkeypatch.setattr(BackendConnection, "start", start)
             assert (await client.ask(request("ledger-read", 2, Request_Timeout="20.000")))[0] == 200
             assert [b.connections for b in w.backends] == [1, 1]
@@ -190,14 +191,14 @@
 
 
 @pytest.mark.parametrize(
-    ("said", "outcome"),
+    ("early_response", "outcome"),
     [
         (OK, Outcome.OK),
         (b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome.REJECTED),
     ],
 )
 def test_a_response_to_a_partly_written_request_closes_the_connection(
-    said: bytes, outcome: Outcome
+    early_response: bytes, outcome: Outcome
 ) -> None:
     """The rest of the request would be read as the beginning of the next one."""
 
@@ -208,7 +209,7 @@
         async def early(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
             peer.script = silence
             cast(asyncio.ReadTransport, writer.transport).pause_reading()
-            writer.write(said)
+            writer.write(early_response)
 
         peer = Peer(early, first_bytes)
         await peer.start()
--- /dev/null
+++ b/tests/upstream/test_forwarding.py
@@ -0,0 +1,99 @@
+"""Requests and responses forwarded by a running ingress: retries, deadlines, disconnects."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import world
+from tests.support.peers import Script, answer, sends, silence
+
+NOT_STARTED = b"Not-Started: 1\r\n"
+
+
+def test_a_good_response_is_forwarded_unchanged() -> None:
+    async def test() -> None:
+        body = bytes(range(256)) * 200
+        async with world(answer(body, head=b"Billed-Units: 3\r\nContent-Type: x/y\r\n")) as w:
+            status, head, got = await w.ask(request("payment-book", Idempotency_Key="5c" * 16))
+            assert (status, got) == (200, body)
+            assert b"content-type: x/y" in head.lower()
+            (sent,) = w.backends[0].requests
+            assert sent.startswith(b"POST /payment-book/7?year=3 HTTP/1.1\r\n")
+            assert sent.endswith(b"\r\n\r\nreceipt")
+            lines = sent.lower().split(b"\r\n")
+            assert b"request-id: " + b"0" * 15 + b"1" in lines
+            assert b"idempotency-key: " + b"5c" * 16 in lines
+            (left,) = [float(line[17:]) for line in lines if line.startswith(b"request-timeout: ")]
+            assert 1.0 < left < 1.5
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("cls", "script", "status", "sent"),
+    [
+        ("vat-filing", answer(b"", 500), 502, 1),
+        ("vat-filing", sends(b""), 502, 1),
+        ("vat-filing", answer(b"", 503), 502, 1),
+        ("vat-filing", answer(b"", 503, NOT_STARTED), 429, 3),
+        ("ledger-read", answer(b"", 500), 429, 3),
+        ("payment-book", sends(b""), 429, 3),
+    ],
+)
+def test_attempts_go_as_far_as_the_class_allows(
+    cls: str, script: Script, status: int, sent: int
+) -> None:
+    async def test() -> None:
+        async with world(script, script, script, script) as w:
+            assert (await w.ask(request(cls)))[0] == status
+            assert sum(len(b.requests) for b in w.backends) == sent
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("cls", "status"), [("vat-filing", 502), ("ledger-read", 429), ("payment-book", 429)]
+)
+def test_a_silent_backend_is_answered_for_before_the_clients_deadline(
+    cls: str, status: int
+) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with world(silence) as w:
+            began = loop.time()
+            assert (await w.ask(request(cls, Request_Timeout="0.400")))[0] == status
+            assert loop.time() - began < 0.4
+            await until(lambda: w.backends[0].closed == 1)
+            assert len(w.backends[0].requests) == 1  # nothing is tried in the last moment
+
+    run(test())
+
+
+def test_a_client_that_disconnects_ends_its_attempt() -> None:
+    async def test() -> None:
+        async with world(silence) as w:
+            client = await w.client()
+            client.writer.write(request())
+            await until(lambda: bool(w.backends[0].requests))
+            client.writer.close()
+            await until(lambda: w.backends[0].closed == 1)
+
+    run(test())
+
+
+def test_a_rejected_request_gets_a_retry_after() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            client = await w.client()
+            responses = [await client.ask(request(number=n, Plan="basis")) for n in range(6)]
+            rejected = [head for status, head, _ in responses if status == 429]
+            assert rejected
+            assert len(w.backends[0].requests) == len(responses) - len(rejected)
+            waits_s = [head.split(b"Retry-After: ")[1].split(b"\r\n")[0] for head in rejected]
+            assert all(float(wait_s) > 0 for wait_s in waits_s)
+
+    run(test())
--- a/tests/upstream/test_load_report.py
+++ b/tests/upstream/test_load_report.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sumacpost.upstream.load_report import LoadReportReader
+from sumacpost.upstream.load_report import LoadReportReader, read_billed_units
 from tests.support.event_loop import run
 from tests.support.http_client import request
 from tests.support.ingress import world
@@ -12,7 +12,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "figures"),
+    ("report", "values"),
     [
         (b"backlog=2,throughput=8.50,utilization=0.61", (0.61, 2.0)),
         (b"utilization=1.020 , backlog=0", (1.02, 0.0)),
@@ -29,9 +29,27 @@
     ],
 )
 def test_a_load_report_is_read_completely_or_not_at_all(
-    text: bytes | None, figures: tuple[float, ...]
+    report: bytes | None, values: tuple[float, ...]
 ) -> None:
-    assert LoadReportReader(("utilization", "backlog")).read(text) == figures
+    assert LoadReportReader(("utilization", "backlog")).read(report) == values
+
+
+@pytest.mark.parametrize(
+    ("header", "units"),
+    [
+        (b"3", 3.0),
+        (b"0.25", 0.25),
+        (b"8", 8.0),
+        (b"8.5", 0.0),  # more than a request can have
+        (b"", 0.0),
+        (b"-1", 0.0),
+        (b"1e1", 0.0),
+        (b"nan", 0.0),
+        (b" 3", 0.0),
+    ],
+)
+def test_billed_units_are_a_number_that_a_request_can_have(header: bytes, units: float) -> None:
+    assert read_billed_units(header, max_units=8.0) == units
 
 
 @pytest.mark.parametrize("status", [200, 500])
@@ -40,8 +58,8 @@
         report = answer(
             status=status, head=b"Server-Load: backlog=0,throughput=6.0,utilization=0.6\r\n"
         )
-        told = {"via": "inline", "fields": ["backlog", "throughput", "utilization"]}
-        async with world(report, settings={"telemetry": told}) as w:
+        telemetry = {"via": "inline", "fields": ["backlog", "throughput", "utilization"]}
+        async with world(report, settings={"telemetry": telemetry}) as w:
             await w.ask(request())
             (backend,) = w.service._ingress._gateway.backends.values()
             assert 0 < backend.able <= 10
--- /dev/null
+++ b/tests/upstream/test_pool.py
@@ -0,0 +1,216 @@
+"""Connection pools: reuse, attempts that wait, cancelling, and the bound on connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from sumacpost.model import Outcome
+from sumacpost.upstream.attempt import Attempt
+from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
+from tests.support.attempts import PAYLOAD, Outcomes
+from tests.support.event_loop import run, until
+from tests.support.peers import Peer, answer, silence
+
+
+def test_the_most_recently_used_connection_is_reused() -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        first, second = outcomes.start(), outcomes.start()
+        await until(lambda: len(peer.requests) == 2)
+        for writer in peer.writers:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await until(lambda: len(outcomes.ended) in (1, 2))
+        await until(lambda: len(outcomes.ended) == 2)
+        last = outcomes.backends._pools[1].idle[-1]
+        await asyncio.sleep(2 * REUSE_DELAY_S)
+        third = outcomes.start()
+        assert third.connection is last
+        assert peer.connections == 2
+        assert first.ended
+        assert second.ended
+        assert not third.ended
+        peer.stop()
+
+    run(test())
+
+
+def test_a_connection_that_the_peer_closed_is_never_reused() -> None:
+    """Nor in the moment before the loop has read that: a request would end as a reset."""
+
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        await outcomes.outcome()
+        connection = outcomes.backends._pools[1].idle[-1]
+        assert connection.usable()
+        # the close happens at the other end while this loop does nothing else
+        other = peer.writers[0].transport.get_extra_info("socket")
+        socket.socket(fileno=socket.dup(other.fileno())).shutdown(socket.SHUT_RDWR)
+        assert not connection.usable()
+        assert (await outcomes.outcome())[0] is Outcome.OK
+        assert peer.connections == 2
+        peer.stop()
+
+    run(test())
+
+
+def test_a_connection_that_becomes_free_serves_a_waiting_attempt(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        first = outcomes.start()
+        await until(lambda: len(peer.requests) == 1)
+
+        async def never_up(pool: ConnectionPool, attempt: Attempt) -> None:
+            pass
+
+        monkeypatch.setattr(ConnectionPool, "_connect", never_up)
+        second = outcomes.start()
+        peer.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await until(lambda: first.ended and second.connection is not None)
+        outcomes.backends._pools[1]._connect_failed(second)  # its own connection fails in vain
+        await until(lambda: len(peer.requests) == 2)
+        assert peer.connections == 1
+        assert not second.ended
+        peer.stop()
+
+    run(test())
+
+
+def test_a_new_connection_serves_the_attempt_it_was_opened_for() -> None:
+    """One that served an older attempt left its own waiting, if the other connection failed."""
+
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        pool = outcomes.backends._pools[1]
+        first = Attempt(None, 0, 1, PAYLOAD, 0.0)
+        pool.waiting.append(first)  # its connection has not come up yet
+        assert (await outcomes.outcome())[0] is Outcome.OK
+        await until(lambda: first.ended)  # after the reuse delay
+        pool._connect_failed(first)
+        assert [o for a, o, _ in outcomes.ended if a is first] == [Outcome.OK]
+        assert peer.connections == 1
+        peer.stop()
+
+    run(test())
+
+
+def test_a_peer_that_resets_at_once_leaves_no_attempt_waiting() -> None:
+    async def test() -> None:
+        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+        outcomes = Outcomes(server.sockets[0].getsockname()[1])
+        for _ in range(20):
+            assert (await outcomes.outcome())[0] in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        assert outcomes.backends.open_connections == 0
+        server.close()
+
+    run(test())
+
+
+def test_cancelling_an_attempt_closes_its_connection() -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        attempt = outcomes.start()
+        await until(lambda: bool(peer.requests))
+        outcomes.backends.cancel(attempt)
+        await until(lambda: peer.closed == 1)
+        assert outcomes.backends.open_connections == 0
+        assert not outcomes.ended
+        peer.stop()
+
+    run(test())
+
+
+def test_an_attempt_cancelled_while_it_connects_is_never_written() -> None:
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        outcomes.backends.cancel(outcomes.start())
+        await until(
+            lambda: outcomes.backends.open_connections == 0
+        )  # nor is its connection waited for
+        assert (await outcomes.outcome())[0] is Outcome.OK
+        assert len(peer.requests) == 1
+        assert len(outcomes.ended) == 1
+        peer.stop()
+
+    run(test())
+
+
+def test_idle_connections_are_closed_before_the_backend_closes_them() -> None:
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port, idle_timeout_s=0.0)
+        await outcomes.outcome()
+        assert outcomes.backends.open_connections == 1
+        await asyncio.sleep(0.01)
+        outcomes.backends.sweep()
+        assert outcomes.backends.open_connections == 0
+        await until(lambda: peer.closed == 1)
+        peer.stop()
+
+    run(test())
+
+
+def test_connections_to_backends_are_bounded() -> None:
+    """At the bound an idle one is evicted; with none idle the new one is not opened."""
+
+    async def test() -> None:
+        peers = [Peer(silence), Peer(answer())]
+        for peer in peers:
+            await peer.start()
+        outcomes = Outcomes(peers[0].port, max_connections=2)
+        outcomes.backends.update_endpoint(2, ("127.0.0.1", peers[1].port))
+        outcomes.start()
+        idle = Attempt(None, 0, 2, PAYLOAD, 0.0)
+        outcomes.backends.start(idle)
+        await until(lambda: idle.ended)
+        outcomes.start()
+        await until(lambda: len(peers[0].requests) == 2)
+        await until(lambda: peers[1].closed == 1)
+        assert (await outcomes.outcome())[0] is Outcome.CONNECT_FAILED
+        assert outcomes.backends.open_connections == 2
+        for peer in peers:
+            peer.stop()
+
+    run(test())
+
+
+def test_a_backend_that_moves_gets_requests_at_its_new_address() -> None:
+    """Nothing goes to the old address any more."""
+
+    async def test() -> None:
+        old, new = Peer(answer(b"old")), Peer(answer(b"new"))
+        for peer in (old, new):
+            await peer.start()
+        outcomes = Outcomes(old.port)
+        _, response = await outcomes.outcome()
+        assert response is not None
+        assert response.body == b"old"
+        outcomes.backends.update_endpoint(1, ("127.0.0.1", new.port))
+        _, response = await outcomes.outcome()
+        assert response is not None
+        assert response.body == b"new"
+        await until(lambda: old.closed == 1)
+        for peer in (old, new):
+            peer.stop()
+
+    run(test())
--- /dev/null
+++ b/tests/upstream/test_reuse_limit.py
@@ -0,0 +1,55 @@
+"""The adaptive limit on the idle time of connections that are reused."""
+
+from __future__ import annotations
+
+import pytest
+
+from sumacpost.upstream.reuse_limit import (
+    IDLE_TIMEOUT_FRACTION,
+    MIN_REUSE_AGE_S,
+    STALE_RESET_WINDOW_S,
+    TRUSTED_REUSE_AGE_S,
+    ReuseLimit,
+)
+
+BACKEND_IDLE_TIMEOUT_S = 30.0
+AT_ONCE_S = STALE_RESET_WINDOW_S / 2
+
+
+@pytest.fixture
+def limit() -> ReuseLimit:
+    return ReuseLimit(BACKEND_IDLE_TIMEOUT_S)
+
+
+def test_the_limit_starts_well_below_the_backends_idle_timeout(limit: ReuseLimit) -> None:
+    assert limit.max_age_s == BACKEND_IDLE_TIMEOUT_S * IDLE_TIMEOUT_FRACTION
+    assert limit.trusted
+
+
+def test_a_stale_connection_puts_the_limit_below_its_idle_time(limit: ReuseLimit) -> None:
+    limit.record_reset(idle_s=5.0, elapsed_s=AT_ONCE_S)
+    assert limit.max_age_s == pytest.approx(4.0)
+    limit.record_reset(idle_s=9.0, elapsed_s=AT_ONCE_S)  # older than the limit by then
+    assert limit.max_age_s == pytest.approx(3.2)
+
+
+def test_a_late_reset_is_not_taken_for_a_stale_connection(limit: ReuseLimit) -> None:
+    before = limit.max_age_s
+    limit.record_reset(idle_s=5.0, elapsed_s=STALE_RESET_WINDOW_S)
+    assert limit.max_age_s == before
+
+
+def test_the_limit_has_a_minimum_that_is_not_trusted(limit: ReuseLimit) -> None:
+    limit.record_reset(idle_s=0.0, elapsed_s=AT_ONCE_S)
+    assert limit.max_age_s == MIN_REUSE_AGE_S
+    assert not limit.trusted
+
+
+def test_good_responses_restore_the_limit_little_by_little(limit: ReuseLimit) -> None:
+    limit.record_reset(idle_s=TRUSTED_REUSE_AGE_S, elapsed_s=AT_ONCE_S)
+    reduced_s = limit.max_age_s
+    limit.record_success()
+    assert reduced_s < limit.max_age_s < 1.05 * reduced_s
+    for _ in range(1000):
+        limit.record_success()
+    assert limit.max_age_s == limit.max_idle_s
