--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -29,7 +29,7 @@
 
 @pytest.mark.usefixtures("short_request_timeout")
 @pytest.mark.parametrize("start", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
-def test_first_request_times_out_counted_from_the_connect(start: bytes) -> None:
+def test_first_request_times_out_from_the_connections_start(start: bytes) -> None:
     """Bytes that trickle in win no time: the client gets an error or a close."""
 
     async def test() -> None:
@@ -55,7 +55,7 @@
 
 
 @pytest.mark.usefixtures("short_request_timeout")
-def test_later_request_times_out_counted_from_its_first_byte() -> None:
+def test_later_request_times_out_from_its_first_byte() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
@@ -69,7 +69,7 @@
     run(test())
 
 
-def test_silent_and_incomplete_connections_do_not_keep_others_out() -> None:
+def test_connections_without_a_complete_request_do_not_keep_others_out() -> None:
     """None of the forty has sent a complete request."""
 
     async def test() -> None:
@@ -87,7 +87,7 @@
     run(test())
 
 
-def test_idle_connections_take_only_a_part_of_the_places() -> None:
+def test_idle_connections_take_only_part_of_the_capacity() -> None:
     """Found in incident r1a30be: clients that sent one request and stayed had filled all places.
 
     The client that sends again and again is never the longest idle.
@@ -112,7 +112,7 @@
     run(test())
 
 
-def test_clients_past_the_bound_wait_for_a_place() -> None:
+def test_clients_beyond_the_limit_wait_for_capacity() -> None:
     """Idle connections are evicted, busy ones are not."""
 
     async def test() -> None:
@@ -161,7 +161,7 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
 
-def test_running_out_of_descriptors_closes_no_connection() -> None:
+def test_running_out_of_descriptors_ends_no_connection() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             first = await ingress.client()
@@ -176,7 +176,7 @@
     run(test())
 
 
-def test_waiting_client_is_accepted_as_soon_as_another_has_its_response(
+def test_waiting_connection_is_accepted_as_soon_as_another_becomes_idle(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Found by reading: it waited for a close, though an idle connection can be evicted."""
@@ -215,7 +215,7 @@
         return getattr(self._listening, name)
 
 
-def test_aborted_connection_does_not_delay_those_queued_behind_it(
+def test_connection_aborted_before_accept_does_not_stop_accepting(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
@@ -233,7 +233,7 @@
 
 
 @pytest.mark.usefixtures("short_request_timeout")
-def test_client_that_sends_connection_close_is_waited_for_like_any_other() -> None:
+def test_request_with_connection_close_is_not_timed_out_as_incomplete() -> None:
     """It was taken for one that had not sent its request, and dropped after 2 s."""
 
     async def test() -> None:
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -19,7 +19,7 @@
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_request_whose_client_left_before_it_was_read_is_not_forwarded(
+def test_request_of_a_client_that_left_the_listen_queue_is_not_forwarded(
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """It waits in the kernel's accept queue; a connection to its backend is ready to be used."""
@@ -51,7 +51,7 @@
     run(test())
 
 
-def test_request_that_waits_for_a_connection_is_dropped_with_its_client(
+def test_request_waiting_for_a_connection_is_cancelled_with_its_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
@@ -65,7 +65,7 @@
             dials.let.set()
             await until(lambda: ingress.pool_manager.open_connections == 0)
             assert ingress.requests_received == 0
-            assert not ingress.gateway.calls
+            assert not ingress.gateway.pending
             assert (await ingress.send(request(number=2))).status == 200
             assert ingress.requests_received == 1
 
@@ -87,7 +87,7 @@
         writer.write(b"$%d\r\n%b\r\n" % (len(text), text))
 
 
-def test_request_that_waits_for_the_counter_is_dropped_with_its_client() -> None:
+def test_request_waiting_for_the_counter_is_cancelled_with_its_client() -> None:
     async def test() -> None:
         counter = BlockedCounter()
         settings = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
@@ -95,7 +95,8 @@
             gateway = ingress.gateway
 
             def request_waits() -> bool:
-                return any(call for asked in gateway.counts.values() for *_, call in asked)
+                unanswered = gateway.quota_sync.unanswered.values()
+                return any(call.request for calls in unanswered for call in calls)
 
             client = await ingress.client()
             client.write(
@@ -111,12 +112,12 @@
             counter.let.set()
             await until(lambda: not request_waits())
             assert ingress.requests_received == 0
-            assert not gateway.calls
+            assert not gateway.pending
 
     run(test())
 
 
-def test_request_cancelled_as_its_connection_comes_up_is_not_forwarded(
+def test_request_cancelled_as_its_connection_opens_is_not_forwarded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -20,7 +20,7 @@
     return float(data.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
 
 
-def test_drain_accepts_late_clients_finishes_requests_and_closes_the_rest() -> None:
+def test_drain_accepts_and_finishes_requests_and_closes_idle_connections() -> None:
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             idle = await ingress.client()
@@ -60,7 +60,7 @@
     run(test())
 
 
-def test_pipelined_requests_are_all_answered_though_the_drain_starts_between_them() -> None:
+def test_pipelined_responses_are_all_sent_though_the_drain_starts_between_them() -> None:
     async def test() -> None:
         async with running_ingress(never_respond, never_respond) as ingress:
             client = await ingress.client()
@@ -80,7 +80,7 @@
     run(test())
 
 
-def test_late_request_in_a_drain_is_answered_before_the_process_is_killed() -> None:
+def test_request_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
     """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to 1 s after it."""
 
     async def test() -> None:
@@ -102,7 +102,7 @@
     run(test())
 
 
-def test_client_in_the_accept_queue_as_the_listener_closes_gets_a_response(
+def test_connection_in_the_listen_queue_is_accepted_before_the_listener_closes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """With all eight places taken the listener was closed, and the ninth client was reset."""
@@ -163,7 +163,7 @@
 
 
 @pytest.mark.parametrize("drain_first", [True, False])
-def test_request_that_crosses_the_close_of_its_connection_is_answered_or_never_read(
+def test_request_crossing_the_close_of_its_connection_is_answered_or_never_read(
     drain_first: bool,
 ) -> None:
     """The client retries elsewhere what was not read; what was read gets its response."""
@@ -189,7 +189,7 @@
     run(test())
 
 
-def test_drain_does_not_wait_for_counter_calls_in_flight() -> None:
+def test_drain_does_not_wait_for_outstanding_counter_calls() -> None:
     async def test() -> None:
         settings = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
         async with running_ingress(respond(), counter=never_respond, settings=settings) as ingress:
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -19,7 +19,7 @@
     return connection
 
 
-def test_more_requests_in_a_row_than_may_be_pipelined_are_all_answered() -> None:
+def test_more_pipelined_requests_than_the_limit_are_all_answered() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
@@ -31,7 +31,7 @@
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_buffered_requests_are_dropped_with_their_client(how: str) -> None:
+def test_unread_requests_are_dropped_when_the_client_disconnects(how: str) -> None:
     """With eight responses owed no request is parsed, yet the disconnect has to be seen."""
 
     async def test() -> None:
@@ -53,7 +53,7 @@
     run(test())
 
 
-def test_buffered_request_is_read_in_turn_and_its_time_counts_from_its_arrival() -> None:
+def test_unread_request_is_handled_later_and_its_deadline_counts_from_its_arrival() -> None:
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client = await ingress.client()
@@ -75,7 +75,7 @@
     run(test())
 
 
-def test_too_many_buffered_bytes_end_the_connection_after_the_responses_owed() -> None:
+def test_too_much_unread_input_ends_the_connection_after_the_pending_responses() -> None:
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client = await ingress.client()
@@ -94,7 +94,7 @@
     run(test())
 
 
-def test_client_that_reads_no_responses_is_not_read_from() -> None:
+def test_no_request_is_handled_for_a_client_that_reads_no_responses() -> None:
     """Its responses would be buffered without bound."""
 
     async def test() -> None:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -7,25 +7,24 @@
 
 import pytest
 
-from sumacpost.model import CounterReplied
+from sumacpost.model import AddToCounter, CheckHealth, CounterReplied, Send
 from sumacpost.policy.gateway import Gateway
+from sumacpost.policy.load_balancing import LoadBalancer
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH_REQUEST, OK_RESPONSE, request
+from tests.support.http_client import HEALTH_REQUEST, request
 from tests.support.ingress import running_ingress
-from tests.support.peers import Peer, never_respond, respond, send_bytes
+from tests.support.peers import OK_RESPONSE, Peer, never_respond, respond, send_bytes
 
 
 def test_an_exception_fails_its_own_request_only(
-    monkeypatch: pytest.MonkeyPatch, caplog: Any
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            from sumacpost.policy.gateway import Gateway
-
             with monkeypatch.context() as patched:
-                patched.setattr(Gateway, "choose", lambda *_: 1 / 0)
+                patched.setattr(LoadBalancer, "choose", lambda *_: 1 / 0)
                 assert (await ingress.send(request())).status == 500
             assert (await ingress.send(request(number=2))).status == 200
 
@@ -34,13 +33,10 @@
 
 
 def test_an_action_that_cannot_be_carried_out_is_a_loud_error(
-    monkeypatch: pytest.MonkeyPatch, caplog: Any
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            from sumacpost.model import CheckHealth
-            from sumacpost.policy.gateway import Gateway
-
             monkeypatch.setattr(Gateway, "handle", lambda *_: [CheckHealth(7)])
             assert (await ingress.send(request())).status == 500
 
@@ -59,8 +55,6 @@
             counter=send_bytes(b"$1\r\n0\r\n", close=False),
             read_counter=read_counter_call,
         ) as ingress:
-            from sumacpost.model import AddToCounter, Send
-            from sumacpost.policy.gateway import Gateway
 
             def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
                 return (
@@ -118,11 +112,11 @@
                 ]
             },
         ) as ingress:
-            gateway = ingress.service._ingress._gateway
-            before = gateway.mean_work
+            gateway = ingress.gateway
+            before = gateway.estimate.mean_work
             assert (await ingress.send(request(Quota_Info=quota))).status == 400
-            assert gateway.mean_work == before
-            assert not gateway.customers
+            assert gateway.estimate.mean_work == before
+            assert not gateway.customers.by_number
 
     run(test())
 
@@ -147,8 +141,8 @@
     async def test() -> None:
         async with running_ingress(respond(head=f"Billed-Units: {billed}\r\n".encode())) as ingress:
             assert (await ingress.send(request())).status == 200
-            (customer,) = ingress.service._ingress._gateway.customers.values()
-            assert customer.unit_sum == believed
+            (customer,) = ingress.gateway.customers.by_number.values()
+            assert customer.return_queue.unit_sum == believed
 
     run(test())
 
