--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -1,30 +1,31 @@
-"""Bounds on clients' connections: how many, and for how long."""
+"""Bounds on client connections: how many, and for how long."""
 
 from __future__ import annotations
 
 import asyncio
 import os
+import resource
 from typing import Any
 
 import pytest
 
 from tests.support.event_loop import run, until
-from tests.support.http_client import HEALTH, OK, SILENT, Client, request, sent
-from tests.support.ingress import world
-from tests.support.peers import answer, silence
+from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, Client, request
+from tests.support.ingress import running_ingress
+from tests.support.peers import OK_RESPONSE, never_respond, respond
 
 
 @pytest.mark.parametrize("begin", [b"", b"\r\n", b"POST /vat-fi", request()[:-3]])
 def test_first_request_times_out_from_the_connections_start(
     begin: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Drip-fed bytes win no time: the client gets an error or a close."""
+    """Bytes that keep trickling in win no time: the client gets an error or a close."""
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.2)
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             client.writer.write(begin)
 
             async def drip() -> None:
@@ -36,7 +37,7 @@
             got = await client.reader.read()
             dripping.cancel()
             assert got.startswith(b"HTTP/1.1 408 ") if begin.strip() else got == b""
-            assert (await w.ask(request(number=2)))[0] == 200
+            assert (await ingress.send(request(number=2))).status == 200
 
     run(test())
 
@@ -48,13 +49,13 @@
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.05)
 
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
-            assert (await client.ask(request()))[0] == 200
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            assert (await client.send(request())).status == 200
             await asyncio.sleep(0.4)  # between requests there is no such limit
-            assert (await client.ask(request(number=2)))[0] == 200
+            assert (await client.send(request(number=2))).status == 200
             client.writer.write(request(number=3)[:-1])
-            assert (await client.answer())[0] == 408
+            assert (await client.read_response()).status == 408
             assert await client.reader.read() == b""
 
     run(test())
@@ -64,40 +65,40 @@
     """64 descriptors leave eight for clients; none of the forty has sent a whole request."""
 
     async def test() -> None:
-        async with world(answer(), sockets=64) as w:
-            used = await w.client()
-            assert (await used.ask(request()))[0] == 200
+        async with running_ingress(respond(), sockets=64) as ingress:
+            used = await ingress.client()
+            assert (await used.send(request())).status == 200
             for number in range(40):
-                client = await w.client()
+                client = await ingress.client()
                 if number % 2:
                     client.writer.write(request()[:30])
-            assert (await asyncio.wait_for(w.ask(request(number=2)), 1.0))[0] == 200
-            assert (await used.ask(request(number=3)))[0] == 200  # they went before it
+            assert (await asyncio.wait_for(ingress.send(request(number=2)), 1.0)).status == 200
+            assert (await used.send(request(number=3))).status == 200  # they went before it
 
     run(test())
 
 
 def test_idle_connections_take_only_part_of_the_capacity() -> None:
-    """Found in incident r1a30be: clients that ask once and stay had filled what they may hold, and asked no more.
+    """Found in incident r1a30be: clients that had sent one request took up the whole capacity.
 
-    80 descriptors leave 16 places for clients. The one that asks again and again is never the longest idle.
+    80 descriptors leave 16 places for clients. A client that keeps sending requests is never the
+    one that is idle longest.
     """
 
     async def test() -> None:
-        async with world(answer(), sockets=80) as w:
-            server, used = w.service._server, await w.client()
+        async with running_ingress(respond(), sockets=80) as ingress:
+            connections = ingress.service._server.connections
+            used = await ingress.client()
             once = []
             for number in range(0, 20, 2):
-                assert (await used.ask(request(number=number)))[0] == 200
-                once.append(await w.client())
-                assert (await once[-1].ask(request(number=number + 1)))[0] == 200
+                assert (await used.send(request(number=number))).status == 200
+                once.append(await ingress.client())
+                assert (await once[-1].send(request(number=number + 1))).status == 200
             for client in once[:6]:
-                assert (
-                    await client.reader.read() == b""
-                )  # closed in good order, with room for all of them
-            await until(lambda: len(server.connections.idle) == len(server.connections.open) == 4)
-            assert (await once[-1].ask(request(number=50)))[0] == 200
-            assert (await used.ask(request(number=51)))[0] == 200
+                assert await client.reader.read() == b""  # closed, not reset
+            await until(lambda: len(connections.idle) == len(connections.open) == 4)
+            assert (await once[-1].send(request(number=50))).status == 200
+            assert (await used.send(request(number=51))).status == 200
 
     run(test())
 
@@ -106,54 +107,56 @@
     """64 descriptors leave eight for clients: idle connections make room, busy ones do not."""
 
     async def test() -> None:
-        async with world(*[silence] * 8, sockets=64) as w:
-            idle = [await w.client() for _ in range(8)]
+        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
+            idle = [await ingress.client() for _ in range(8)]
             for client in idle:
-                assert (await client.ask(HEALTH))[0] == 200
+                assert (await client.send(HEALTH_REQUEST)).status == 200
             busy = []
             for number in range(8):
-                busy.append(await w.client())
+                busy.append(await ingress.client())
                 busy[-1].writer.write(
                     request("payment-book", number=number, Request_Timeout="5.000")
                 )
-                await until(lambda: sum(len(b.requests) for b in w.backends) == len(busy))
-            await until(lambda: sum(len(b.requests) for b in w.backends) == 8)
+                await until(lambda: sum(len(b.requests) for b in ingress.backends) == len(busy))
+            await until(lambda: sum(len(b.requests) for b in ingress.backends) == 8)
             assert [await client.reader.read() for client in idle] == [b""] * 8
-            waiting = await w.client()
-            waiting.writer.write(HEALTH)
-            reading = asyncio.create_task(waiting.answer())
+            waiting = await ingress.client()
+            waiting.writer.write(HEALTH_REQUEST)
+            reading = asyncio.create_task(waiting.read_response())
             await asyncio.sleep(0.1)
             assert not reading.done()
             busy[0].writer.close()
-            assert (await reading)[0] == 200
+            assert (await reading).status == 200
 
     run(test())
 
 
+def hold_descriptors(held: list[int]) -> None:
+    """Open files, and add them to those held, until the system refuses."""
+    while True:
+        held.append(os.open("/dev/null", os.O_RDONLY))
+
+
 def test_running_out_of_descriptors_ends_no_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            first = await w.client()
-            assert (await first.ask(HEALTH))[0] == 200
-            import resource
-
+        async with running_ingress(respond()) as ingress:
+            first = await ingress.client()
+            assert (await first.send(HEALTH_REQUEST)).status == 200
             soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-            held = []
+            held: list[int] = []
             try:
-                reader, writer = await asyncio.open_connection(*w.address)
+                reader, writer = await asyncio.open_connection(*ingress.address)
                 resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 256), hard))
-                with pytest.raises(OSError):
-                    while True:
-                        held.append(os.open("/dev/null", os.O_RDONLY))
-                assert (await first.ask(HEALTH))[0] == 200
-                assert (await first.ask(request()))[
-                    0
-                ] == 429  # no socket for an attempt: nothing was sent
+                with pytest.raises(OSError, match="Too many open files"):
+                    hold_descriptors(held)
+                assert (await first.send(HEALTH_REQUEST)).status == 200
+                # No socket is left for an attempt, so nothing was sent.
+                assert (await first.send(request())).status == 429
             finally:
                 for number in held:
                     os.close(number)
                 resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-            assert (await Client(reader, writer).ask(request(number=2)))[0] == 200
+            assert (await Client(reader, writer).send(request(number=2))).status == 200
             writer.close()
 
     run(test())
@@ -162,48 +165,50 @@
 def test_waiting_connection_is_accepted_as_soon_as_another_becomes_idle(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Found by reading: it waited until a connection ended, though one between requests makes room."""
+    """It waited until a connection ended, though an idle one can be evicted."""
     monkeypatch.setattr("sumacpost.server.connection_registry.IDLE_TIMEOUT_S", 1000.0)
 
     async def test() -> None:
-        async with world(*[silence] * 8, sockets=64) as w:
+        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
             for number in range(8):
-                (await w.client()).writer.write(
-                    request("vat-filing", number, Request_Timeout=SILENT)
+                (await ingress.client()).writer.write(
+                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
                 )
-                await until(lambda n=number: sent(w) == n + 1)
-            late = await w.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
-            await until(lambda: not w.service._server.listener.accepting)
-            w.backends[0].writers[0].write(OK)
-            await until(lambda: sent(w) == 9)
+                await ingress.wait_for_requests(number + 1)
+            late = await ingress.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: not ingress.service._server.listener.accepting)
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            await ingress.wait_for_requests(9)
 
     run(test())
 
 
-def test_connection_aborted_before_accept_does_not_stop_accepting() -> None:
+def test_connection_aborted_before_accept_does_not_stop_accepting(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            server, accepts = w.service._server, []
-            server.listener.pause()
-            client = await w.client()
-            listener = server.listener._socket
+        async with running_ingress(respond()) as ingress:
+            listener = ingress.service._server.listener
+            accepts = []
+            listener.pause()
+            client = await ingress.client()
+            listening_socket = listener._socket
 
             class Aborted:
                 def accept(self) -> Any:
                     accepts.append(1)
                     if len(accepts) == 1:
                         raise ConnectionAbortedError
-                    return listener.accept()
+                    return listening_socket.accept()
 
                 def __getattr__(self, name: str) -> Any:
-                    return getattr(listener, name)
+                    return getattr(listening_socket, name)
 
-            server.listener._socket = Aborted()
-            assert (
-                server.listener.accept() and len(accepts) == 3
-            )  # the one behind it, and then nobody
-            assert (await client.ask(request()))[0] == 200
+            monkeypatch.setattr(listener, "_socket", Aborted())
+            assert listener.accept()
+            assert len(accepts) == 3
+            assert (await client.send(request())).status == 200
 
     run(test())
 
@@ -211,21 +216,23 @@
 def test_request_with_connection_close_is_not_timed_out_as_incomplete(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """With Connection: close it was taken for one that had not brought its request, and dropped after 2 s."""
+    """It was taken for a connection without a request, and closed after 2 s."""
     monkeypatch.setattr("sumacpost.server.connection_registry.REQUEST_TIMEOUT_S", 0.1)
     monkeypatch.setattr("sumacpost.service.MAINTENANCE_INTERVAL_S", 0.02)
 
     async def test() -> None:
-        async with world(silence) as w:
-            client = await w.client()
-            client.writer.write(request("vat-filing", Request_Timeout=SILENT, Connection="close"))
-            await until(lambda: sent(w) == 1)
-            server = w.service._server
-            (connection,) = server.connections.open
-            assert connection not in server.connections.waiting
+        async with running_ingress(never_respond) as ingress:
+            client = await ingress.client()
+            client.writer.write(
+                request("vat-filing", Request_Timeout=LONG_TIMEOUT, Connection="close")
+            )
+            await ingress.wait_for_requests(1)
+            connections = ingress.service._server.connections
+            (connection,) = connections.open
+            assert connection not in connections.waiting
             await asyncio.sleep(0.3)  # three times what a message may take
-            w.backends[0].writers[0].write(OK)
-            assert (await client.answer())[0] == 200
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await client.read_response()).status == 200
             assert await client.reader.read() == b""
 
     run(test())
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -1,4 +1,4 @@
-"""A client's end that crosses another step of its request. docs/crossings.md lists these pairs."""
+"""Clients that disconnect as another step of their request happens; see docs/crossings.md."""
 
 from __future__ import annotations
 
@@ -11,42 +11,42 @@
 from sumacpost.upstream.connection import BackendConnection
 from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.configuration import SETTINGS
-from tests.support.counter_calls import read_counter_call
 from tests.support.dials import Dials
 from tests.support.event_loop import run, until
-from tests.support.http_client import SILENT, leave, request, sent
-from tests.support.ingress import world
-from tests.support.peers import Peer, answer
+from tests.support.http_client import LONG_TIMEOUT, request
+from tests.support.ingress import running_ingress
+from tests.support.peers import Peer, respond
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_request_of_a_client_that_left_the_listen_queue_is_not_forwarded(how: str) -> None:
-    """It waited at the door, in the kernel's hands; a connection to its backend stands ready to be written to."""
+def test_request_of_a_client_that_left_the_listen_queue_is_not_forwarded(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection was not accepted yet, and one to the backend stands ready."""
 
     async def test() -> None:
-        async with world(answer()) as w:
-            server = w.service._server
+        async with running_ingress(respond()) as ingress:
+            server = ingress.service._server
             seen = []
-            assert (await w.ask(request("vat-filing")))[0] == 200
+            assert (await ingress.send(request("vat-filing"))).status == 200
             await asyncio.sleep(2 * REUSE_DELAY_S)
             server.listener.pause()
-            late = await w.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
+            late = await ingress.client()
+            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: not late.writer.transport.get_write_buffer_size())
-            leave(late, how)
+            late.disconnect(how)
             connection_opened = server.connections.connection_opened
 
             def record_opened(connection: ClientConnection) -> None:
                 seen.append(connection)
                 connection_opened(connection)
 
-            server.connections.connection_opened = record_opened
+            monkeypatch.setattr(server.connections, "connection_opened", record_opened)
             server.listener.resume()
             await until(lambda: len(seen) == 1 and seen[0] not in server.connections.open)
-            assert (await w.ask(request("vat-filing", 51)))[
-                0
-            ] == 200  # whatever was written before it has come by now
-            assert sent(w) == 2
+            # A request forwarded before this one would have come by now.
+            assert (await ingress.send(request("vat-filing", 51))).status == 200
+            assert ingress.requests_received == 2
 
     run(test())
 
@@ -56,16 +56,18 @@
 ) -> None:
     async def test() -> None:
         dials = Dials(monkeypatch)
-        async with world(answer()) as w:
-            client = await w.client()
-            client.writer.write(request("vat-filing", Request_Timeout=SILENT))
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
             await until(lambda: dials.begun == 1)
-            leave(client, "closed")
-            await until(lambda: not w.service._server.connections.open)
+            client.disconnect("closed")
+            await until(lambda: not ingress.service._server.connections.open)
             dials.let.set()
-            await until(lambda: w.service._ingress.backends.open_connections == 0)
-            assert sent(w) == 0 and not w.service._ingress._gateway.pending
-            assert (await w.ask(request("vat-filing", 2)))[0] == 200 and sent(w) == 1
+            await until(lambda: ingress.service._ingress.backends.open_connections == 0)
+            assert ingress.requests_received == 0
+            assert not ingress.service._ingress._gateway.pending
+            assert (await ingress.send(request("vat-filing", 2))).status == 200
+            assert ingress.requests_received == 1
 
     run(test())
 
@@ -73,22 +75,22 @@
 def test_request_waiting_for_the_counter_is_cancelled_with_its_client() -> None:
     async def test() -> None:
         async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
-            total[0] += float(
-                call.split()[2]
-            )  # as a counter would: else the gateway puts it right again and again
+            total[0] += float(call.split()[2])  # else the gateway would correct it
             await let.wait()
             writer.write(b"$%d\r\n%b\r\n" % (len(text := b"%.6f" % total[0]), text))
 
         let, total = asyncio.Event(), [0.0]
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
-        async with world(
-            answer(), counter=late, read_counter=read_counter_call, settings=patient
-        ) as w:
-            client = await w.client()
+        async with running_ingress(respond(), counter=late, settings=patient) as ingress:
+            client = await ingress.client()
             client.writer.write(
-                request(Plan="basis", Request_Timeout=SILENT, Quota_Info="units=6,spread=3,first=0")
+                request(
+                    Plan="basis",
+                    Request_Timeout=LONG_TIMEOUT,
+                    Quota_Info="units=6,spread=3,first=0",
+                )
             )
-            gateway = w.service._ingress._gateway
+            gateway = ingress.service._ingress._gateway
             await until(
                 lambda: any(
                     call.request
@@ -96,8 +98,8 @@
                     for call in calls
                 )
             )
-            leave(client, "closed")
-            await until(lambda: not w.service._server.connections.open)
+            client.disconnect("closed")
+            await until(lambda: not ingress.service._server.connections.open)
             let.set()
             await until(
                 lambda: (
@@ -108,7 +110,8 @@
                     )
                 )
             )
-            assert sent(w) == 0 and not gateway.pending
+            assert ingress.requests_received == 0
+            assert not gateway.pending
 
     run(test())
 
@@ -117,25 +120,24 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
+        async with running_ingress(respond()) as ingress:
 
             class Leaving(BackendConnection):
                 def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
                     super().__init__(pool, sock)
-                    for call in list(w.service._ingress._pending.values()):
-                        w.service._ingress.cancel_request(call)
+                    for call in list(ingress.service._ingress._pending.values()):
+                        ingress.service._ingress.cancel_request(call)
 
             with monkeypatch.context() as patched:
                 patched.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
-                client = await w.client()
-                client.writer.write(request("vat-filing", Request_Timeout=SILENT))
-                pools = w.service._ingress.backends._pools.values()
-                await until(
-                    lambda: any(pool.idle for pool in pools)
-                )  # what came up is kept for others
+                client = await ingress.client()
+                client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
+                pools = ingress.service._ingress.backends._pools.values()
+                # The connection that opened is kept for others.
+                await until(lambda: any(pool.idle for pool in pools))
             await asyncio.sleep(2 * REUSE_DELAY_S)
-            assert sent(w) == 0
-            assert (await w.ask(request("vat-filing", 2)))[0] == 200
-            assert sent(w) == w.backends[0].connections == 1
+            assert ingress.requests_received == 0
+            assert (await ingress.send(request("vat-filing", 2))).status == 200
+            assert ingress.requests_received == ingress.backends[0].connections == 1
 
     run(test())
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -3,131 +3,136 @@
 from __future__ import annotations
 
 import asyncio
+from typing import cast
 
 import pytest
 
 from sumacpost.ingress import CLIENT_DEADLINE_MARGIN_MS
-from sumacpost.server.connection import MAX_PIPELINED, ConnectionState
+from sumacpost.server.connection import MAX_PIPELINED, ClientConnection, ConnectionState
 from tests.support.event_loop import run, until
-from tests.support.http_client import OK, SILENT, leave, request, sent
-from tests.support.ingress import world
-from tests.support.peers import answer, silence
+from tests.support.http_client import LONG_TIMEOUT, Client, request
+from tests.support.ingress import RunningIngress, running_ingress
+from tests.support.peers import OK_RESPONSE, never_respond, respond
+
+
+async def fill_pipeline(ingress: RunningIngress) -> tuple[Client, ClientConnection]:
+    """Open a connection and send as many requests on it as may be pending at once.
+
+    Return the client's and the ingress's end.
+    """
+    client = await ingress.client()
+    for number in range(MAX_PIPELINED):
+        client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+        await ingress.wait_for_requests(number + 1)
+    (connection,) = ingress.service._server.connections.open
+    return client, connection
+
+
+def respond_to_all(ingress: RunningIngress) -> None:
+    for backend in ingress.backends:
+        for writer in backend.writers:
+            writer.write(OK_RESPONSE)
 
 
 def test_more_pipelined_requests_than_the_limit_are_all_answered() -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             client.writer.write(b"".join(request(number=n) for n in range(40)))
-            assert {(await client.answer())[0] for _ in range(40)} <= {
-                200,
-                429,
-            }  # some met a pressed backend
+            statuses = {(await client.read_response()).status for _ in range(40)}
+            assert statuses <= {200, 429}  # 429 where the backend has too much to do
 
     run(test())
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
 def test_unread_requests_are_dropped_when_the_client_disconnects(how: str) -> None:
-    """With eight answers owed no more is read from the client; its end has to be seen all the same."""
+    """With eight responses pending no more is parsed; the client's end has to be seen anyway."""
 
     async def test() -> None:
-        async with world(*[silence] * 8) as w:
-            client = await w.client()
-            for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
-            (connection,) = w.service._server.connections.open
-            for number in (50, 51):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client, connection = await fill_pipeline(ingress)
+            unread = [request("vat-filing", n, Request_Timeout=LONG_TIMEOUT) for n in (50, 51)]
+            for data in unread:
+                client.writer.write(data)
+            await until(lambda: connection._unread_bytes == len(b"".join(unread)))
+            client.disconnect(how)
             await until(
                 lambda: (
-                    connection._unread_bytes
-                    == len(request("vat-filing", 50, Request_Timeout=SILENT)) * 2
+                    not ingress.service._server.connections.open
+                    and not ingress.service._ingress._pending
                 )
             )
-            leave(client, how)
-            await until(
-                lambda: not w.service._server.connections.open and not w.service._ingress._pending
-            )
-            await until(lambda: sum(b.closed for b in w.backends) == MAX_PIPELINED)
-            assert sent(w) == MAX_PIPELINED and w.service._ingress.backends.open_connections == 0
+            await until(lambda: sum(b.closed for b in ingress.backends) == MAX_PIPELINED)
+            assert ingress.requests_received == MAX_PIPELINED
+            assert ingress.service._ingress.backends.open_connections == 0
 
     run(test())
 
 
 def test_unread_request_is_handled_later_and_its_deadline_counts_from_its_arrival() -> None:
     async def test() -> None:
-        async with world(*[silence] * 8) as w:
-            client = await w.client()
-            for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
-            (connection,) = w.service._server.connections.open
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client, connection = await fill_pipeline(ingress)
             client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
             await until(lambda: connection._unread_bytes > 0)
             await asyncio.sleep(0.05)  # time that it loses
-            for backend in w.backends:
-                backend.script = answer()
-                for writer in backend.writers:
-                    writer.write(OK)
-            assert [(await client.answer())[0] for _ in range(MAX_PIPELINED + 1)] == [200] * (
-                MAX_PIPELINED + 1
-            )
-            (told,) = [r for b in w.backends for r in b.requests if b"%016x" % 50 in r]
-            left = float(told.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
-            assert left <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
+            for backend in ingress.backends:
+                backend.script = respond()
+            respond_to_all(ingress)
+            statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED + 1)]
+            assert statuses == [200] * (MAX_PIPELINED + 1)
+            (forwarded,) = [r for b in ingress.backends for r in b.requests if b"%016x" % 50 in r]
+            timeout = forwarded.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0]
+            assert float(timeout) <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
 
     run(test())
 
 
 def test_too_much_unread_input_ends_the_connection_after_the_pending_responses() -> None:
     async def test() -> None:
-        async with world(*[silence] * 8) as w:
-            client = await w.client()
-            for number in range(MAX_PIPELINED):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
-                await until(lambda n=number: sent(w) == n + 1)
-            client.writer.write(
-                b"".join(request("vat-filing", 100 + n) for n in range(400))
-            )  # some 90 KB
-            (connection,) = w.service._server.connections.open
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client, connection = await fill_pipeline(ingress)
+            some_90_kilobytes = b"".join(request("vat-filing", 100 + n) for n in range(400))
+            client.writer.write(some_90_kilobytes)
             await until(lambda: connection._state is ConnectionState.CLOSING)
             assert connection._unread_bytes == 0
-            for backend in w.backends:
-                for writer in backend.writers:
-                    writer.write(OK)
-            assert [(await client.answer())[0] for _ in range(MAX_PIPELINED)] == [
-                200
-            ] * MAX_PIPELINED
-            assert (await client.answer())[0] == 429
-            assert await client.reader.read() == b"" and sent(w) == MAX_PIPELINED
+            respond_to_all(ingress)
+            statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED)]
+            assert statuses == [200] * MAX_PIPELINED
+            assert (await client.read_response()).status == 429
+            assert await client.reader.read() == b""
+            assert ingress.requests_received == MAX_PIPELINED
 
     run(test())
 
 
 def test_no_request_is_handled_for_a_client_that_reads_no_responses() -> None:
-    """Its answers would pile up here without end."""
+    """Its responses would pile up here without end."""
 
     async def test() -> None:
-        async with world(answer(b"x" * 60_000)) as w:
-            client = await w.client()
-            client.writer.transport.pause_reading()
+        async with running_ingress(respond(b"x" * 60_000)) as ingress:
+            client = await ingress.client()
+            transport = cast(asyncio.Transport, client.writer.transport)
+            transport.pause_reading()
             number = 0
             while not (
-                w.service._server.connections.open
-                and (connection := next(iter(w.service._server.connections.open)))._writing_paused
+                ingress.service._server.connections.open
+                and (
+                    connection := next(iter(ingress.service._server.connections.open))
+                )._writing_paused
             ):
-                client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
                 await until(lambda: not connection._pending_responses or connection._writing_paused)
                 await asyncio.sleep(0)
-            before = sent(w)
-            client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
+            before = ingress.requests_received
+            client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: connection._unread_bytes > 0)
-            assert sent(w) == before
-            client.writer.transport.resume_reading()
-            told = [(await client.answer())[0] for _ in range(number + 1)]
-            assert 200 in told and not connection._unread
+            assert ingress.requests_received == before
+            transport.resume_reading()
+            statuses = [(await client.read_response()).status for _ in range(number + 1)]
+            assert 200 in statuses
+            assert not connection._unread
 
     run(test())
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -1,4 +1,4 @@
-"""Requests that clients send, good and bad."""
+"""Valid and invalid requests of clients."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 from sumacpost.http1 import MAX_BODY
 from tests.support.configuration import SETTINGS
 from tests.support.event_loop import run
-from tests.support.http_client import HEALTH, request
-from tests.support.ingress import world
-from tests.support.peers import answer
+from tests.support.http_client import HEALTH_REQUEST, request
+from tests.support.ingress import running_ingress
+from tests.support.peers import respond
 
 
 @pytest.mark.parametrize(
@@ -61,34 +61,35 @@
 )
 def test_invalid_request_is_rejected_and_reaches_no_backend(data: bytes, status: int) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            assert (await w.ask(data))[0] == status
-            assert (await w.ask(request()))[0] == 200  # and harms nobody else
-            assert len(w.backends[0].requests) == 1
+        async with running_ingress(respond()) as ingress:
+            assert (await ingress.send(data)).status == status
+            assert (await ingress.send(request())).status == 200  # and harms nobody else
+            assert len(ingress.backends[0].requests) == 1
 
     run(test())
 
 
 def test_requests_may_come_in_pieces_pipelined_and_chunked() -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             for byte in request():
                 client.writer.write(bytes([byte]))
                 await asyncio.sleep(0)
-            assert (await client.answer())[0] == 200
+            assert (await client.read_response()).status == 200
             client.writer.write(
-                request(number=2) + HEALTH + request(number=3, path="/nowhere") + request(number=4)
+                request(number=2)
+                + HEALTH_REQUEST
+                + request(number=3, path="/nowhere")
+                + request(number=4)
             )
-            assert [(await client.answer())[0] for _ in range(4)] == [200, 200, 404, 200]
+            assert [(await client.read_response()).status for _ in range(4)] == [200, 200, 404, 200]
             head = request(number=5, body="", Content_Length=None, Transfer_Encoding="chunked")
-            assert (await client.ask(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"))[0] == 200
-            last = w.backends[0].requests[-1]
-            assert (
-                last.endswith(b"\r\n\r\nabcde")
-                and b"Content-Length: 5\r\n" in last
-                and b"chunked" not in last
-            )
+            assert (await client.send(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")).status == 200
+            last = ingress.backends[0].requests[-1]
+            assert last.endswith(b"\r\n\r\nabcde")
+            assert b"Content-Length: 5\r\n" in last
+            assert b"chunked" not in last
 
     run(test())
 
@@ -115,10 +116,10 @@
     ],
 )
 def test_ambiguous_framing_smuggles_no_request(head: str) -> None:
-    """Guards against a second request in the body of the first: 400, and nothing behind it is read."""
+    """The connection ends with a 400, and nothing behind the head is read as a request."""
 
     async def test() -> None:
-        async with world(answer()) as w:
+        async with running_ingress(respond()) as ingress:
             hidden = request(number=2).decode()
             data = (
                 request(body="", Content_Length=None).decode().removesuffix("\r\n")
@@ -126,10 +127,10 @@
                 + "\r\n\r\n0\r\n\r\n"
                 + hidden
             )
-            client = await w.client()
-            assert (await client.ask(data.encode()))[0] == 400
+            client = await ingress.client()
+            assert (await client.send(data.encode())).status == 400
             assert await client.reader.read() == b""
-            assert w.backends[0].requests == []
+            assert ingress.backends[0].requests == []
 
     run(test())
 
@@ -139,39 +140,38 @@
 )
 def test_body_that_is_too_long_is_rejected_at_its_head(length: int, status: int) -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
-            assert (await client.ask(request(body="", Content_Length=str(length))))[
-                0
-            ] == status  # no byte of it has come
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            head = request(body="", Content_Length=str(length))
+            assert (await client.send(head)).status == status
             assert await client.reader.read() == b""
 
     run(test())
 
 
 def test_error_arrives_though_the_client_keeps_sending() -> None:
-    """What is only drained is not read as a request, and no reset takes the error away."""
+    """Discarded input is not read as a request, and no reset takes the error away."""
 
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
             client.writer.write(
                 request(body="", Content_Length="3000000") + request(number=2) + b"x" * 3_000_000
             )
-            assert (await client.answer())[0] == 413
+            assert (await client.read_response()).status == 413
             await client.writer.drain()
-            assert w.backends[0].requests == []
+            assert ingress.backends[0].requests == []
 
     run(test())
 
 
 def test_plan_names_are_matched_as_clients_send_them() -> None:
-    """Found by playing a variant: every request of the plan "half crate, red" got 400, as it was known as half_crate_red."""
+    """Requests of the plan "half crate, red" got 400, as it was known as half_crate_red."""
 
     async def test() -> None:
         plan = SETTINGS["plans"][1] | {"name": "half crate, red"}
-        async with world(answer(), settings={"plans": [plan]}) as w:
-            assert (await w.ask(request(Plan="half crate, red")))[0] == 200
-            assert (await w.ask(request(number=2, Plan="half_crate_red")))[0] == 400
+        async with running_ingress(respond(), settings={"plans": [plan]}) as ingress:
+            assert (await ingress.send(request(Plan="half crate, red"))).status == 200
+            assert (await ingress.send(request(number=2, Plan="half_crate_red"))).status == 400
 
     run(test())
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -15,6 +15,7 @@
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import endpoint_entry
+from tests.support.event_loop import until
 from tests.support.http_client import Client, Response
 from tests.support.peers import Peer, Script, never_respond
 
@@ -42,6 +43,10 @@
         """How many requests the backends have received altogether."""
         return sum(len(backend.requests) for backend in self.backends)
 
+    async def wait_for_requests(self, count: int) -> None:
+        """Wait until the backends have received so many requests."""
+        await until(lambda: self.requests_received == count)
+
     async def client(self) -> Client:
         """Connect a client, to be closed at the end."""
         reader, writer = await asyncio.open_connection(*self.address)
