--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -115,7 +115,7 @@
     peers = [n for n in range(1, 5000) if not partition.holds(n)][:80]
     entries = [Endpoint(n, cell=position % 40) for position, n in enumerate([*inside, *peers])]
     gateway.handle(START, EndpointListUpdate(UpdateKind.FULL, entries, partition_count=64))
-    assert {ready.backend for ready in gateway.subset.ready} == set(inside)
+    assert {ready.backend for ready in gateway.endpoints.subset.ready} == set(inside)
     actions = gateway.handle(START, request(1))
     (send,) = [action for action in actions if isinstance(action, Send)]
     actions = gateway.handle(START + 50, ended(1, send.backend, Outcome.RESET, took=50))
--- a/tests/discovery/test_list_updates.py
+++ b/tests/discovery/test_list_updates.py
@@ -139,7 +139,7 @@
 def test_the_agents_list_replaces_a_cached_one_that_is_newer_or_older(
     version: int, sends_full_lists: bool
 ) -> None:
-    """The cached one is of version 5. Changes up to an older one fit no list: the full one is due."""
+    """The cached one is of version 5: changes up to an older one fit no list."""
 
     async def test() -> None:
         async with running_peer(respond(b"agent")) as listed:
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -20,7 +20,7 @@
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
-def test_a_request_whose_client_left_before_it_was_read_is_not_sent_on(how: str) -> None:
+def test_request_of_a_client_that_left_the_listen_queue_is_not_forwarded(how: str) -> None:
     """It waited at the door, in the kernel's hands; a connection to its backend stands ready to be written to."""
 
     async def test() -> None:
@@ -51,7 +51,7 @@
     run(test())
 
 
-def test_what_waits_for_a_connection_is_dropped_with_its_client(
+def test_request_waiting_for_a_connection_is_cancelled_with_its_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
@@ -64,13 +64,13 @@
             await until(lambda: not w.service._server.connections.open)
             dials.let.set()
             await until(lambda: w.service._ingress.backends.open_connections == 0)
-            assert sent(w) == 0 and not w.service._ingress._gateway.calls
+            assert sent(w) == 0 and not w.service._ingress._gateway.pending
             assert (await w.ask(request("vat-filing", 2)))[0] == 200 and sent(w) == 1
 
     run(test())
 
 
-def test_what_waits_for_the_counter_is_dropped_with_its_client() -> None:
+def test_request_waiting_for_the_counter_is_cancelled_with_its_client() -> None:
     async def test() -> None:
         async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
             total[0] += float(
@@ -90,20 +90,30 @@
             )
             gateway = w.service._ingress._gateway
             await until(
-                lambda: any(call for asked in gateway.counts.values() for *_, call in asked)
+                lambda: any(
+                    call.request
+                    for calls in gateway.quota_sync.unanswered.values()
+                    for call in calls
+                )
             )
             leave(client, "closed")
             await until(lambda: not w.service._server.connections.open)
             let.set()
             await until(
-                lambda: not any(call for asked in gateway.counts.values() for *_, call in asked)
+                lambda: (
+                    not any(
+                        call.request
+                        for calls in gateway.quota_sync.unanswered.values()
+                        for call in calls
+                    )
+                )
             )
-            assert sent(w) == 0 and not gateway.calls
+            assert sent(w) == 0 and not gateway.pending
 
     run(test())
 
 
-def test_a_client_that_leaves_as_the_connection_for_its_request_comes_up_is_not_sent_on(
+def test_request_cancelled_as_its_connection_opens_is_not_forwarded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
