--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -1,4 +1,4 @@
-"""A client's disconnect that crosses another step of its request, as docs/crossings.md lists."""
+"""Clients that disconnect as another step of their request happens; see docs/crossings.md."""
 
 from __future__ import annotations
 
@@ -22,30 +22,30 @@
 def test_request_of_a_client_that_left_the_listen_queue_is_not_forwarded(
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It waits in the kernel's accept queue; a connection to its backend is ready to be used."""
+    """Its connection was not accepted yet, and one to the backend stands ready."""
 
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            server = ingress.server
-            opened: list[ClientConnection] = []
-            connection_opened = server.connections.connection_opened
-
-            def record_opened(connection: ClientConnection) -> None:
-                opened.append(connection)
-                connection_opened(connection)
-
-            assert (await ingress.send(request())).status == 200
+            server = ingress.service._server
+            seen = []
+            assert (await ingress.send(request("vat-filing"))).status == 200
             await asyncio.sleep(2 * REUSE_DELAY_S)
             server.listener.pause()
             late = await ingress.client()
-            late.write(request(number=50, Request_Timeout=LONG_TIMEOUT))
+            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: not late.writer.transport.get_write_buffer_size())
             late.disconnect(how)
+            connection_opened = server.connections.connection_opened
+
+            def record_opened(connection: ClientConnection) -> None:
+                seen.append(connection)
+                connection_opened(connection)
+
             monkeypatch.setattr(server.connections, "connection_opened", record_opened)
             server.listener.resume()
-            await until(lambda: len(opened) == 1 and opened[0] not in server.connections.open)
-            # Whatever was written before this request has arrived with it.
-            assert (await ingress.send(request(number=51))).status == 200
+            await until(lambda: len(seen) == 1 and seen[0] not in server.connections.open)
+            # A request forwarded before this one would have come by now.
+            assert (await ingress.send(request("vat-filing", 51))).status == 200
             assert ingress.requests_received == 2
 
     run(test())
@@ -58,59 +58,58 @@
         dials = Dials(monkeypatch)
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.write(request(Request_Timeout=LONG_TIMEOUT))
+            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
             await until(lambda: dials.begun == 1)
             client.disconnect("closed")
-            await until(lambda: not ingress.server.connections.open)
+            await until(lambda: not ingress.service._server.connections.open)
             dials.let.set()
-            await until(lambda: ingress.pool_manager.open_connections == 0)
+            await until(lambda: ingress.service._ingress.backends.open_connections == 0)
             assert ingress.requests_received == 0
-            assert not ingress.gateway.pending
-            assert (await ingress.send(request(number=2))).status == 200
+            assert not ingress.service._ingress._gateway.pending
+            assert (await ingress.send(request("vat-filing", 2))).status == 200
             assert ingress.requests_received == 1
 
     run(test())
 
 
-class BlockedCounter:
-    """A counter's script that replies only when it is let."""
-
-    def __init__(self) -> None:
-        self.let = asyncio.Event()
-        self._total = 0.0
-
-    async def __call__(self, peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
-        # Kept as a counter does: else the gateway would correct the total again and again.
-        self._total += float(call.split()[2])
-        await self.let.wait()
-        text = b"%.6f" % self._total
-        writer.write(b"$%d\r\n%b\r\n" % (len(text), text))
-
-
 def test_request_waiting_for_the_counter_is_cancelled_with_its_client() -> None:
     async def test() -> None:
-        counter = BlockedCounter()
-        settings = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
-        async with running_ingress(respond(), counter=counter, settings=settings) as ingress:
-            gateway = ingress.gateway
-
-            def request_waits() -> bool:
-                unanswered = gateway.quota_sync.unanswered.values()
-                return any(call.request for calls in unanswered for call in calls)
-
+        async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
+            total[0] += float(call.split()[2])  # else the gateway would correct it
+            await let.wait()
+            writer.write(b"$%d\r\n%b\r\n" % (len(text := b"%.6f" % total[0]), text))
+
+        let, total = asyncio.Event(), [0.0]
+        patient = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
+        async with running_ingress(respond(), counter=late, settings=patient) as ingress:
             client = await ingress.client()
-            client.write(
+            client.writer.write(
                 request(
                     Plan="basis",
                     Request_Timeout=LONG_TIMEOUT,
                     Quota_Info="units=6,spread=3,first=0",
                 )
             )
-            await until(request_waits)
+            gateway = ingress.service._ingress._gateway
+            await until(
+                lambda: any(
+                    call.request
+                    for calls in gateway.quota_sync.unanswered.values()
+                    for call in calls
+                )
+            )
             client.disconnect("closed")
-            await until(lambda: not ingress.server.connections.open)
-            counter.let.set()
-            await until(lambda: not request_waits())
+            await until(lambda: not ingress.service._server.connections.open)
+            let.set()
+            await until(
+                lambda: (
+                    not any(
+                        call.request
+                        for calls in gateway.quota_sync.unanswered.values()
+                        for call in calls
+                    )
+                )
+            )
             assert ingress.requests_received == 0
             assert not gateway.pending
 
@@ -123,23 +122,22 @@
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
 
-            class CancellingConnection(BackendConnection):
+            class Leaving(BackendConnection):
                 def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
                     super().__init__(pool, sock)
-                    for pending in list(ingress.bridge._pending.values()):
-                        ingress.bridge.cancel_request(pending)
+                    for call in list(ingress.service._ingress._pending.values()):
+                        ingress.service._ingress.cancel_request(call)
 
             with monkeypatch.context() as patched:
-                patched.setattr("sumacpost.upstream.pool.BackendConnection", CancellingConnection)
+                patched.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
                 client = await ingress.client()
-                client.write(request(Request_Timeout=LONG_TIMEOUT))
-                pools = ingress.pool_manager._pools.values()
-                # The new connection is kept for other requests.
+                client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
+                pools = ingress.service._ingress.backends._pools.values()
+                # The connection that opened is kept for others.
                 await until(lambda: any(pool.idle for pool in pools))
             await asyncio.sleep(2 * REUSE_DELAY_S)
             assert ingress.requests_received == 0
-            assert (await ingress.send(request(number=2))).status == 200
-            assert ingress.requests_received == 1
-            assert ingress.backends[0].connections == 1
+            assert (await ingress.send(request("vat-filing", 2))).status == 200
+            assert ingress.requests_received == ingress.backends[0].connections == 1
 
     run(test())
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -3,52 +3,69 @@
 from __future__ import annotations
 
 import asyncio
+from typing import cast
 
 import pytest
 
 from sumacpost.ingress import CLIENT_DEADLINE_MARGIN_MS
 from sumacpost.server.connection import MAX_PIPELINED, ClientConnection, ConnectionState
 from tests.support.event_loop import run, until
-from tests.support.http_client import LONG_TIMEOUT, request
+from tests.support.http_client import LONG_TIMEOUT, Client, request
 from tests.support.ingress import RunningIngress, running_ingress
-from tests.support.peers import never_respond, respond
+from tests.support.peers import OK_RESPONSE, never_respond, respond
 
 
-def only_connection(ingress: RunningIngress) -> ClientConnection:
-    (connection,) = ingress.server.connections.open
-    return connection
+async def fill_pipeline(ingress: RunningIngress) -> tuple[Client, ClientConnection]:
+    """Open a connection and send as many requests on it as may be pending at once.
+
+    Return the client's and the ingress's end.
+    """
+    client = await ingress.client()
+    for number in range(MAX_PIPELINED):
+        client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+        await ingress.wait_for_requests(number + 1)
+    (connection,) = ingress.service._server.connections.open
+    return client, connection
+
+
+def respond_to_all(ingress: RunningIngress) -> None:
+    for backend in ingress.backends:
+        for writer in backend.writers:
+            writer.write(OK_RESPONSE)
 
 
 def test_more_pipelined_requests_than_the_limit_are_all_answered() -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.write(b"".join(request(number=number) for number in range(40)))
-            statuses = {response.status for response in await client.read_responses(40)}
-            assert statuses <= {200, 429}  # some were shed
+            client.writer.write(b"".join(request(number=n) for n in range(40)))
+            statuses = {(await client.read_response()).status for _ in range(40)}
+            assert statuses <= {200, 429}  # 429 where the backend has too much to do
 
     run(test())
 
 
 @pytest.mark.parametrize("how", ["closed", "reset"])
 def test_unread_requests_are_dropped_when_the_client_disconnects(how: str) -> None:
-    """With eight responses owed no request is parsed, yet the disconnect has to be seen."""
+    """With eight responses pending no more is parsed; the client's end has to be seen anyway."""
 
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
-            client = await ingress.client()
-            await ingress.occupy_backends(client, MAX_PIPELINED)
-            connection = only_connection(ingress)
-            buffered = [request(number=n, Request_Timeout=LONG_TIMEOUT) for n in (50, 51)]
-            for data in buffered:
-                client.write(data)
-            await until(lambda: connection._unread_bytes == len(b"".join(buffered)))
+            client, connection = await fill_pipeline(ingress)
+            unread = [request("vat-filing", n, Request_Timeout=LONG_TIMEOUT) for n in (50, 51)]
+            for data in unread:
+                client.writer.write(data)
+            await until(lambda: connection._unread_bytes == len(b"".join(unread)))
             client.disconnect(how)
-            await until(lambda: not ingress.server.connections.open)
-            await until(lambda: not ingress.bridge._pending)
-            await until(lambda: sum(peer.closed for peer in ingress.backends) == MAX_PIPELINED)
+            await until(
+                lambda: (
+                    not ingress.service._server.connections.open
+                    and not ingress.service._ingress._pending
+                )
+            )
+            await until(lambda: sum(b.closed for b in ingress.backends) == MAX_PIPELINED)
             assert ingress.requests_received == MAX_PIPELINED
-            assert ingress.pool_manager.open_connections == 0
+            assert ingress.service._ingress.backends.open_connections == 0
 
     run(test())
 
@@ -56,21 +73,18 @@
 def test_unread_request_is_handled_later_and_its_deadline_counts_from_its_arrival() -> None:
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
-            client = await ingress.client()
-            await ingress.occupy_backends(client, MAX_PIPELINED)
-            connection = only_connection(ingress)
-            client.write(request(number=50, Request_Timeout="5.000"))
+            client, connection = await fill_pipeline(ingress)
+            client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
             await until(lambda: connection._unread_bytes > 0)
             await asyncio.sleep(0.05)  # time that it loses
             for backend in ingress.backends:
                 backend.script = respond()
-            ingress.respond_to_all()
-            responses = await client.read_responses(MAX_PIPELINED + 1)
-            assert [response.status for response in responses] == [200] * (MAX_PIPELINED + 1)
-            received = [data for peer in ingress.backends for data in peer.requests]
-            (forwarded,) = [data for data in received if b"%016x" % 50 in data]
-            timeout_s = float(forwarded.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0])
-            assert timeout_s <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
+            respond_to_all(ingress)
+            statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED + 1)]
+            assert statuses == [200] * (MAX_PIPELINED + 1)
+            (forwarded,) = [r for b in ingress.backends for r in b.requests if b"%016x" % 50 in r]
+            timeout = forwarded.lower().split(b"request-timeout: ")[1].split(b"\r\n")[0]
+            assert float(timeout) <= 5 - 0.05 - CLIENT_DEADLINE_MARGIN_MS / 1000
 
     run(test())
 
@@ -78,43 +92,46 @@
 def test_too_much_unread_input_ends_the_connection_after_the_pending_responses() -> None:
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
-            client = await ingress.client()
-            await ingress.occupy_backends(client, MAX_PIPELINED)
-            client.write(b"".join(request(number=100 + n) for n in range(400)))  # some 90 KB
-            connection = only_connection(ingress)
+            client, connection = await fill_pipeline(ingress)
+            some_90_kilobytes = b"".join(request("vat-filing", 100 + n) for n in range(400))
+            client.writer.write(some_90_kilobytes)
             await until(lambda: connection._state is ConnectionState.CLOSING)
             assert connection._unread_bytes == 0
-            ingress.respond_to_all()
-            responses = await client.read_responses(MAX_PIPELINED)
-            assert [response.status for response in responses] == [200] * MAX_PIPELINED
+            respond_to_all(ingress)
+            statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED)]
+            assert statuses == [200] * MAX_PIPELINED
             assert (await client.read_response()).status == 429
-            assert await client.read_to_end() == b""
+            assert await client.reader.read() == b""
             assert ingress.requests_received == MAX_PIPELINED
 
     run(test())
 
 
 def test_no_request_is_handled_for_a_client_that_reads_no_responses() -> None:
-    """Its responses would be buffered without bound."""
+    """Its responses would pile up here without end."""
 
     async def test() -> None:
         async with running_ingress(respond(b"x" * 60_000)) as ingress:
             client = await ingress.client()
-            client.pause_reading()
-            await until(lambda: len(ingress.server.connections.open) == 1)
-            connection = only_connection(ingress)
+            transport = cast(asyncio.Transport, client.writer.transport)
+            transport.pause_reading()
             number = 0
-            while not connection._writing_paused:
-                client.write(request(number=number, Request_Timeout=LONG_TIMEOUT))
+            while not (
+                ingress.service._server.connections.open
+                and (
+                    connection := next(iter(ingress.service._server.connections.open))
+                )._writing_paused
+            ):
+                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
                 await until(lambda: not connection._pending_responses or connection._writing_paused)
                 await asyncio.sleep(0)
             before = ingress.requests_received
-            client.write(request(number=number, Request_Timeout=LONG_TIMEOUT))
+            client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: connection._unread_bytes > 0)
             assert ingress.requests_received == before
-            client.resume_reading()
-            statuses = [response.status for response in await client.read_responses(number + 1)]
+            transport.resume_reading()
+            statuses = [(await client.read_response()).status for _ in range(number + 1)]
             assert 200 in statuses
             assert not connection._unread
 
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -1,4 +1,4 @@
-"""Requests that clients send, good and bad."""
+"""Valid and invalid requests of clients."""
 
 from __future__ import annotations
 
@@ -116,7 +116,7 @@
     ],
 )
 def test_ambiguous_framing_smuggles_no_request(head: str) -> None:
-    """Guards against a second request in the body of the first: 400, and nothing behind it is read."""
+    """The connection ends with a 400, and nothing behind the head is read as a request."""
 
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
@@ -142,16 +142,15 @@
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            assert (
-                await client.send(request(body="", Content_Length=str(length)))
-            ).status == status  # no byte of it has come
+            head = request(body="", Content_Length=str(length))
+            assert (await client.send(head)).status == status
             assert await client.reader.read() == b""
 
     run(test())
 
 
 def test_error_arrives_though_the_client_keeps_sending() -> None:
-    """What is only drained is not read as a request, and no reset takes the error away."""
+    """Discarded input is not read as a request, and no reset takes the error away."""
 
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
@@ -167,7 +166,7 @@
 
 
 def test_plan_names_are_matched_as_clients_send_them() -> None:
-    """Found by playing a variant: every request of the plan "half crate, red" got 400, as it was known as half_crate_red."""
+    """Requests of the plan "half crate, red" got 400, as it was known as half_crate_red."""
 
     async def test() -> None:
         plan = SETTINGS["plans"][1] | {"name": "half crate, red"}
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -21,8 +21,8 @@
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import endpoint_entry
 from tests.support.event_loop import until
-from tests.support.http_client import LONG_TIMEOUT, Client, Response, request
-from tests.support.peers import OK_RESPONSE, Peer, Script, never_respond
+from tests.support.http_client import Client, Response
+from tests.support.peers import Peer, Script, never_respond
 
 
 @dataclass
@@ -74,6 +74,10 @@
         assert self.bridge.counter is not None
         return self.bridge.counter
 
+    async def wait_for_requests(self, count: int) -> None:
+        """Wait until the backends have received so many requests."""
+        await until(lambda: self.requests_received == count)
+
     async def client(self) -> Client:
         """Connect a client, to be closed at the end."""
         reader, writer = await asyncio.open_connection(*self.address)
@@ -85,23 +89,6 @@
         client = await self.client()
         return await client.send(data)
 
-    async def forward(self, client: Client, data: bytes) -> None:
-        """Write a request and wait until a backend has received it."""
-        expected = self.requests_received + 1
-        client.write(data)
-        await until(lambda: self.requests_received == expected)
-
-    async def occupy_backends(self, client: Client, count: int) -> None:
-        """Forward that many requests of one client, numbered from 0."""
-        for number in range(count):
-            await self.forward(client, request(number=number, Request_Timeout=LONG_TIMEOUT))
-
-    def respond_to_all(self) -> None:
-        """Send one good response on every connection to a backend."""
-        for backend in self.backends:
-            for writer in backend.writers:
-                writer.write(OK_RESPONSE)
-
     ask = send
 
 
