Use one set of names in all tests, and drop the former ones from the support modules

Scripts, clients and the running ingress have one name each; the parameter that gave the counter's reader is gone, as there is one reader. Assertions are unchanged.

--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -134,9 +134,7 @@
 
 def test_service_goes_on_without_the_counter() -> None:
     async def test() -> None:
-        async with running_ingress(
-            respond(), counter=never_respond, read_counter=read_counter_call
-        ) as ingress:
+        async with running_ingress(respond(), counter=never_respond) as ingress:
             told = [(await ingress.send(request(number=n))).status for n in range(3)]
             ingress.counter.stop()
             told += [(await ingress.send(request(number=n))).status for n in range(3, 6)]
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -79,7 +79,7 @@
     async with ingress_with_idle_connections(1, counter=count, settings=settings) as ingress:
         withholding = True
         client = BlockingClient(ingress.address)
-        quota_sync = ingress.service._ingress._gateway.quota_sync
+        quota_sync = ingress.gateway.quota_sync
         calls_before = len(ingress.counter.requests)
         client.write(
             slow_request(
@@ -141,7 +141,7 @@
 
 def seconds_until_hedging(ingress: RunningIngress) -> float:
     """Return when the one attempt in flight is surely overdue, in seconds from now."""
-    bridge = ingress.service._ingress
+    bridge = ingress.bridge
     backends = bridge._gateway.endpoints.backends.values()
     (overdue_at,) = [sent.overdue_at for b in backends for sent in b.in_flight.values()]
     return (overdue_at - bridge._clock.now()) / 1000 + 0.05
@@ -252,7 +252,7 @@
             for number in range(100, 100 + MAX_PIPELINED):
                 client.write(slow_request("vat-filing", number))
                 await until_attempted(ingress, number)
-            server = ingress.service._server
+            server = ingress.server
             client.write(slow_request("vat-filing"))
             await until(lambda: any(c._unread for c in server.connections.open))
             (first,) = attempts(ingress, 100)
@@ -276,7 +276,7 @@
         async with ingress_with_idle_connections() as ingress:
             client = BlockingClient(ingress.address) if where == "unread" else None
             if client is not None:
-                await until(lambda: len(ingress.service._server.connections.open) == 3)
+                await until(lambda: len(ingress.server.connections.open) == 3)
             client = client or BlockingClient(ingress.address)
             client.write(slow_request() + behind)
             disconnect_during(lambda: None, client, how, True)
@@ -285,7 +285,7 @@
                     how == "stays"
                     or not any(
                         c._sock.fileno() >= 0 and c.has_disconnected()
-                        for c in ingress.service._server.connections.open
+                        for c in ingress.server.connections.open
                     )
                 )
             )
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -87,7 +87,7 @@
 
     async def test() -> None:
         async with running_ingress(respond(), sockets=80) as ingress:
-            connections = ingress.service._server.connections
+            connections = ingress.server.connections
             used = await ingress.client()
             once = []
             for number in range(0, 20, 2):
@@ -177,7 +177,7 @@
                 await ingress.wait_for_requests(number + 1)
             late = await ingress.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: not ingress.service._server.listener.accepting)
+            await until(lambda: not ingress.server.listener.accepting)
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             await ingress.wait_for_requests(9)
 
@@ -189,7 +189,7 @@
 ) -> None:
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            listener = ingress.service._server.listener
+            listener = ingress.server.listener
             accepts = []
             listener.pause()
             client = await ingress.client()
@@ -227,7 +227,7 @@
                 request("vat-filing", Request_Timeout=LONG_TIMEOUT, Connection="close")
             )
             await ingress.wait_for_requests(1)
-            connections = ingress.service._server.connections
+            connections = ingress.server.connections
             (connection,) = connections.open
             assert connection not in connections.waiting
             await asyncio.sleep(0.3)  # three times what a message may take
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -26,7 +26,7 @@
 
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            server = ingress.service._server
+            server = ingress.server
             seen = []
             assert (await ingress.send(request("vat-filing"))).status == 200
             await asyncio.sleep(2 * REUSE_DELAY_S)
@@ -61,11 +61,11 @@
             client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
             await until(lambda: dials.begun == 1)
             client.disconnect("closed")
-            await until(lambda: not ingress.service._server.connections.open)
+            await until(lambda: not ingress.server.connections.open)
             dials.let.set()
-            await until(lambda: ingress.service._ingress.backends.open_connections == 0)
+            await until(lambda: ingress.pool_manager.open_connections == 0)
             assert ingress.requests_received == 0
-            assert not ingress.service._ingress._gateway.pending
+            assert not ingress.gateway.pending
             assert (await ingress.send(request("vat-filing", 2))).status == 200
             assert ingress.requests_received == 1
 
@@ -90,7 +90,7 @@
                     Quota_Info="units=6,spread=3,first=0",
                 )
             )
-            gateway = ingress.service._ingress._gateway
+            gateway = ingress.gateway
             await until(
                 lambda: any(
                     call.request
@@ -99,7 +99,7 @@
                 )
             )
             client.disconnect("closed")
-            await until(lambda: not ingress.service._server.connections.open)
+            await until(lambda: not ingress.server.connections.open)
             let.set()
             await until(
                 lambda: (
@@ -125,14 +125,14 @@
             class Leaving(BackendConnection):
                 def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
                     super().__init__(pool, sock)
-                    for call in list(ingress.service._ingress._pending.values()):
-                        ingress.service._ingress.cancel_request(call)
+                    for call in list(ingress.bridge._pending.values()):
+                        ingress.bridge.cancel_request(call)
 
             with monkeypatch.context() as patched:
                 patched.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
                 client = await ingress.client()
                 client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
-                pools = ingress.service._ingress.backends._pools.values()
+                pools = ingress.pool_manager._pools.values()
                 # The connection that opened is kept for others.
                 await until(lambda: any(pool.idle for pool in pools))
             await asyncio.sleep(2 * REUSE_DELAY_S)
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -64,7 +64,7 @@
                 client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 await ingress.wait_for_requests(number + 1)
             ingress.stop.set()
-            await until(lambda: ingress.service._server.handler.draining)
+            await until(lambda: ingress.server.handler.draining)
             for backend in ingress.backends:
                 backend.writers[0].write(OK_RESPONSE)
             first, second = await client.read_response(), await client.read_response()
@@ -83,16 +83,16 @@
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             ingress.stop.set()
-            await until(lambda: ingress.service._server.handler.draining)
+            await until(lambda: ingress.server.handler.draining)
             late = await ingress.client()
             late.writer.write(request("ledger-read", Request_Timeout=LONG_TIMEOUT))
             await ingress.wait_for_requests(1)
-            (call,) = ingress.service._ingress._pending.values()
+            (call,) = ingress.bridge._pending.values()
             longest = max(c["hard_limit"] for c in SETTINGS["categories"])
             assert (
                 call.deadline
-                <= ingress.service._ingress._drain_deadline
-                < ingress.service._ingress._clock.now() + longest + 700
+                <= ingress.bridge._drain_deadline
+                < ingress.bridge._clock.now() + longest + 700
             )
             told = float(
                 ingress.backends[0]
@@ -126,7 +126,7 @@
                 await ingress.wait_for_requests(number + 1)
             late = await ingress.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: not ingress.service._server.listener.accepting)
+            await until(lambda: not ingress.server.listener.accepting)
             ingress.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
             for backend in ingress.backends:
@@ -147,7 +147,7 @@
             client = await ingress.client()
             client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
             await ingress.wait_for_requests(1)
-            listener = ingress.service._server.listener._socket
+            listener = ingress.server.listener._socket
 
             class Failing:
                 def accept(self) -> Any:
@@ -156,7 +156,7 @@
                 def __getattr__(self, name: str) -> Any:
                     return getattr(listener, name)
 
-            monkeypatch.setattr(ingress.service._server.listener, "_socket", Failing())
+            monkeypatch.setattr(ingress.server.listener, "_socket", Failing())
             ingress.stop.set()
             await asyncio.sleep(0.5)  # the listener would be closed by now
             ingress.backends[0].writers[0].write(OK_RESPONSE)
@@ -200,7 +200,7 @@
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
         async with running_ingress(respond(), counter=never_respond, settings=patient) as ingress:
-            counter = ingress.service._ingress.counter
+            counter = ingress.counter_client
             assert counter is not None
             counter.call(7, 1.0, 1000.0)
             await until(lambda: len(ingress.counter.requests) == 1)
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -24,7 +24,7 @@
     for number in range(MAX_PIPELINED):
         client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
         await ingress.wait_for_requests(number + 1)
-    (connection,) = ingress.service._server.connections.open
+    (connection,) = ingress.server.connections.open
     return client, connection
 
 
@@ -57,15 +57,10 @@
                 client.writer.write(data)
             await until(lambda: connection._unread_bytes == len(b"".join(unread)))
             client.disconnect(how)
-            await until(
-                lambda: (
-                    not ingress.service._server.connections.open
-                    and not ingress.service._ingress._pending
-                )
-            )
+            await until(lambda: not ingress.server.connections.open and not ingress.bridge._pending)
             await until(lambda: sum(b.closed for b in ingress.backends) == MAX_PIPELINED)
             assert ingress.requests_received == MAX_PIPELINED
-            assert ingress.service._ingress.backends.open_connections == 0
+            assert ingress.pool_manager.open_connections == 0
 
     run(test())
 
@@ -117,10 +112,8 @@
             transport.pause_reading()
             number = 0
             while not (
-                ingress.service._server.connections.open
-                and (
-                    connection := next(iter(ingress.service._server.connections.open))
-                )._writing_paused
+                ingress.server.connections.open
+                and (connection := next(iter(ingress.server.connections.open)))._writing_paused
             ):
                 client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -89,4 +89,3 @@
 }
 
 MINIMAL_CONFIG = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
-GOOD = MINIMAL_CONFIG
--- a/tests/support/counter_calls.py
+++ b/tests/support/counter_calls.py
@@ -49,18 +49,6 @@
         """The names and totals of the replies so far."""
         return [(reply.name, reply.total) for reply in self.replies]
 
-    @property
-    def counter(self) -> CounterClient:
-        return self.client
-
-    @property
-    def answers(self) -> list[CounterReplied]:
-        return self.replies
-
-    @property
-    def tried(self) -> asyncio.Event:
-        return self.first_attempt_made
-
 
 @asynccontextmanager
 async def scripted_counter(
@@ -74,6 +62,3 @@
     yield peer, recorded
     recorded.task.cancel()
     peer.stop()
-
-
-Counting = RecordedCounterClient
--- a/tests/support/disconnects.py
+++ b/tests/support/disconnects.py
@@ -34,7 +34,7 @@
 
 def pools(ingress: RunningIngress) -> list[ConnectionPool]:
     """Return the pools of connections to the backends."""
-    return list(ingress.service._ingress.backends._pools.values())
+    return list(ingress.pool_manager._pools.values())
 
 
 async def until_attempted(ingress: RunningIngress, number: int = REQUEST_NUMBER) -> None:
@@ -82,7 +82,7 @@
     ingress: RunningIngress, how: str, attempts_before: int
 ) -> None:
     """Check for one more attempt if the client stays, else for none while others are served."""
-    pending = ingress.service._ingress._pending
+    pending = ingress.bridge._pending
     if how == "stays":
         await until(lambda: len(attempts(ingress)) == attempts_before + 1)
         return
--- a/tests/support/discovery_agent.py
+++ b/tests/support/discovery_agent.py
@@ -164,33 +164,3 @@
         known = parse_poll(data).known_version
         if known is None or known < self.version:
             write_if_open(writer, self.response(known))
-
-    list = publish
-    suffer = inject_fault
-    cut = truncate_and_close
-    stall = truncate_and_stall
-    late = respond_late
-    overrun = ignore_long_polls
-    knows = is_known_to
-
-    @property
-    def trouble(self) -> Script | None:
-        return self.fault
-
-    @trouble.setter
-    def trouble(self, fault: Script | None) -> None:
-        self.fault = fault
-
-    @property
-    def held(self) -> list[asyncio.Future[None]]:  # type: ignore[valid-type]
-        return self.held_polls
-
-    @staticmethod
-    def query(data: bytes) -> tuple[int | None, float]:
-        poll = parse_poll(data)
-        return poll.known_version, poll.max_wait_s
-
-
-target = endpoint_entry
-one_line = list_response
-Agent = DiscoveryAgent
--- a/tests/support/http_client.py
+++ b/tests/support/http_client.py
@@ -7,7 +7,7 @@
 import struct
 from typing import NamedTuple, cast
 
-from tests.support.peers import OK_RESPONSE, read_message
+from tests.support.peers import read_message
 
 HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 LONG_TIMEOUT = "60.000"  # a Request-Timeout that no step of a test reaches
@@ -99,9 +99,6 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
         self.writer.transport.abort()
 
-    ask = send
-    answer = read_response
-
 
 class BlockingClient:
     """A client on a blocking socket: the kernel has what it sends while the loop is blocked too."""
@@ -122,8 +119,6 @@
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
             self.sock.close()
 
-    leave = disconnect
-
 
 async def send_once(port: int, data: bytes, timeout_s: float = 2.0) -> Response:
     """Send a request on a new connection; the status is 0 if no response comes."""
@@ -136,22 +131,3 @@
                 writer.close()
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return Response(0, b"", b"")
-
-
-async def ask_once(port: int, data: bytes, seconds: float = 2.0) -> tuple[int, bytes]:
-    response = await send_once(port, data, seconds)
-    return response.status, response.body
-
-
-def sent(w: object) -> int:
-    return w.requests_received  # type: ignore[attr-defined,no-any-return]
-
-
-def leave(client: Client, how: str) -> None:
-    client.disconnect(how)
-
-
-HEALTH = HEALTH_REQUEST
-OK = OK_RESPONSE
-SILENT = LONG_TIMEOUT
-HeldClient = BlockingClient
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -89,14 +89,11 @@
         client = await self.client()
         return await client.send(data)
 
-    ask = send
-
 
 @asynccontextmanager
 async def running_ingress(
     *scripts: Script,
     counter: Script | None = None,
-    read_counter: Any = None,
     sockets: int = 1024,
     discovery: Script = never_respond,
     settings: dict[str, Any] | None = None,
@@ -144,7 +141,3 @@
         "settings": copy.deepcopy(SETTINGS) | copy.deepcopy(settings),
         "known": {"rev": 5, "all": True, "targets": entries},
     }
-
-
-World = RunningIngress
-world = running_ingress
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -132,12 +132,3 @@
     """Write unless the connection is closing: uvloop raises then, asyncio's own loop only warns."""
     if not writer.is_closing():
         writer.write(data)
-
-
-answer = respond
-sends = send_bytes
-silence = never_respond
-keep_port = reserve_port
-write_now = write_immediately
-end_now = shut_down_immediately
-say = write_if_open
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -11,7 +11,6 @@
 from sumacpost.policy.gateway import Gateway
 from sumacpost.policy.load_balancing import LoadBalancer
 from tests.support.configuration import SETTINGS
-from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, request
 from tests.support.ingress import running_ingress
@@ -53,7 +52,6 @@
         async with running_ingress(
             respond(),
             counter=send_bytes(b"$1\r\n0\r\n", close=False),
-            read_counter=read_counter_call,
         ) as ingress:
 
             def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
@@ -165,9 +163,7 @@
             await asyncio.sleep(0.6)
             writer.write(b"$4\r\n1000\r\n")  # others have used the whole quota
 
-        async with running_ingress(
-            respond(), counter=late, read_counter=read_counter_call, settings={"extra": stated}
-        ) as ingress:
+        async with running_ingress(respond(), counter=late, settings={"extra": stated}) as ingress:
             status, head, _ = await ingress.send(
                 request(
                     Plan="basis", Request_Timeout="25.000", Quota_Info="units=3,spread=3,first=0"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -22,16 +22,10 @@
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import endpoint_entry, list_response
 from tests.support.event_loop import run, until
-from tests.support.http_client import (
-    HEALTH_REQUEST,
-    LONG_TIMEOUT,
-    OK_RESPONSE,
-    Client,
-    request,
-)
+from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, Client, request
 from tests.support.ingress import running_ingress
 from tests.support.paths import ROOT
-from tests.support.peers import Peer, never_respond, respond, send_bytes
+from tests.support.peers import OK_RESPONSE, Peer, never_respond, respond, send_bytes
 
 
 async def spawn(
@@ -79,7 +73,7 @@
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 5000.0}}
         async with running_ingress(
-            respond(b"old"), counter=never_respond, read_counter=read_counter_call, settings=patient
+            respond(b"old"), counter=never_respond, settings=patient
         ) as ingress:
             await until(lambda: len(ingress.discovery.requests) == 1)
             new_backend, counter = (
@@ -98,8 +92,8 @@
             await agent.start()
             await counter.start()
             told = []
-            ingress.service._ingress.counter._on_reply = told.append
-            ingress.service._ingress.counter.call(7, 1.0, 1000.0)
+            ingress.counter_client._on_reply = told.append
+            ingress.counter_client.call(7, 1.0, 1000.0)
             await until(lambda: len(ingress.counter.requests) == 1)
             ingress.service.reload(
                 read_config(
@@ -119,7 +113,7 @@
             assert told[0].outcome is Outcome.OK
             assert told[0].total == 4
             await until(lambda: ingress.counter.closed == 1)
-            ingress.service._ingress.counter.call(8, 1.0, 1000.0)
+            ingress.counter_client.call(8, 1.0, 1000.0)
             await until(lambda: len(told) >= 2)
             assert told[1].outcome is Outcome.OK
             assert (await ingress.send(request())).body == b"new"
@@ -240,7 +234,7 @@
             client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
             await until(lambda: ingress.requests_received == 1)
             ingress.stop.set()
-            await until(lambda: ingress.service._server.handler.draining)
+            await until(lambda: ingress.server.handler.draining)
             for _ in range(2):
                 ingress.service.reload(read_config(json.dumps(ingress.config)))
             ingress.backends[0].writers[0].write(OK_RESPONSE)
--- a/tests/upstream/test_attempt.py
+++ b/tests/upstream/test_attempt.py
@@ -11,7 +11,7 @@
 from sumacpost.model import Outcome
 from tests.support.attempts import Outcomes
 from tests.support.event_loop import run
-from tests.support.peers import Peer, Script, answer, sends, silence
+from tests.support.peers import Peer, Script, never_respond, respond, send_bytes
 
 NOT_STARTED = b"Not-Started: 1\r\n"
 
@@ -19,35 +19,39 @@
 @pytest.mark.parametrize(
     ("script", "outcome"),
     [
-        (answer(b"done"), Outcome.OK),
-        (answer(b"", 500), Outcome.ERROR),
-        (answer(b"", 503, NOT_STARTED), Outcome.REJECTED),
-        (answer(b"", 504, NOT_STARTED), Outcome.REJECTED),
-        (answer(b"", 503), Outcome.ERROR),
-        (answer(b"", 504, b"Not-Started: 0\r\n"), Outcome.ERROR),
-        (answer(b"", 500, NOT_STARTED), Outcome.ERROR),
-        (answer(b"", 404), Outcome.ERROR),
-        (sends(b""), Outcome.RESET),
-        (sends(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), Outcome.RESET),
+        (respond(b"done"), Outcome.OK),
+        (respond(b"", 500), Outcome.ERROR),
+        (respond(b"", 503, NOT_STARTED), Outcome.REJECTED),
+        (respond(b"", 504, NOT_STARTED), Outcome.REJECTED),
+        (respond(b"", 503), Outcome.ERROR),
+        (respond(b"", 504, b"Not-Started: 0\r\n"), Outcome.ERROR),
+        (respond(b"", 500, NOT_STARTED), Outcome.ERROR),
+        (respond(b"", 404), Outcome.ERROR),
+        (send_bytes(b""), Outcome.RESET),
+        (send_bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), Outcome.RESET),
         (
-            sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+            send_bytes(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
             Outcome.RESET,
         ),
         (
-            sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"),
+            send_bytes(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+            ),
             Outcome.OK,
         ),
         (
-            sends(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"),
+            send_bytes(
+                b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+            ),
             Outcome.OK,
         ),
         # whether that is the complete body can't be told
-        (sends(b"HTTP/1.1 200 OK\r\n\r\ndone"), Outcome.RESET),
-        (sends(b"SSH-2.0-nonsense\r\n", close=False), Outcome.RESET),
-        (sends(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000, close=False), Outcome.RESET),
-        (answer(b"x" * (MAX_BODY + 1)), Outcome.RESET),
+        (send_bytes(b"HTTP/1.1 200 OK\r\n\r\ndone"), Outcome.RESET),
+        (send_bytes(b"SSH-2.0-nonsense\r\n", close=False), Outcome.RESET),
+        (send_bytes(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000, close=False), Outcome.RESET),
+        (respond(b"x" * (MAX_BODY + 1)), Outcome.RESET),
         (
-            sends(
+            send_bytes(
                 b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", close=False
             ),
             Outcome.RESET,
@@ -70,7 +74,7 @@
 
 def test_an_attempt_on_a_refused_connection_has_not_run() -> None:
     async def test() -> None:
-        peer = Peer(silence)
+        peer = Peer(never_respond)
         await peer.start()
         peer.server.close()
         await peer.server.wait_closed()
--- a/tests/upstream/test_connection_races.py
+++ b/tests/upstream/test_connection_races.py
@@ -16,11 +16,11 @@
 from tests.support.attempts import Outcomes
 from tests.support.configuration import SETTINGS
 from tests.support.dials import Dials
-from tests.support.discovery_agent import target
+from tests.support.discovery_agent import endpoint_entry
 from tests.support.event_loop import run, until
-from tests.support.http_client import OK, request
-from tests.support.ingress import world
-from tests.support.peers import Peer, answer, silence
+from tests.support.http_client import request
+from tests.support.ingress import running_ingress
+from tests.support.peers import OK_RESPONSE, Peer, never_respond, respond
 
 
 @pytest.mark.parametrize("state", [EndpointStatus.DRAINING, EndpointStatus.GONE])
@@ -30,7 +30,7 @@
     """A connect timeout may be longer than the grace of a drain."""
 
     async def test() -> None:
-        peer, dials = Peer(answer()), Dials(monkeypatch)
+        peer, dials = Peer(respond()), Dials(monkeypatch)
         await peer.start()
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
@@ -51,7 +51,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        peer, dials = Peer(answer()), Dials(monkeypatch)
+        peer, dials = Peer(respond()), Dials(monkeypatch)
         await peer.start()
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
@@ -72,7 +72,7 @@
     """Connecting can't be cancelled any more at that point."""
 
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
 
@@ -109,28 +109,30 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
         dials = Dials(monkeypatch)
-        async with world(answer(b"first"), answer(b"second"), discovery=lists) as w:
-            client = await w.client()
+        async with running_ingress(
+            respond(b"first"), respond(b"second"), discovery=lists
+        ) as ingress:
+            client = await ingress.client()
             client.writer.write(request("vat-filing", Request_Timeout="20.000"))
             await until(lambda: dials.begun == 1)
-            ((pool, _),) = [
-                (p, a) for p in w.service._ingress.backends._pools.values() for a in p.waiting
-            ]
-            drained = next(n for n, b in enumerate(w.backends) if b.port == pool.endpoint[1])
+            ((pool, _),) = [(p, a) for p in ingress.pool_manager._pools.values() for a in p.waiting]
+            drained = next(n for n, b in enumerate(ingress.backends) if b.port == pool.endpoint[1])
             changes.set_result(
                 json.dumps(
                     {
                         "rev": 6,
                         "all": False,
-                        "targets": [target(w.backends[drained], f"s-{drained}", "leaving")],
+                        "targets": [
+                            endpoint_entry(ingress.backends[drained], f"s-{drained}", "leaving")
+                        ],
                     }
                 ).encode()
             )
             await until(lambda: dials.begun == 2)
             dials.let.set()
-            status, _, body = await client.answer()
+            status, _, body = await client.read_response()
             assert (status, body) == (200, (b"second", b"first")[drained])
-            assert w.backends[drained].requests == []
+            assert ingress.backends[drained].requests == []
 
     run(test())
 
@@ -162,29 +164,31 @@
 
         async def break_off(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
             cut_off.append(writer)
-            for other in w.backends:
-                other.script = answer()
+            for other in ingress.backends:
+                other.script = respond()
             writer.write(cut)
 
         alone: dict[str, Any] = {"permissions": SETTINGS["permissions"] | {"parallel_tries": False}}
-        async with world(silence, silence, settings=alone) as w:
-            client = await w.client()
+        async with running_ingress(never_respond, never_respond, settings=alone) as ingress:
+            client = await ingress.client()
             for number in range(2):  # a standing connection to each
-                (await w.client()).writer.write(
+                (await ingress.client()).writer.write(
                     request("ledger-read", number, Request_Timeout="20.000")
                 )
-                await until(lambda n=number: sum(len(b.requests) for b in w.backends) == n + 1)
-            for backend in w.backends:
-                backend.writers[0].write(OK)
-            await until(
-                lambda: sum(len(p.idle) for p in w.service._ingress.backends._pools.values()) == 2
-            )
+                await until(
+                    lambda n=number: sum(len(b.requests) for b in ingress.backends) == n + 1
+                )
+            for backend in ingress.backends:
+                backend.writers[0].write(OK_RESPONSE)
+            await until(lambda: sum(len(p.idle) for p in ingress.pool_manager._pools.values()) == 2)
             await asyncio.sleep(2 * REUSE_DELAY_S)
-            for backend in w.backends:
+            for backend in ingress.backends:
                 backend.script = break_off
             monkeypatch.setattr(BackendConnection, "start", start)
-            assert (await client.ask(request("ledger-read", 2, Request_Timeout="20.000")))[0] == 200
-            assert [b.connections for b in w.backends] == [1, 1]
+            assert (
+                await client.send(request("ledger-read", 2, Request_Timeout="20.000"))
+            ).status == 200
+            assert [b.connections for b in ingress.backends] == [1, 1]
             assert seen == [b""]
 
     run(test())
@@ -193,7 +197,7 @@
 @pytest.mark.parametrize(
     ("early_response", "outcome"),
     [
-        (OK, Outcome.OK),
+        (OK_RESPONSE, Outcome.OK),
         (b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome.REJECTED),
     ],
 )
@@ -207,7 +211,7 @@
             return await reader.readexactly(10)
 
         async def early(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-            peer.script = silence
+            peer.script = never_respond
             cast(asyncio.ReadTransport, writer.transport).pause_reading()
             writer.write(early_response)
 
@@ -226,7 +230,7 @@
     """Such responses came up to 4 ms later, by a clock of whole milliseconds; 7 ms are too few."""
 
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         await outcomes.outcome()
@@ -245,7 +249,7 @@
     """It waited on in the pool that had been replaced, and was sent after its end."""
 
     async def test() -> None:
-        peer = Peer(silence)
+        peer = Peer(never_respond)
         await peer.start()
         outcomes = Outcomes(peer.port)
         first = outcomes.start()
@@ -256,7 +260,7 @@
         outcomes.backends.update_endpoint(1, ("127.0.0.1", 1))
         outcomes.backends.cancel(second)
         assert not old.waiting
-        peer.writers[0].write(OK)
+        peer.writers[0].write(OK_RESPONSE)
         await until(lambda: first.ended and outcomes.backends.open_connections == 0)
         assert len(peer.requests) == 1
         peer.stop()
@@ -266,7 +270,7 @@
 
 def test_a_backend_that_has_restarted_gets_new_connections() -> None:
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         await outcomes.outcome()
--- a/tests/upstream/test_forwarding.py
+++ b/tests/upstream/test_forwarding.py
@@ -8,8 +8,8 @@
 
 from tests.support.event_loop import run, until
 from tests.support.http_client import request
-from tests.support.ingress import world
-from tests.support.peers import Script, answer, sends, silence
+from tests.support.ingress import running_ingress
+from tests.support.peers import Script, never_respond, respond, send_bytes
 
 NOT_STARTED = b"Not-Started: 1\r\n"
 
@@ -17,11 +17,15 @@
 def test_a_good_response_is_forwarded_unchanged() -> None:
     async def test() -> None:
         body = bytes(range(256)) * 200
-        async with world(answer(body, head=b"Billed-Units: 3\r\nContent-Type: x/y\r\n")) as w:
-            status, head, got = await w.ask(request("payment-book", Idempotency_Key="5c" * 16))
+        async with running_ingress(
+            respond(body, head=b"Billed-Units: 3\r\nContent-Type: x/y\r\n")
+        ) as ingress:
+            status, head, got = await ingress.send(
+                request("payment-book", Idempotency_Key="5c" * 16)
+            )
             assert (status, got) == (200, body)
             assert b"content-type: x/y" in head.lower()
-            (sent,) = w.backends[0].requests
+            (sent,) = ingress.backends[0].requests
             assert sent.startswith(b"POST /payment-book/7?year=3 HTTP/1.1\r\n")
             assert sent.endswith(b"\r\n\r\nreceipt")
             lines = sent.lower().split(b"\r\n")
@@ -36,21 +40,21 @@
 @pytest.mark.parametrize(
     ("cls", "script", "status", "sent"),
     [
-        ("vat-filing", answer(b"", 500), 502, 1),
-        ("vat-filing", sends(b""), 502, 1),
-        ("vat-filing", answer(b"", 503), 502, 1),
-        ("vat-filing", answer(b"", 503, NOT_STARTED), 429, 3),
-        ("ledger-read", answer(b"", 500), 429, 3),
-        ("payment-book", sends(b""), 429, 3),
+        ("vat-filing", respond(b"", 500), 502, 1),
+        ("vat-filing", send_bytes(b""), 502, 1),
+        ("vat-filing", respond(b"", 503), 502, 1),
+        ("vat-filing", respond(b"", 503, NOT_STARTED), 429, 3),
+        ("ledger-read", respond(b"", 500), 429, 3),
+        ("payment-book", send_bytes(b""), 429, 3),
     ],
 )
 def test_attempts_go_as_far_as_the_class_allows(
     cls: str, script: Script, status: int, sent: int
 ) -> None:
     async def test() -> None:
-        async with world(script, script, script, script) as w:
-            assert (await w.ask(request(cls)))[0] == status
-            assert sum(len(b.requests) for b in w.backends) == sent
+        async with running_ingress(script, script, script, script) as ingress:
+            assert (await ingress.send(request(cls))).status == status
+            assert sum(len(b.requests) for b in ingress.backends) == sent
 
     run(test())
 
@@ -63,36 +67,36 @@
 ) -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        async with world(silence) as w:
+        async with running_ingress(never_respond) as ingress:
             began = loop.time()
-            assert (await w.ask(request(cls, Request_Timeout="0.400")))[0] == status
+            assert (await ingress.send(request(cls, Request_Timeout="0.400"))).status == status
             assert loop.time() - began < 0.4
-            await until(lambda: w.backends[0].closed == 1)
-            assert len(w.backends[0].requests) == 1  # nothing is tried in the last moment
+            await until(lambda: ingress.backends[0].closed == 1)
+            assert len(ingress.backends[0].requests) == 1  # nothing is tried in the last moment
 
     run(test())
 
 
 def test_a_client_that_disconnects_ends_its_attempt() -> None:
     async def test() -> None:
-        async with world(silence) as w:
-            client = await w.client()
+        async with running_ingress(never_respond) as ingress:
+            client = await ingress.client()
             client.writer.write(request())
-            await until(lambda: bool(w.backends[0].requests))
+            await until(lambda: bool(ingress.backends[0].requests))
             client.writer.close()
-            await until(lambda: w.backends[0].closed == 1)
+            await until(lambda: ingress.backends[0].closed == 1)
 
     run(test())
 
 
 def test_a_rejected_request_gets_a_retry_after() -> None:
     async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
-            responses = [await client.ask(request(number=n, Plan="basis")) for n in range(6)]
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            responses = [await client.send(request(number=n, Plan="basis")) for n in range(6)]
             rejected = [head for status, head, _ in responses if status == 429]
             assert rejected
-            assert len(w.backends[0].requests) == len(responses) - len(rejected)
+            assert len(ingress.backends[0].requests) == len(responses) - len(rejected)
             waits_s = [head.split(b"Retry-After: ")[1].split(b"\r\n")[0] for head in rejected]
             assert all(float(wait_s) > 0 for wait_s in waits_s)
 
--- a/tests/upstream/test_http1.py
+++ b/tests/upstream/test_http1.py
@@ -7,29 +7,30 @@
 import pytest
 
 from tests.support.event_loop import run
-from tests.support.http_client import OK, request
-from tests.support.ingress import world
-from tests.support.peers import Peer, answer, sends
+from tests.support.http_client import request
+from tests.support.ingress import running_ingress
+from tests.support.peers import OK_RESPONSE, Peer, respond, send_bytes
 
 
 @pytest.mark.parametrize(
-    "behind", [OK, b"noise", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", b"\x00\xff"]
+    "behind",
+    [OK_RESPONSE, b"noise", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", b"\x00\xff"],
 )
 @pytest.mark.parametrize("together", [True, False])
 def test_bytes_behind_a_complete_response_answer_no_request(behind: bytes, together: bool) -> None:
     async def test() -> None:
         async def script(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-            writer.write(OK + behind if together else OK)
+            writer.write(OK_RESPONSE + behind if together else OK_RESPONSE)
             if not together:
                 await asyncio.sleep(0.001)
                 writer.write(behind)
 
-        async with world(script) as w:
-            client = await w.client()
+        async with running_ingress(script) as ingress:
+            client = await ingress.client()
             for number in range(3):
-                status, _, body = await client.ask(request(number=number))
+                status, _, body = await client.send(request(number=number))
                 assert (status, body) == (200, b"done")
-            assert w.backends[0].connections == 3  # each was closed after its response
+            assert ingress.backends[0].connections == 3  # each was closed after its response
 
     run(test())
 
@@ -54,14 +55,14 @@
     """A request that is not idempotent fails early, and its connection is not reused."""
 
     async def test() -> None:
-        async with world(sends(invalid, close=False)) as w:
-            client = await w.client()
+        async with running_ingress(send_bytes(invalid, close=False)) as ingress:
+            client = await ingress.client()
             began = asyncio.get_running_loop().time()
-            assert (await client.ask(request(Request_Timeout="20.000")))[0] == 502
+            assert (await client.send(request(Request_Timeout="20.000"))).status == 502
             assert asyncio.get_running_loop().time() - began < 5
-            w.backends[0].script = answer()
-            assert (await client.ask(request(number=2)))[0] == 200
-            assert w.backends[0].connections == 2
+            ingress.backends[0].script = respond()
+            assert (await client.send(request(number=2))).status == 200
+            assert ingress.backends[0].connections == 2
 
     run(test())
 
@@ -78,8 +79,10 @@
     body = bytes(range(250)) * 1600
 
     async def test() -> None:
-        async with world(sends(b"HTTP/1.1 200 OK\r\n" + framed % body, close=False)) as w:
-            assert (await w.ask(request()))[2] == body
+        async with running_ingress(
+            send_bytes(b"HTTP/1.1 200 OK\r\n" + framed % body, close=False)
+        ) as ingress:
+            assert (await ingress.send(request())).body == body
 
     run(test())
 
@@ -95,16 +98,16 @@
                 writer.transport.abort()
             else:
                 used.add(writer)
-                writer.write(OK)
+                writer.write(OK_RESPONSE)
 
-        async with world(once) as w:
-            client = await w.client()
+        async with running_ingress(once) as ingress:
+            client = await ingress.client()
             for number, cls in enumerate(
                 ("ledger-read", "ledger-read", "vat-filing", "vat-filing")
             ):
-                assert (await client.ask(request(cls, number)))[0] == 200
+                assert (await client.send(request(cls, number))).status == 200
                 await asyncio.sleep(0.05)
-            assert w.backends[0].connections == 4
-            assert len(w.backends[0].requests) == 5
+            assert ingress.backends[0].connections == 4
+            assert len(ingress.backends[0].requests) == 5
 
     run(test())
--- a/tests/upstream/test_load_report.py
+++ b/tests/upstream/test_load_report.py
@@ -7,8 +7,8 @@
 from sumacpost.upstream.load_report import LoadReportReader, read_billed_units
 from tests.support.event_loop import run
 from tests.support.http_client import request
-from tests.support.ingress import world
-from tests.support.peers import answer
+from tests.support.ingress import running_ingress
+from tests.support.peers import respond
 
 
 @pytest.mark.parametrize(
@@ -55,13 +55,13 @@
 @pytest.mark.parametrize("status", [200, 500])
 def test_any_response_may_bring_a_load_report(status: int) -> None:
     async def test() -> None:
-        report = answer(
+        report = respond(
             status=status, head=b"Server-Load: backlog=0,throughput=6.0,utilization=0.6\r\n"
         )
         telemetry = {"via": "inline", "fields": ["backlog", "throughput", "utilization"]}
-        async with world(report, settings={"telemetry": telemetry}) as w:
-            await w.ask(request())
-            (backend,) = w.service._ingress._gateway.endpoints.backends.values()
+        async with running_ingress(report, settings={"telemetry": telemetry}) as ingress:
+            await ingress.send(request())
+            (backend,) = ingress.gateway.endpoints.backends.values()
             assert 0 < backend.measured_capacity <= 10
 
     run(test())
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -12,12 +12,12 @@
 from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.attempts import PAYLOAD, Outcomes
 from tests.support.event_loop import run, until
-from tests.support.peers import Peer, answer, silence
+from tests.support.peers import Peer, never_respond, respond
 
 
 def test_the_most_recently_used_connection_is_reused() -> None:
     async def test() -> None:
-        peer = Peer(silence)
+        peer = Peer(never_respond)
         await peer.start()
         outcomes = Outcomes(peer.port)
         first, second = outcomes.start(), outcomes.start()
@@ -43,7 +43,7 @@
     """Nor in the moment before the loop has read that: a request would end as a reset."""
 
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         await outcomes.outcome()
@@ -64,7 +64,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        peer = Peer(silence)
+        peer = Peer(never_respond)
         await peer.start()
         outcomes = Outcomes(peer.port)
         first = outcomes.start()
@@ -90,7 +90,7 @@
     """One that served an older attempt left its own waiting, if the other connection failed."""
 
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         pool = outcomes.backends._pools[1]
@@ -123,7 +123,7 @@
 
 def test_cancelling_an_attempt_closes_its_connection() -> None:
     async def test() -> None:
-        peer = Peer(silence)
+        peer = Peer(never_respond)
         await peer.start()
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
@@ -139,7 +139,7 @@
 
 def test_an_attempt_cancelled_while_it_connects_is_never_written() -> None:
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         outcomes.backends.cancel(outcomes.start())
@@ -156,7 +156,7 @@
 
 def test_idle_connections_are_closed_before_the_backend_closes_them() -> None:
     async def test() -> None:
-        peer = Peer(answer())
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port, idle_timeout_s=0.0)
         await outcomes.outcome()
@@ -174,7 +174,7 @@
     """At the bound an idle one is evicted; with none idle the new one is not opened."""
 
     async def test() -> None:
-        peers = [Peer(silence), Peer(answer())]
+        peers = [Peer(never_respond), Peer(respond())]
         for peer in peers:
             await peer.start()
         outcomes = Outcomes(peers[0].port, max_connections=2)
@@ -198,7 +198,7 @@
     """Nothing goes to the old address any more."""
 
     async def test() -> None:
-        old, new = Peer(answer(b"old")), Peer(answer(b"new"))
+        old, new = Peer(respond(b"old")), Peer(respond(b"new"))
         for peer in (old, new):
             await peer.start()
         outcomes = Outcomes(old.port)
