--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -4,132 +4,174 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
-from tests.support.discovery_agent import DiscoveryAgent, endpoint_entry
+from tests.support.discovery_agent import DiscoveryAgent, endpoint_entry, endpoint_list
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, send_once
 from tests.support.peers import Peer, Script, never_respond, reserve_port, respond
 from tests.support.program import end_program, start_program
 
 READY_S = 10.0
+OUTAGE_S = 2.0
 
+# Faults of the agent of discovery that the first poll after the restart meets.
+FAULTS: dict[str, Callable[[DiscoveryAgent], Script]] = {
+    "silent": lambda agent: never_respond,
+    "truncated and closed": lambda agent: agent.truncate_and_close,
+    "truncated and stalled": lambda agent: agent.truncate_and_stall,
+}
 
-def once(agent: DiscoveryAgent, trouble: Script) -> Script:
-    """A trouble that only the first call after the restart meets."""
 
-    async def first(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
-        agent.fault = None
-        await trouble(peer, data, writer)
+@dataclass(frozen=True)
+class Case:
+    """How one process is restarted, and what it finds then."""
+
+    number: int
+    fault: str  # none if empty
+    stale_list: bool  # whether it has cached a stale list instead of an empty one
+
+    @property
+    def kill(self) -> bool:
+        """Whether it is ended by SIGKILL instead of SIGTERM."""
+        return self.number % 2 == 1
 
-    return first
+    @property
+    def counter_listens(self) -> bool:
+        """Whether the counter is silent instead of refusing connections."""
+        return self.number % 4 < 2
 
 
-async def ready(port: int) -> None:
+CASES = [
+    Case(number, fault, stale_list)
+    for number, (stale_list, fault) in enumerate(
+        (stale_list, fault) for stale_list in (True, False) for fault in ["", *FAULTS, "refused"]
+    )
+]
+
+
+async def wait_until_ready(port: int) -> None:
     while (await send_once(port, HEALTH_REQUEST, READY_S)).status != 200:
         await asyncio.sleep(0.05)
 
 
-async def listen_later(peer: Peer) -> None:
-    await asyncio.sleep(2.0)
+def first_poll_only(agent: DiscoveryAgent, fault: Script) -> Script:
+    """Return a script of the fault that ends it with the first poll."""
+
+    async def script(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        agent.fault = None
+        await fault(peer, data, writer)
+
+    return script
+
+
+async def listen_again_later(peer: Peer) -> None:
+    await asyncio.sleep(OUTAGE_S)
     await peer.listen_again()
 
 
-async def starts_again(
-    number: int, trouble: str, knows: bool, backend: Peer, turn: asyncio.Semaphore, path: Path
-) -> bool:
-    """One process is ended, by SIGTERM or SIGKILL, and started anew; is it ready in time?"""
-    before, after, door, gone = DiscoveryAgent(), DiscoveryAgent(), reserve_port(), reserve_port()
-    discovery, counter, port = (
-        Peer(before),
-        Peer(never_respond, read_counter_call),
-        door.getsockname()[1],
-    )
-    async with AsyncExitStack() as stack:
-        for peer in (discovery, counter):
-            await peer.start()
-            stack.callback(peer.stop)
-        for port_kept in (door, gone):
-            stack.callback(port_kept.close)
-        nowhere = f"127.0.0.1:{gone.getsockname()[1]}"
-        for agent in (before, after):
+class Restart:
+    """One process among its peers, which is ended and started again."""
+
+    def __init__(self, case: Case, backend: Peer, log: Path) -> None:
+        self.case = case
+        self.backend = backend
+        self.log = log
+        self.resources = AsyncExitStack()
+        self.agent_before = DiscoveryAgent()
+        self.agent_after = DiscoveryAgent()
+        for agent in (self.agent_before, self.agent_after):
             agent.publish(endpoint_entry(backend, "s-1"))
-        stale = [endpoint_entry(backend, f"s-{n}", endpoint=nowhere) for n in (8, 9)]
-        config: dict[str, Any] = {
-            "name": f"n{number}",
-            "listen": f"127.0.0.1:{port}",
-            "discovery": discovery.address,
+        self.discovery = Peer(self.agent_before)
+        self.counter = Peer(never_respond, read_counter_call)
+        self.port = self._reserve_port()
+        self.refusing_port = self._reserve_port()
+
+    def _reserve_port(self) -> int:
+        reserved = reserve_port()
+        self.resources.callback(reserved.close)
+        port: int = reserved.getsockname()[1]
+        return port
+
+    def _config(self) -> dict[str, Any]:
+        nowhere = f"127.0.0.1:{self.refusing_port}"
+        stale = [endpoint_entry(self.backend, f"s-{n}", endpoint=nowhere) for n in (8, 9)]
+        return {
+            "name": f"n{self.case.number}",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": self.discovery.address,
             "seed": "07",
-            "counter": counter.address if number % 4 < 2 else nowhere,
+            "counter": self.counter.address if self.case.counter_listens else nowhere,
             "settings": SETTINGS | {"extra": SETTINGS["extra"] | {"has_counter": True}},
-            "known": {"rev": 1, "all": True, "targets": stale if knows else []},
+            "known": endpoint_list(1, *(stale if self.case.stale_list else [])),
         }
-        log = path / f"{number}.log"
-        async with turn:
-            process = await start_program(config, log)
-            stack.push_async_callback(end_program, process)
-            await ready(port)
-            await until(lambda: bool(before.held_polls))
-            process.send_signal(signal.SIGKILL if number % 2 else signal.SIGTERM)
-            assert await process.wait() == (-signal.SIGKILL if number % 2 else 0)
-            discovery.script = after  # its calls are those of the new process alone
-            if trouble == "refused":
-                await discovery.refuse()
-                returns = asyncio.create_task(listen_later(discovery))
-                stack.callback(returns.cancel)
-            elif trouble:
-                after.inject_fault(
-                    once(
-                        after,
-                        {
-                            "silent": never_respond,
-                            "cut": after.truncate_and_close,
-                            "cut and left open": after.truncate_and_stall,
-                        }[trouble],
-                    )
-                )
-            process = await start_program(config, log)
-            stack.push_async_callback(end_program, process)
+
+    async def _start_process(self) -> asyncio.subprocess.Process:
+        process = await start_program(self._config(), self.log)
+        self.resources.push_async_callback(end_program, process)
+        return process
+
+    async def _end_process(self, process: asyncio.subprocess.Process) -> None:
+        process.send_signal(signal.SIGKILL if self.case.kill else signal.SIGTERM)
+        assert await process.wait() == (-signal.SIGKILL if self.case.kill else 0)
+
+    async def _begin_fault(self) -> None:
+        self.discovery.script = self.agent_after  # sees the polls of the new process alone
+        if self.case.fault == "refused":
+            await self.discovery.refuse()
+            returning = asyncio.create_task(listen_again_later(self.discovery))
+            self.resources.callback(returning.cancel)
+        elif self.case.fault:
+            fault = FAULTS[self.case.fault](self.agent_after)
+            self.agent_after.inject_fault(first_poll_only(self.agent_after, fault))
+
+    async def is_ready_in_time(self) -> bool:
+        """Restart the process, and return whether the new one is ready in time."""
+        async with self.resources:
+            for peer in (self.discovery, self.counter):
+                await peer.start()
+                self.resources.callback(peer.stop)
+            process = await self._start_process()
+            await wait_until_ready(self.port)
+            await until(lambda: bool(self.agent_before.held_polls))
+            await self._end_process(process)
+            await self._begin_fault()
+            await self._start_process()
             try:
                 async with asyncio.timeout(READY_S):
-                    await ready(port)
+                    await wait_until_ready(self.port)
             except TimeoutError:
                 return False
             return True
 
 
 def test_nine_in_ten_restarted_processes_are_ready_in_time(tmp_path: Path) -> None:
-    """Ready is who answers GET /healthz with 200; the list each knows is stale or empty, and most agents are late.
-
-    Of the counters half are silent and half refuse.
+    """A process is ready once it answers GET /healthz with 200.
 
-    Two at a time, so that each has the processor it would have by itself: its ten seconds run from its own start.
+    Two are restarted at a time, so that each has the processor that it would have by itself: its
+    ten seconds run from its own start.
     """
+    logs = {case: tmp_path / f"{case.number}.log" for case in CASES}
 
     async def test() -> None:
-        backend, turn = Peer(respond()), asyncio.Semaphore(2)
+        backend = Peer(respond())
         await backend.start()
-        cases = [
-            (trouble, knows)
-            for knows in (True, False)
-            for trouble in ("", "silent", "cut", "cut and left open", "refused")
-        ]
-        ends = await asyncio.gather(
-            *(
-                starts_again(n, trouble, knows, backend, turn, tmp_path)
-                for n, (trouble, knows) in enumerate(cases)
-            )
-        )
-        late = [
-            (case, (tmp_path / f"{n}.log").read_text()[-500:])
-            for n, case in enumerate(cases)
-            if not ends[n]
-        ]
-        assert len(cases) == 10 and len(late) <= 1, late
+        turns = asyncio.Semaphore(2)
+
+        async def is_ready_in_time(case: Case) -> bool:
+            async with turns:
+                return await Restart(case, backend, logs[case]).is_ready_in_time()
+
+        ready = await asyncio.gather(*(is_ready_in_time(case) for case in CASES))
+        late = [case for case, in_time in zip(CASES, ready, strict=True) if not in_time]
+        assert len(CASES) == 10
+        assert len(late) <= 1, [(case, logs[case].read_text()[-500:]) for case in late]
         backend.stop()
 
     run(test())
