Name the tests of the counter, the bridge and the configuration after behaviour

Flattening and parsing of settings are two tests, as they fail for different reasons. Assertions are the same, one for each thing that is checked.

--- a/tests/support/test_peers.py
+++ b/tests/support/test_peers.py
@@ -1,4 +1,4 @@
-"""The reader of messages that the scripted peers use."""
+"""The message reader of the scripted peers."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from tests.support.peers import read_message
 
 
-def test_read_message_of_the_fakes_reads_bodies() -> None:
+def test_message_is_read_with_its_body_and_no_further() -> None:
     async def test() -> None:
         reader = asyncio.StreamReader()
         reader.feed_data(request() + b"rest")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -19,20 +19,16 @@
 from tests.support.paths import ROOT
 
 
-def test_settings_are_flattened_to_the_lines_of_the_wire() -> None:
-    lines = list(
-        flatten(
-            {
-                "a": {"b": True, "c": 1.5},
-                "d": [{"e": "x, y"}, {"e": "z"}],
-                "f": ["p", "q r"],
-                "g": [],
-                "h": None,
-                "plans": [],
-            }
-        )
-    )
-    assert lines == [
+def test_settings_are_flattened_to_lines() -> None:
+    settings = {
+        "a": {"b": True, "c": 1.5},
+        "d": [{"e": "x, y"}, {"e": "z"}],
+        "f": ["p", "q r"],
+        "g": [],
+        "h": None,
+        "plans": [],
+    }
+    assert list(flatten(settings)) == [
         "a.b=true",
         "a.c=1.5",
         "d.count=2",
@@ -42,6 +38,9 @@
         "g=",
         "plans.count=0",
     ]
+
+
+def test_flattened_settings_are_those_of_the_file() -> None:
     settings = parse_settings("\n".join(flatten(SETTINGS)))
     assert [c.name for c in settings.classes] == ["ledger-read", "payment-book", "vat-filing"]
     assert settings.clients_mark_retries
@@ -49,7 +48,7 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "said"),
+    ("change", "message"),
     [
         ({"listen": "nowhere"}, "nowhere"),
         ({"discovery": 7}, "7"),
@@ -62,13 +61,15 @@
         ({"known": {"rev": 1}}, "targets"),
     ],
 )
-def test_a_bad_configuration_is_named(change: dict[str, Any], said: str) -> None:
-    with pytest.raises(ConfigError, match=said):
+def test_error_names_what_is_wrong(change: dict[str, Any], message: str) -> None:
+    with pytest.raises(ConfigError, match=message):
         read_config(json.dumps(MINIMAL_CONFIG | change))
 
 
 @pytest.mark.parametrize("text", [None, "", "{", "[]", '{"listen": "127.0.0.1:0"}', "\udcff"])
-def test_a_bad_configuration_ends_with_one_plain_line(text: str | None, tmp_path: Path) -> None:
+def test_invalid_file_ends_the_program_with_one_line_on_stderr(
+    text: str | None, tmp_path: Path
+) -> None:
     path = tmp_path / "config.json"
     if text is not None:
         path.write_bytes(text.encode(errors="surrogateescape"))
@@ -95,20 +96,19 @@
         {"dial_timeout": "soon"},
     ],
 )
-def test_times_that_are_none_are_a_bad_configuration(permissions: dict[str, Any]) -> None:
-    changed = SETTINGS | {"permissions": SETTINGS["permissions"] | permissions}
+def test_time_outs_have_to_be_positive_and_finite(permissions: dict[str, Any]) -> None:
+    settings = SETTINGS | {"permissions": SETTINGS["permissions"] | permissions}
     with pytest.raises(ConfigError):
-        read_config(
-            json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": changed})
-        )
+        read_config(json.dumps(MINIMAL_CONFIG | {"settings": settings}))
 
 
-def test_the_bound_on_an_answer_follows_the_memory() -> None:
-    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
-    small, large = (
-        read_config(json.dumps(config | {"limits": {"memory_mb": mb}})).max_response_bytes
-        for mb in (32, 128)
-    )
+def test_longest_response_follows_the_memory_limit() -> None:
+    def max_response_bytes(memory_mb: int) -> int:
+        limits = {"limits": {"memory_mb": memory_mb}}
+        return read_config(json.dumps(MINIMAL_CONFIG | limits)).max_response_bytes
+
+    small = max_response_bytes(32)
+    large = max_response_bytes(128)
     assert small > 600_000
     assert 4 * small == pytest.approx(large, abs=4)
     assert large < 3_000_000
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,23 +1,22 @@
-"""The bridge between sockets and gateway: failures, ids, figures, the counter."""
+"""The bridge between sockets and gateway."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any
 
 import pytest
 
-from sumacpost.model import AddToCounter, CheckHealth, CounterReplied, Send
+from sumacpost.model import Action, AddToCounter, CheckHealth, CounterReplied, Event, Send
 from sumacpost.policy.gateway import Gateway
 from sumacpost.policy.load_balancing import LoadBalancer
 from tests.support.configuration import SETTINGS
-from tests.support.event_loop import run, until
+from tests.support.event_loop import run
 from tests.support.http_client import HEALTH_REQUEST, request
 from tests.support.ingress import running_ingress
 from tests.support.peers import OK_RESPONSE, Peer, never_respond, respond, send_bytes
 
 
-def test_an_exception_fails_its_own_request_only(
+def test_exception_fails_only_its_own_request(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     async def test() -> None:
@@ -31,7 +30,7 @@
     assert "ZeroDivisionError" in caplog.text
 
 
-def test_an_action_that_cannot_be_carried_out_is_a_loud_error(
+def test_action_that_cannot_be_carried_out_is_an_error_in_the_log(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     async def test() -> None:
@@ -43,43 +42,39 @@
     assert "CheckHealth(backend=7)" in caplog.text
 
 
-def test_an_exception_on_the_counters_answer_fails_the_held_request_at_once(
+def test_exception_on_a_counter_reply_fails_the_waiting_request_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The event names no request, but the action that failed does."""
+    """The event names no request, but the action that fails does."""
 
-    async def test() -> None:
-        async with running_ingress(
-            respond(),
-            counter=send_bytes(b"$1\r\n0\r\n", close=False),
-        ) as ingress:
+    def send_to_unknown_backend(gateway: Gateway, now: float, event: Event) -> list[Action]:
+        if isinstance(event, CounterReplied):
+            return [Send(1, 404)]
+        return [AddToCounter(7, 1.0, 1000.0)]
 
-            def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
-                return (
-                    [Send(1, 404)]
-                    if isinstance(event, CounterReplied)
-                    else [AddToCounter(7, 1.0, 1000.0)]
-                )
-
-            monkeypatch.setattr(Gateway, "handle", to_nowhere)
+    async def test() -> None:
+        reply = send_bytes(b"$1\r\n0\r\n", close=False)
+        async with running_ingress(respond(), counter=reply) as ingress:
+            monkeypatch.setattr(Gateway, "handle", send_to_unknown_backend)
             assert (await ingress.send(request(Request_Timeout="25.000"))).status == 500
 
     run(test())
 
 
-def test_an_id_of_an_open_request_is_refused_and_never_sent_on() -> None:
+def test_id_of_a_pending_request_is_rejected_and_never_forwarded() -> None:
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
+            (backend,) = ingress.backends
             first = await ingress.client()
-            first.writer.write(request())
-            await until(lambda: len(ingress.backends[0].requests) == 1)
+            first.write(request())
+            await ingress.wait_for_requests(1)
             assert (await ingress.send(request())).status == 409
             assert (await ingress.send(request(Account="0000000000000008"))).status == 409
-            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            backend.writers[0].write(OK_RESPONSE)
             assert (await first.read_response()).status == 200
-            ingress.backends[0].script = respond()
-            assert (await ingress.send(request())).status == 200  # it is open no more
-            assert len(ingress.backends[0].requests) == 2
+            backend.script = respond()
+            assert (await ingress.send(request())).status == 200  # it is pending no more
+            assert len(backend.requests) == 2
 
     run(test())
 
@@ -93,34 +88,28 @@
         "units=2,spread=2,first=7",
     ],
 )
-def test_a_figure_that_no_request_has_moves_nothing(quota: str) -> None:
+def test_impossible_quota_figures_change_no_estimate(quota: str) -> None:
+    plan = {
+        "name": "plus",
+        "per_second": 0.01,
+        "peak_units": 64.0,
+        "price": 1,
+        "over_worth": 0,
+        "excess_cost": 0,
+    }
+
     async def test() -> None:
-        async with running_ingress(
-            respond(),
-            settings={
-                "plans": [
-                    {
-                        "name": "plus",
-                        "per_second": 0.01,
-                        "peak_units": 64.0,
-                        "price": 1,
-                        "over_worth": 0,
-                        "excess_cost": 0,
-                    }
-                ]
-            },
-        ) as ingress:
-            gateway = ingress.gateway
-            before = gateway.estimate.mean_work
+        async with running_ingress(respond(), settings={"plans": [plan]}) as ingress:
+            before = ingress.gateway.estimate.mean_work
             assert (await ingress.send(request(Quota_Info=quota))).status == 400
-            assert gateway.estimate.mean_work == before
-            assert not gateway.customers.by_number
+            assert ingress.gateway.estimate.mean_work == before
+            assert not ingress.gateway.customers.by_number
 
     run(test())
 
 
 @pytest.mark.parametrize(
-    ("billed", "believed"),
+    ("billed_units", "counted_units"),
     [
         ("5", 5.0),
         ("8", 8.0),
@@ -133,19 +122,20 @@
         ("", 2.0),
     ],
 )
-def test_billed_units_beyond_what_a_request_has_are_not_believed(
-    billed: str, believed: float
+def test_billed_units_count_only_if_a_request_can_cost_as_much(
+    billed_units: str, counted_units: float
 ) -> None:
     async def test() -> None:
-        async with running_ingress(respond(head=f"Billed-Units: {billed}\r\n".encode())) as ingress:
+        head = f"Billed-Units: {billed_units}\r\n".encode()
+        async with running_ingress(respond(head=head)) as ingress:
             assert (await ingress.send(request())).status == 200
             (customer,) = ingress.gateway.customers.by_number.values()
-            assert customer.return_queue.unit_sum == believed
+            assert customer.return_queue.unit_sum == counted_units
 
     run(test())
 
 
-def test_without_any_backend_the_ingress_is_not_ready() -> None:
+def test_ingress_without_any_backend_is_not_ready() -> None:
     async def test() -> None:
         async with running_ingress() as ingress:
             assert (await ingress.send(HEALTH_REQUEST)).status == 503
@@ -153,25 +143,26 @@
     run(test())
 
 
-def test_a_reply_of_the_counter_is_waited_for_past_the_stated_time_out() -> None:
-    """A fleet's calls stand in one line; taken for lost, a late reply let through what is beyond the quota."""
-
-    async def test() -> None:
-        stated = SETTINGS["extra"] | {"count_wait": 500.0}
+def test_counter_reply_is_waited_for_past_the_stated_timeout() -> None:
+    """The calls of a fleet queue at the counter: taken for lost, they admitted work over quota."""
 
-        async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
-            await asyncio.sleep(0.6)
-            writer.write(b"$4\r\n1000\r\n")  # others have used the whole quota
+    async def exhausted_quota_late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.6)
+        writer.write(b"$4\r\n1000\r\n")  # others have used the whole quota
 
-        async with running_ingress(respond(), counter=late, settings={"extra": stated}) as ingress:
-            status, head, _ = await ingress.send(
+    async def test() -> None:
+        settings = {"extra": SETTINGS["extra"] | {"count_wait": 500.0}}
+        async with running_ingress(
+            respond(), counter=exhausted_quota_late, settings=settings
+        ) as ingress:
+            response = await ingress.send(
                 request(
                     Plan="basis", Request_Timeout="25.000", Quota_Info="units=3,spread=3,first=0"
                 )
             )
-            assert status == 429
-            assert b"Retry-After" in head
+            assert response.status == 429
+            assert b"Retry-After" in response.head
             assert len(ingress.counter.requests) == 1
-            assert not ingress.backends[0].requests
+            assert ingress.requests_received == 0
 
     run(test())
