--- a/fleetlab/__init__.py
+++ b/fleetlab/__init__.py
@@ -1,1 +1,1 @@
-"""A scale run: stand-ins on loopback, hollow and real ingresses before them, slopes from their figures."""
+"""A scale run: synthetic and real ingresses before stand-in servers, and slopes of the figures."""
--- /dev/null
+++ b/fleetlab/command_options.py
@@ -0,0 +1,102 @@
+"""Options of the command line and what their texts mean; an unusable one is a click error."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+from fleetlab.pairs import FleetSize
+from fleetlab.plan import DEFAULT_POINTS, MAX_POINTS
+
+MAX_SECONDS = 600.0
+MAX_POINT_COUNT = 64
+MAX_SEED = 2**31
+MAX_RATE = 2000  # requests a second
+MAX_CHANGES_PER_S = 1000
+MAX_REPLACEMENTS = 1000
+MAX_GATEWAYS = 20_000
+MAX_BACKENDS = 200_000
+
+
+def _parse_points(
+    _context: click.Context, _parameter: click.Parameter, text: str | None
+) -> tuple[int, ...]:
+    if text is None:
+        return ()
+    try:
+        points = tuple(int(word) for word in text.split(","))
+    except ValueError:
+        raise click.BadParameter(f"{text!r} is not a list of whole numbers") from None
+    if len(points) > MAX_POINT_COUNT or any(point < 0 for point in points):
+        raise click.BadParameter(f"{text!r} has a negative size, or more than {MAX_POINT_COUNT}")
+    return points
+
+
+def _check_folder(_context: click.Context, _parameter: click.Parameter, path: Path) -> Path:
+    if path.exists() and not path.is_dir():
+        raise click.BadParameter(f"{str(path)!r} is not a folder")
+    return path
+
+
+SECONDS = click.FloatRange(0, MAX_SECONDS, min_open=True)
+OUT = click.option(
+    "--out",
+    required=True,
+    type=click.Path(path_type=Path),
+    callback=_check_folder,
+    help="Folder of the result files; made if need be.",
+)
+POINTS = click.option(
+    "--points", callback=_parse_points, help="Sizes, with commas between; needs one --axis."
+)
+SEED = click.option(
+    "--seed", default=0, type=click.IntRange(0, MAX_SEED), help="Of lists and requests."
+)
+
+
+@dataclass(frozen=True, slots=True)
+class GridPoint:
+    """One size on one axis."""
+
+    axis: str
+    size: int
+
+
+def make_grid(axes: Sequence[str], points: Sequence[int]) -> list[GridPoint]:
+    """Return the points of a sweep; without axes all are played, without points the default."""
+    if points and len(axes) != 1:
+        raise click.UsageError("--points needs one --axis")
+    grid = [
+        GridPoint(axis, size)
+        for axis in (axes or DEFAULT_POINTS)
+        for size in (points or DEFAULT_POINTS[axis])
+    ]
+    for point in grid:
+        axis = point.axis
+        # Only the number of changes can be 0.
+        if point.size > MAX_POINTS[axis] or (point.size < 1 and axis != "changes"):
+            raise click.UsageError(
+                f"--points: {point.size} {axis} is not between 1 and {MAX_POINTS[axis]}"
+            )
+    return grid
+
+
+def parse_sizes(text: str) -> list[FleetSize]:
+    """Return the sizes in a text such as 40x60,200x200."""
+    sizes = []
+    for word in text.split(","):
+        gateways, _, backends = word.partition("x")
+        try:
+            sizes.append(FleetSize(int(gateways), int(backends)))
+        except ValueError:
+            raise click.UsageError(f"--sizes: {text!r} is not gateways x backends") from None
+    if len(sizes) > MAX_POINT_COUNT or not all(_is_playable(size) for size in sizes):
+        raise click.UsageError(f"--sizes: {text!r} has a size that is too large, or none")
+    return sizes
+
+
+def _is_playable(size: FleetSize) -> bool:
+    return 1 <= size.gateways <= MAX_GATEWAYS and 1 <= size.backends <= MAX_BACKENDS
--- /dev/null
+++ b/fleetlab/counter_server.py
@@ -0,0 +1,170 @@
+"""A stand-in for the shared counter: ADDGET over RESP2, at a finite rate in shards by name."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from dataclasses import dataclass
+
+from fleetlab.stand_in import StandInServer
+
+MAX_TTL_MS = 60_000.0
+MIN_TTL_MS = 1.0
+MAX_NAME_BYTES = 64
+MAX_AMOUNT = 1e9
+MAX_WORDS = 16  # of a call
+MAX_WORD_BYTES = 1024
+MAX_QUEUED_REPLIES = 10_000  # of a connection
+PURGE_INTERVAL = 10_000  # calls between two purges of expired totals
+
+_UNKNOWN_CALL = b"-ERR no such call\r\n"
+_BUSY = b"-BUSY\r\n"
+
+
+@dataclass(slots=True)
+class Total:
+    """The total of one name, and when it expires on the loop's clock."""
+
+    value: float
+    expires_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Addition:
+    """A valid ADDGET."""
+
+    name: bytes
+    amount: float
+    ttl_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """A reply and when it is due on the loop's clock."""
+
+    due_at: float
+    data: bytes
+
+
+class CounterServer(StandInServer):
+    """Serves totals by name on a loopback port of the system's choice.
+
+    rate: calls a second of all shards together. max_wait_s: a call that would wait longer for its
+    turn is rejected (-BUSY) and adds nothing.
+    """
+
+    def __init__(self, rate: float = 100_000.0, shards: int = 4, max_wait_s: float = 0.2) -> None:
+        if rate <= 0 or shards < 1:
+            raise ValueError(f"a counter of {rate} calls a second in {shards} shards")
+        super().__init__()
+        self.calls = 0  # additions made
+        self.busy = 0  # additions rejected
+        self.bytes_written = 0
+        self.totals: dict[bytes, Total] = {}
+        self.address = ""  # host and port, from the start on
+        self._call_s = shards / rate
+        self._max_wait_s = max_wait_s
+        self._free_at = [0.0] * shards
+
+    async def start(self) -> None:
+        """Listen."""
+        self._loop = asyncio.get_running_loop()
+        self.address = await self._listen()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        replies: asyncio.Queue[_Reply] = asyncio.Queue(MAX_QUEUED_REPLIES)
+        writing = asyncio.create_task(self._write_replies(replies, writer))
+        try:
+            while True:
+                await replies.put(self._execute(await _read_call(reader)))
+        except ValueError:
+            pass  # what came is no call, and the next can't be found
+        finally:
+            writing.cancel()
+
+    def _execute(self, words: list[bytes]) -> _Reply:
+        now = self._loop.time()
+        match words[0].upper():
+            case b"PING":
+                return _Reply(now, b"+PONG\r\n")
+            case b"CLIENT" | b"SELECT":
+                return _Reply(now, b"+OK\r\n")
+            case b"ADDGET":
+                addition = _parse_addition(words)
+                if addition is not None:
+                    return self._add(addition, now)
+        return _Reply(now, _UNKNOWN_CALL)
+
+    def _add(self, addition: _Addition, now: float) -> _Reply:
+        shard = zlib.crc32(addition.name) % len(self._free_at)
+        due_at = max(now, self._free_at[shard]) + self._call_s
+        if due_at - now > self._max_wait_s:
+            self.busy += 1
+            return _Reply(now, _BUSY)
+        self._free_at[shard] = due_at
+        self.calls += 1
+        total = self.totals.get(addition.name)
+        if total is None or total.expires_at <= now:
+            total = Total(0.0, now + addition.ttl_s)
+            self.totals[addition.name] = total
+        total.value += addition.amount
+        if self.calls % PURGE_INTERVAL == 0:
+            self._purge(now)
+        text = b"%.7g" % total.value
+        return _Reply(due_at, b"$%d\r\n%b\r\n" % (len(text), text))
+
+    def _purge(self, now: float) -> None:
+        self.totals = {name: total for name, total in self.totals.items() if total.expires_at > now}
+
+    async def _write_replies(
+        self, replies: asyncio.Queue[_Reply], writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                reply = await replies.get()
+                wait_s = reply.due_at - self._loop.time()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                if writer.transport.is_closing():
+                    return  # the client has left
+                writer.write(reply.data)
+                await writer.drain()
+                self.bytes_written += len(reply.data)
+        except ConnectionError:
+            writer.close()
+
+
+def _parse_addition(words: list[bytes]) -> _Addition | None:
+    """Return the addition that an ADDGET asks for; None if its arguments are out of bounds."""
+    try:
+        _, name, amount_text, ttl_text = words
+        amount = float(amount_text)
+        ttl_ms = min(float(ttl_text), MAX_TTL_MS)
+    except ValueError:
+        return None
+    named = 1 <= len(name) <= MAX_NAME_BYTES
+    if not (named and abs(amount) <= MAX_AMOUNT and ttl_ms >= MIN_TTL_MS):
+        return None
+    return _Addition(name, amount, ttl_ms / 1000)
+
+
+async def _read_call(reader: asyncio.StreamReader) -> list[bytes]:
+    """Return the words of one call; ValueError if what comes is none."""
+    count = await _read_length(reader, b"*")
+    if not 1 <= count <= MAX_WORDS:
+        raise ValueError(f"a call of {count} words")
+    return [await _read_word(reader) for _ in range(count)]
+
+
+async def _read_word(reader: asyncio.StreamReader) -> bytes:
+    size = await _read_length(reader, b"$")
+    if not 0 <= size <= MAX_WORD_BYTES:
+        raise ValueError(f"a word of {size} bytes")
+    return (await reader.readexactly(size + 2))[:-2]
+
+
+async def _read_length(reader: asyncio.StreamReader, marker: bytes) -> int:
+    line = (await reader.readuntil(b"\r\n"))[:-2]
+    if line[:1] != marker:
+        raise ValueError(f"{line[:1]!r} in place of {marker!r}")
+    return int(line[1:])
--- /dev/null
+++ b/fleetlab/counting_loop.py
@@ -0,0 +1,62 @@
+"""An event loop that counts the bytes which its connections receive."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+
+class _CountingProtocol(asyncio.Protocol):
+    """Passes everything on to another protocol and counts the bytes that are received."""
+
+    def __init__(self, inner: asyncio.Protocol, count: Callable[[int], None]) -> None:
+        self._inner = inner
+        self._count = count
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._inner.connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._count(len(data))
+        self._inner.data_received(data)
+
+    def eof_received(self) -> bool | None:
+        return self._inner.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._inner.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        self._inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._inner.resume_writing()
+
+
+class CountingLoop(uvloop.Loop):
+    """The event loop of the ingress, with counts of received bytes by the port connected to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.received: dict[int, int] = {}
+
+    async def create_connection(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],
+        host: str,
+        port: int,
+        **options: Any,  # noqa: ANN401 - those of the event loop, passed on
+    ) -> tuple[Any, asyncio.Protocol]:  # the transport is of a type of uvloop's own
+        """Connect as the event loop does; every byte received is counted."""
+
+        def count(size: int) -> None:
+            self.received[port] = self.received.get(port, 0) + size
+
+        inner = protocol_factory()
+        transport, _ = await super().create_connection(
+            lambda: _CountingProtocol(inner, count), host, port, **options
+        )
+        return transport, inner
--- /dev/null
+++ b/fleetlab/http_connection.py
@@ -0,0 +1,37 @@
+"""A client's HTTP connection, reduced to what a load generator needs."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from dataclasses import dataclass
+
+from fleetlab.stand_in import split_address
+
+_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.I)
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class HttpConnection:
+    """A connection that carries one request at a time."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @classmethod
+    async def open(cls, address: str) -> HttpConnection:
+        """Connect to host and port; OSError if that fails."""
+        host, port = split_address(address)
+        return cls(*await asyncio.open_connection(host, port))
+
+    async def request(self, message: bytes) -> int:
+        """Send a whole request and return the status, once the body has been read to its end."""
+        self.writer.write(message)
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        if (length := _CONTENT_LENGTH.search(head)) is not None:
+            await self.reader.readexactly(int(length[1]))
+        return int(head.split(b" ", 2)[1])
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
--- /dev/null
+++ b/fleetlab/latency.py
@@ -0,0 +1,27 @@
+"""Latency histograms."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+
+MAX_LATENCY_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds, from 1 to a minute."""
+    return HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+
+
+def percentile_ms(recorded: HdrHistogram, percent: float) -> float | None:
+    """Return a percentile in milliseconds; None if nothing was recorded."""
+    if not recorded.get_total_count():
+        return None
+    return float(recorded.get_value_at_percentile(percent) / 1000)
+
+
+def max_ms(recorded: HdrHistogram) -> float | None:
+    """Return the greatest latency in milliseconds; None if nothing was recorded."""
+    if not recorded.get_total_count():
+        return None
+    return float(recorded.get_max_value() / 1000)
--- /dev/null
+++ b/fleetlab/load_generator.py
@@ -0,0 +1,109 @@
+"""An open-loop load generator: requests leave on a schedule, whatever becomes of earlier ones."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from random import Random
+
+from fleetlab.http_connection import HttpConnection
+from fleetlab.latency import MAX_LATENCY_US, new_histogram
+
+MAX_CONNECTIONS = 256
+REQUEST_TIMEOUT_S = 2.0
+TIMEOUT_GRACE_S = 1.0  # after which the generator itself gives a request up
+NO_RESPONSE = 0  # in place of a status
+
+
+class LoadGenerator:
+    """Requests of many customers at so many a second, with exponential gaps drawn from the seed.
+
+    Latency counts from the time at which a request should have been sent, so a stall is seen by all
+    requests that it delays, also by those that are sent late because of it. statuses counts
+    responses by status, NO_RESPONSE among them.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        rate: float,
+        seed: int = 0,
+        customers: int = 1000,
+        first_gateway: int = 0,
+        gateway_spread: int = 3,
+    ) -> None:
+        self.latency = new_histogram()
+        self.statuses: Counter[int] = Counter()
+        self._address = address
+        self._rate = rate
+        self._random = Random(seed)
+        self._customers = customers
+        self._gateway_set = f"spread={gateway_spread},first={first_gateway}"
+        self._idle: list[HttpConnection] = []
+        self._connection_slots = asyncio.Semaphore(MAX_CONNECTIONS)
+        self._open_requests: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float) -> None:
+        """Send for so long, wait for the responses that are due, and close all connections."""
+        loop = asyncio.get_running_loop()
+        intended_at = loop.time()
+        end = intended_at + seconds
+        try:
+            while (intended_at := intended_at + self._random.expovariate(self._rate)) < end:
+                wait_s = intended_at - loop.time()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                self._start_request(intended_at)
+            await asyncio.gather(*self._open_requests)
+        finally:
+            for task in list(self._open_requests):
+                task.cancel()
+            await asyncio.gather(*self._open_requests, return_exceptions=True)
+            for connection in self._idle:
+                connection.close()
+
+    def _start_request(self, intended_at: float) -> None:
+        task = asyncio.create_task(self._request(intended_at, self._next_message()))
+        self._open_requests.add(task)
+        task.add_done_callback(self._open_requests.discard)
+
+    def _next_message(self) -> bytes:
+        request_id = self._random.getrandbits(64)
+        customer = self._random.randrange(self._customers)
+        return (
+            f"GET /r0/1 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {request_id:016x}\r\n"
+            f"Plan: plus\r\nAccount: {customer:016x}\r\n"
+            f"Request-Timeout: {REQUEST_TIMEOUT_S:.3f}\r\n"
+            f"Quota-Info: units=1,{self._gateway_set}\r\n\r\n"
+        ).encode()
+
+    async def _request(self, intended_at: float, message: bytes) -> None:
+        async with self._connection_slots:
+            status = await self._exchange(intended_at, message)
+        self.statuses[status] += 1
+        if status == 200:
+            latency_us = int((asyncio.get_running_loop().time() - intended_at) * 1e6)
+            self.latency.record_value(max(1, min(MAX_LATENCY_US, latency_us)))
+
+    async def _exchange(self, intended_at: float, message: bytes) -> int:
+        """Send one request on an idle or a new connection and return the status."""
+        connection = None
+        try:
+            async with asyncio.timeout_at(intended_at + REQUEST_TIMEOUT_S + TIMEOUT_GRACE_S):
+                connection = await self._acquire()
+                status = await connection.request(message)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            if connection is not None:
+                connection.close()
+            return NO_RESPONSE
+        except asyncio.CancelledError:
+            if connection is not None:
+                connection.close()
+            raise
+        self._idle.append(connection)
+        return status
+
+    async def _acquire(self) -> HttpConnection:
+        if self._idle:
+            return self._idle.pop()
+        return await HttpConnection.open(self._address)
--- a/fleetlab/pairs.py
+++ b/fleetlab/pairs.py
@@ -1,9 +1,13 @@
-"""Which gateways keep to which backends, in a whole fleet: what a replaced backend or a lost zone costs."""
+"""A model of subsetting in a whole fleet: what a replaced backend or a lost zone costs.
+
+A pair is a gateway and a backend in its subset.
+"""
 
 from __future__ import annotations
 
 from bisect import bisect_left, insort
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from math import ceil
 from random import Random
 from typing import Protocol
@@ -14,82 +18,97 @@
 from fleetlab.plan import ZONES
 from sumacpost.policy.subsetting import MIN_SUBSET_SIZE, Partition, Subset
 
-SIZES = (
-    (40, 60),
-    (200, 200),
-    (690, 9900),
-    (6900, 99_000),
-)  # gateways, backends; the last is the plan's
-SCHEMES = ("rank", "subset")  # as it was, and as it is
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """Counts of a fleet's gateways and backends."""
+
+    gateways: int
+    backends: int
+
+
+DEFAULT_SIZES = (
+    FleetSize(40, 60),
+    FleetSize(200, 200),
+    FleetSize(690, 9900),
+    FleetSize(6900, 99_000),  # the plan's
+)
+SCHEMES = ("rank", "subset")  # the former one, and the one in use
 
 
 class Scheme(Protocol):
-    """A way for gateways to choose the backends that they keep to."""
+    """A way for gateways to choose the backends of their subsets."""
 
-    def place(self, backend: int, ready: bool) -> None:
-        """A backend comes or goes."""
+    def set_ready(self, backend: int, ready: bool) -> None:
+        """Add a backend to the list, or remove it."""
 
-    def kept(self) -> Iterator[list[int]]:
-        """The backends of each gateway."""
+    def subsets(self) -> Iterator[list[int]]:
+        """Yield the backends of each gateway."""
 
 
-class ByRank:
-    """As it was: each gateway keeps to a window of the sorted list, at its own share of the way round."""
+class RankScheme:
+    """The former scheme: each gateway takes a window of the sorted list, spread evenly round it."""
 
     def __init__(self, gateways: int) -> None:
         self._gateways = gateways
         self._ring: list[int] = []
 
-    def place(self, backend: int, ready: bool) -> None:
+    def set_ready(self, backend: int, ready: bool) -> None:
+        """Add a backend to the ring, or remove it."""
         if ready:
             insort(self._ring, backend)
         else:
             del self._ring[bisect_left(self._ring, backend)]
 
-    def kept(self) -> Iterator[list[int]]:
+    def subsets(self) -> Iterator[list[int]]:
+        """Yield the window of each gateway."""
         count = len(self._ring)
         width = min(count, max(MIN_SUBSET_SIZE, ceil(count * MIN_SUBSET_SIZE / self._gateways)))
         for index in range(self._gateways):
             start = index * count // self._gateways
-            yield (self._ring[start : start + width] + self._ring[: max(0, start + width - count)])[
-                :width
-            ]
+            wrapped = max(0, start + width - count)
+            yield self._ring[start : start + width] + self._ring[:wrapped]
 
 
-class BySubset:
-    """As it is: the list is dealt to parts, and within each the subsets are drawn by bounded loads."""
+class SubsetScheme:
+    """The scheme in use: the list is divided into partitions, and each of them into subsets."""
 
     def __init__(self, gateways: int, backends: int) -> None:
         first = Partition(gateways, 0)
         first.grow_for(backends)
         self.partition_count = first.partition_count
-        self._parts = [
-            Partition(gateways, index, self.partition_count)
-            for index in range(self.partition_count)
-        ]
-        self._shards = [
-            [
-                Subset(gateways, index + shard * self.partition_count, self.partition_count)
-                for shard in range(Subset(gateways, index, self.partition_count).shard_count)
-            ]
-            for index in range(self.partition_count)
+        indexes = range(self.partition_count)
+        self._partitions = [Partition(gateways, index, self.partition_count) for index in indexes]
+        self._shards = [self._shards_of(gateways, index) for index in indexes]
+
+    def _shards_of(self, gateways: int, index: int) -> list[Subset]:
+        first = Subset(gateways, index, self.partition_count)
+        return [
+            Subset(gateways, index + shard * self.partition_count, self.partition_count)
+            for shard in range(first.shard_count)
         ]
 
-    def place(self, backend: int, ready: bool) -> None:
-        at = next(
-            number for number, partition in enumerate(self._parts) if partition.holds(backend)
+    def set_ready(self, backend: int, ready: bool) -> None:
+        """Add a backend to its partition, or remove it."""
+        partition = next(
+            index for index, partition in enumerate(self._partitions) if partition.holds(backend)
         )
-        for subset in self._shards[at]:
-            subset.set_ready(backend, ready)
+        for shard in self._shards[partition]:
+            shard.set_ready(backend, ready)
 
-    def kept(self) -> Iterator[list[int]]:
+    def subsets(self) -> Iterator[list[int]]:
+        """Yield the subset of each gateway."""
         for shards in self._shards:
-            for subset in shards:
-                yield from subset.assign().subsets
+            for shard in shards:
+                yield from shard.assign().subsets
 
 
 class PairFigures(msgspec.Struct):
-    """What one scheme does at one size; counts of pairs, users of a backend and backends of a gateway."""
+    """What one scheme does at one size.
+
+    Counts are of pairs, of users (the gateways that have a backend in their subset) and of kept
+    backends (the size of a gateway's subset).
+    """
 
     scheme: str
     gateways: int
@@ -102,57 +121,87 @@
     kept_least: int
     kept_mean: float
     kept_most: int
-    left_least: float  # of a gateway's backends when the worst zone goes, as a share of all that it keeps to
-
-
-def _numbered(kept: Iterable[list[int]]) -> frozenset[tuple[int, int]]:
-    return frozenset((gateway, backend) for gateway, mine in enumerate(kept) for backend in mine)
+    left_least: float  # share of a gateway's subset that is left when its worst zone fails
 
 
 def measure(
     scheme: str, gateways: int, backends: int, seed: int = 1, replacements: int = 10
 ) -> PairFigures:
-    """Play replacements of one backend by another, in a fleet whose backends are dealt to the plan's zones.
+    """Replace backends one by one in a fleet whose backends are spread over the plan's zones.
 
-    scheme: one of SCHEMES, ValueError for any other. gateways, backends: counts, one at least.
+    scheme: one of SCHEMES, ValueError for any other. gateways, backends: at least one of each.
     """
-    if scheme not in SCHEMES:
-        raise ValueError(f"{scheme!r} is not one of {', '.join(SCHEMES)}")
-    fleet: Scheme = ByRank(gateways) if scheme == "rank" else BySubset(gateways, backends)
-    draw = Random(seed)
-    listed = [draw.getrandbits(48) for _ in range(backends)]
-    zones = {backend: number % ZONES for number, backend in enumerate(listed)}
+    fleet = _new_scheme(scheme, gateways, backends)
+    random = Random(seed)
+    listed = [random.getrandbits(48) for _ in range(backends)]
     for backend in listed:
-        fleet.place(backend, True)
-    kept = list(fleet.kept())
+        fleet.set_ready(backend, True)
+    subsets = list(fleet.subsets())
+    zones = {backend: number % ZONES for number, backend in enumerate(listed)}
+    users = _count_users(listed, subsets)
+    widths = [len(subset) for subset in subsets]
+    new_pairs = _replace(fleet, listed, _pairs(subsets), random, replacements)
+    return PairFigures(
+        scheme=scheme,
+        gateways=gateways,
+        backends=backends,
+        new_pairs_mean=float(np.mean(new_pairs)),
+        new_pairs_most=max(new_pairs),
+        users_least=min(users),
+        users_mean=float(np.mean(users)),
+        users_most=max(users),
+        kept_least=min(widths),
+        kept_mean=float(np.mean(widths)),
+        kept_most=max(widths),
+        left_least=min(_share_left(subset, zones) for subset in subsets),
+    )
+
+
+def _new_scheme(scheme: str, gateways: int, backends: int) -> Scheme:
+    match scheme:
+        case "rank":
+            return RankScheme(gateways)
+        case "subset":
+            return SubsetScheme(gateways, backends)
+    raise ValueError(f"{scheme!r} is not one of {', '.join(SCHEMES)}")
+
+
+def _pairs(subsets: Iterable[list[int]]) -> frozenset[tuple[int, int]]:
+    return frozenset(
+        (gateway, backend) for gateway, subset in enumerate(subsets) for backend in subset
+    )
+
+
+def _count_users(listed: Iterable[int], subsets: Iterable[list[int]]) -> list[int]:
+    """Return, for each listed backend, the number of subsets that it is in."""
     users = dict.fromkeys(listed, 0)
-    left = []
-    for mine in kept:
-        for backend in mine:
+    for subset in subsets:
+        for backend in subset:
             users[backend] += 1
-        lost = np.bincount([zones[backend] for backend in mine], minlength=ZONES).max()
-        left.append(1 - lost / len(mine))
-    before, new = _numbered(kept), []
+    return list(users.values())
+
+
+def _share_left(subset: list[int], zones: dict[int, int]) -> float:
+    """Return the share of a subset that is left when the zone with most of it fails."""
+    by_zone = np.bincount([zones[backend] for backend in subset], minlength=ZONES)
+    return float(1 - by_zone.max() / len(subset))
+
+
+def _replace(
+    fleet: Scheme,
+    listed: list[int],
+    before: frozenset[tuple[int, int]],
+    random: Random,
+    replacements: int,
+) -> list[int]:
+    """Replace backends one by one, in the list too; return the number of new pairs of each."""
+    new_pairs = []
     for _ in range(replacements):
-        at = draw.randrange(backends)
-        fleet.place(listed[at], False)
-        listed[at] = draw.getrandbits(48)
-        fleet.place(listed[at], True)
-        now = _numbered(fleet.kept())
-        new.append(len(now - before))
-        before = now
-    widths = [len(mine) for mine in kept]
-    return PairFigures(
-        scheme,
-        gateways,
-        backends,
-        float(np.mean(new)),
-        max(new),
-        min(users.values()),
-        float(np.mean(list(users.values()))),
-        max(users.values()),
-        min(widths),
-        float(np.mean(widths)),
-        max(widths),
-        float(min(left)),
-    )
+        index = random.randrange(len(listed))
+        fleet.set_ready(listed[index], False)
+        listed[index] = random.getrandbits(48)
+        fleet.set_ready(listed[index], True)
+        after = _pairs(fleet.subsets())
+        new_pairs.append(len(after - before))
+        before = after
+    return new_pairs
--- a/fleetlab/plan.py
+++ b/fleetlab/plan.py
@@ -1,4 +1,4 @@
-"""The size to design for: stated once, with each axis's size there and each figure's limit."""
+"""The size to design for: each axis's size in the plan, each figure's limit, and what is played."""
 
 from __future__ import annotations
 
@@ -8,32 +8,35 @@
 REQUESTS_PER_S = 830_000  # of all ingresses, at the peak
 ROUTES = 100_000
 TENANTS = 150_000
-REGIONS, ZONES = 7, 21
-ADDED_MS = 7.9  # to a request, for 99 in 100
+REGIONS = 7
+ZONES = 21
+ADDED_MS = 7.9  # to the latency of a request, at the 99th percentile
 CONFIG_CHANGES_PER_DAY = 25_000
-IN_FORCE_S = 4.0  # a change, everywhere
-CONTROL_CPU_PERCENT = 2.3  # of a core, an ingress
-CONTROL_MB = 32.0  # an ingress
-CONTROL_BYTES_PER_S = 3_000.0  # an ingress
+IN_FORCE_S = 4.0  # until a change is in force everywhere
+CONTROL_CPU_PERCENT = 2.3  # of a core, for each ingress
+CONTROL_MB = 32.0  # for each ingress
+CONTROL_BYTES_PER_S = 3_000.0  # for each ingress
 CONTROL_MACHINES = 7
 MACHINES_FAILED_PER_DAY = 540
 MACHINES_REPLACED_PER_DAY = 24_000
 DAY_S = 86_400
 
-# What the point of an axis is at the plan's size. A machine that fails or is replaced changes the list twice:
-# it goes and it comes. One ingress that meets every tenant, and knows every route, is the worst case.
-SIZES: dict[str, float] = {
+# A machine that fails or is replaced changes the list twice: it goes and it comes.
+CHANGES_PER_DAY = CONFIG_CHANGES_PER_DAY + 2 * (MACHINES_FAILED_PER_DAY + MACHINES_REPLACED_PER_DAY)
+
+# The plan's size on each axis. One ingress that meets every tenant and knows every route is the
+# worst case.
+PLAN_SIZES: dict[str, float] = {
     "backends": BACKENDS,
     "ingresses": INGRESSES,
     "tenants": TENANTS,
     "routes": ROUTES,
-    "changes": (CONFIG_CHANGES_PER_DAY + 2 * (MACHINES_FAILED_PER_DAY + MACHINES_REPLACED_PER_DAY))
-    / DAY_S,
-    "counter": REQUESTS_PER_S / INGRESSES,  # requests a second, of one or two calls each
+    "changes": CHANGES_PER_DAY / DAY_S,
+    "counter": REQUESTS_PER_S / INGRESSES,  # requests a second, of one or two counter calls each
     "real": BACKENDS,
 }
 
-# The most that a figure may be there; a figure that isn't named has no limit of the plan's.
+# The greatest value of a figure at the plan's size; the plan does not limit figures not named here.
 LIMITS: dict[str, float] = {
     "unheld_share": 0.0,
     "held_mb": CONTROL_MB,
@@ -46,7 +49,8 @@
     "added_p99_ms": ADDED_MS,
 }
 
-POINTS: dict[str, tuple[int, ...]] = {
+# The points that a sweep plays on each axis unless others are named.
+DEFAULT_POINTS: dict[str, tuple[int, ...]] = {
     "backends": (200, 2_000, 10_000, 27_000, BACKENDS),
     "ingresses": (10, 20, 40, 80, 160),
     "tenants": (1_000, 10_000, 30_000, 100_000),
@@ -55,8 +59,8 @@
     "counter": (25, 50, 100, 200, 400),
 }
 
-# The largest point that is played, so that a typing error doesn't take the machine.
-MOST: dict[str, int] = {
+# The largest point that is played, so that a typing error doesn't exhaust the machine.
+MAX_POINTS: dict[str, int] = {
     "backends": 200_000,
     "ingresses": 4_000,
     "tenants": 300_000,
--- /dev/null
+++ b/fleetlab/processes.py
@@ -0,0 +1,113 @@
+"""The processes of a run: bounded in number, and all ended by their id, whatever ends the run."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from asyncio.subprocess import PIPE, Process
+from collections import deque
+from collections.abc import Mapping
+
+MAX_PROCESSES = 300
+TERMINATION_GRACE_S = 6.0  # from SIGTERM to SIGKILL
+KEPT_LINES = 500
+
+
+class ChildProcess:
+    """One process; its output is read all the time, and the last lines of it are kept."""
+
+    def __init__(self, process: Process) -> None:
+        self.process = process
+        self.out: deque[bytes] = deque(maxlen=KEPT_LINES)
+        self.err: deque[bytes] = deque(maxlen=KEPT_LINES)
+        self._readers = [
+            asyncio.create_task(self._read_lines(process.stdout, self.out)),
+            asyncio.create_task(self._read_lines(process.stderr, self.err)),
+        ]
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self.process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.returncode is None
+
+    @staticmethod
+    async def _read_lines(stream: asyncio.StreamReader | None, lines: deque[bytes]) -> None:
+        while stream is not None and (line := await stream.readline()):
+            lines.append(line)
+
+    async def wait(self) -> None:
+        """Wait for the end of the process and of its output."""
+        await self.process.wait()
+        await asyncio.gather(*self._readers, return_exceptions=True)
+
+
+class ProcessGroup:
+    """Starts processes of this Python interpreter; `end` leaves none."""
+
+    def __init__(self) -> None:
+        self._children: list[ChildProcess] = []
+
+    @property
+    def pids(self) -> list[int]:
+        """The ids of those that are running."""
+        return [child.pid for child in self._children if child.running]
+
+    async def start(
+        self, module: str, env: Mapping[str, str] | None = None, first_input: bytes = b""
+    ) -> ChildProcess:
+        """Start `python -m module` and write these bytes to its standard input.
+
+        Standard input stays open as long as the run: a process that reads it notices the run's end.
+        Raise RuntimeError beyond the limit on processes.
+        """
+        if len(self.pids) >= MAX_PROCESSES:
+            raise RuntimeError(f"{MAX_PROCESSES} processes are enough")
+        starting = asyncio.ensure_future(_spawn(module, env or {}))
+        try:
+            process = await asyncio.shield(starting)
+        except asyncio.CancelledError:
+            # The process may be running already, and has to be ended like the others.
+            self._children.append(ChildProcess(await starting))
+            raise
+        child = ChildProcess(process)
+        self._children.append(child)
+        if first_input and process.stdin is not None:
+            process.stdin.write(first_input)
+        return child
+
+    async def end(self) -> None:
+        """Terminate each process by its id, and kill those that are left after the grace period."""
+        for child in self._children:
+            if child.running:
+                child.process.terminate()
+        try:
+            async with asyncio.timeout(TERMINATION_GRACE_S):
+                await self._wait_for_all()
+        except TimeoutError:
+            for child in self._children:
+                if child.running:
+                    child.process.kill()
+            await self._wait_for_all()
+        self._children.clear()
+
+    async def _wait_for_all(self) -> None:
+        await asyncio.gather(*(child.wait() for child in self._children))
+
+
+async def _spawn(module: str, env: Mapping[str, str]) -> Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        module,
+        stdin=PIPE,
+        stdout=PIPE,
+        stderr=PIPE,
+        env={**os.environ, **env},
+        start_new_session=True,  # an interrupt at the terminal is this process's to handle
+    )
--- a/fleetlab/results.py
+++ b/fleetlab/results.py
@@ -1,4 +1,4 @@
-"""Results as JSON lines: each says what was run, where, and what came of it."""
+"""Results as JSON lines: what was run, where and at which commit, and the measured figures."""
 
 from __future__ import annotations
 
@@ -9,9 +9,11 @@
 
 import msgspec
 
-from fleetlab.measure import machine_mb
+from fleetlab.process_stats import machine_mb
 
-Figures = dict[str, float | None]
+GIT_TIMEOUT_S = 10
+
+Figures = dict[str, float | None]  # by name, which ends with the unit; None: could not be measured
 
 
 class Machine(msgspec.Struct, frozen=True):
@@ -23,7 +25,7 @@
 
 
 class Result(msgspec.Struct, frozen=True):
-    """One point of an axis; a figure that could not be measured is None. Units end each figure's name."""
+    """The figures of one point of an axis."""
 
     command: str
     axis: str
@@ -35,36 +37,35 @@
     note: str = ""
 
 
-class BadResult(ValueError):
+class ResultError(ValueError):
     """A file of results can't be read; the message names file and line."""
 
 
 def this_machine() -> Machine:
-    """Cores, memory and Python of this machine."""
+    """Return the cores, memory and Python of this machine."""
     return Machine(os.cpu_count() or 1, round(machine_mb()), platform.python_version())
 
 
 def this_commit() -> str:
-    """The commit that the code stands at, with + where files differ from it; empty if that is not known."""
-    here = Path(__file__).parent
+    """Return the commit of the code, with + if files differ from it; empty if it is not known."""
     try:
-        words = [
-            subprocess.run(
-                ["git", *arguments],
-                cwd=here,
-                capture_output=True,
-                text=True,
-                timeout=10,
-                check=True,
-            ).stdout
-            for arguments in (
-                ["rev-parse", "HEAD"],
-                ["status", "--porcelain", "--untracked-files=no"],
-            )
-        ]
+        commit = _git("rev-parse", "HEAD")
+        changed = _git("status", "--porcelain", "--untracked-files=no")
     except (OSError, subprocess.SubprocessError):
         return ""
-    return words[0].strip() + ("+" if words[1].strip() else "")
+    return commit + ("+" if changed else "")
+
+
+def _git(*arguments: str) -> str:
+    done = subprocess.run(
+        ["git", *arguments],
+        cwd=Path(__file__).parent,
+        capture_output=True,
+        text=True,
+        timeout=GIT_TIMEOUT_S,
+        check=True,
+    )
+    return done.stdout.strip()
 
 
 def append(path: Path, result: Result) -> None:
@@ -74,13 +75,19 @@
 
 
 def read(path: Path) -> list[Result]:
-    """The results of a file, or of all *.jsonl of a folder; BadResult on the first line that is none."""
+    """Return the results in a file, or in all *.jsonl of a folder.
+
+    Raise ResultError at the first line that is no result.
+    """
     files = sorted(path.glob("*.jsonl")) if path.is_dir() else [path]
+    return [result for file in files for result in _read_file(file)]
+
+
+def _read_file(file: Path) -> list[Result]:
     results = []
-    for file in files:
-        for number, line in enumerate(file.read_bytes().splitlines(), 1):
-            try:
-                results.append(msgspec.json.decode(line, type=Result))
-            except msgspec.DecodeError as error:
-                raise BadResult(f"{file}, line {number}: {error}") from error
+    for number, line in enumerate(file.read_bytes().splitlines(), 1):
+        try:
+            results.append(msgspec.json.decode(line, type=Result))
+        except msgspec.DecodeError as error:
+            raise ResultError(f"{file}, line {number}: {error}") from error
     return results
--- a/fleetlab/site.py
+++ b/fleetlab/site.py
@@ -1,14 +1,35 @@
-"""Configurations and lists of a made-up site, in the forms of the protocol page."""
+"""Configurations and endpoint lists of an invented site."""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Sequence
 from random import Random
-from typing import Any
+
+from fleetlab.versioned_list import JsonObject
 
 ZONES = ("a", "b", "c")
-KINDS = ("m1", "m2")
+MACHINE_TYPES = ("m1", "m2")
+CELLS = 8
+
+_PERMISSIONS: JsonObject = {
+    "most_tries": 3,
+    "dial_timeout": 250.0,
+    "conn_idle": 30000.0,
+    "retry_after": True,
+    "cancel": True,
+    "max_retry_after": 500.0,
+    "parallel_tries": False,
+    "probes": False,
+}
+_SAFETY: JsonObject = {
+    "start_capacity": 0.2,
+    "cold": 15000.0,
+    "fall_multiple": 2.0,
+    "overload_for": 3000.0,
+    "stop_sending_within": 500.0,
+    "grace_to_answer": 8.0,
+}
 
 
 def config_text(
@@ -20,54 +41,44 @@
     seed: int = 0,
     classes: int = 3,
     burst: float = 1000.0,
-    known: Sequence[dict[str, Any]] = (),
+    known: Sequence[JsonObject] = (),
 ) -> str:
-    """The JSON text of one ingress's configuration; times in ms, as the protocol page's settings have them.
+    """Return the configuration of one ingress as JSON text; times are in ms.
 
-    It listens at a loopback port of the system's choice. known: entries of the list as last seen.
+    The ingress listens on a loopback port of the system's choice. discovery, counter: host and
+    port; without counter there is none. burst: units, and units a second, of the one plan.
+    known: entries of the endpoint list as last seen.
     """
-    categories = [
-        {
-            "name": f"r{n}",
-            "aim": 1000.0,
-            "hard_limit": 4000.0,
-            "points": 2.0,
-            "idempotency": "pure",
-            "group": "all",
-            "dedup_window": 5000.0,
-            "late_worth": 0.2,
-        }
-        for n in range(classes)
-    ]
-    settings = {
+    config: JsonObject = {
+        "name": f"n{index}",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": f"{seed + index:x}",
+        "limits": {"sockets": 1024, "memory_mb": 64},
+        "settings": _settings(index, gateways, classes, burst, has_counter=bool(counter)),
+        "known": {"rev": 0, "all": True, "targets": list(known)},
+    }
+    if counter:
+        config["counter"] = counter
+    return json.dumps(config)
+
+
+def _settings(
+    index: int, gateways: int, classes: int, burst: float, *, has_counter: bool
+) -> JsonObject:
+    return {
         "balancers": gateways,
         "index": index,
         "locality": 0,
         "quantum": 2.0,
         "zones": list(ZONES),
-        "machine_types": list(KINDS),
-        "categories": categories,
+        "machine_types": list(MACHINE_TYPES),
+        "categories": [_category(number) for number in range(classes)],
         "plans": [{"name": "plus", "per_second": burst, "peak_units": burst, "price": 1.0}],
-        "permissions": {
-            "most_tries": 3,
-            "dial_timeout": 250.0,
-            "conn_idle": 30000.0,
-            "retry_after": True,
-            "cancel": True,
-            "max_retry_after": 500.0,
-            "parallel_tries": False,
-            "probes": False,
-        },
-        "safety": {
-            "start_capacity": 0.2,
-            "cold": 15000.0,
-            "fall_multiple": 2.0,
-            "overload_for": 3000.0,
-            "stop_sending_within": 500.0,
-            "grace_to_answer": 8.0,
-        },
+        "permissions": _PERMISSIONS,
+        "safety": _SAFETY,
         "extra": {
-            "has_counter": bool(counter),
+            "has_counter": has_counter,
             "count_wait": 50.0,
             "units_top": 8,
             "cost_after": False,
@@ -75,31 +86,34 @@
         "clients": {"marks_retry": False},
         "telemetry": {"via": "off", "fields": []},
     }
-    config = {
-        "name": f"n{index}",
-        "listen": "127.0.0.1:0",
-        "discovery": discovery,
-        "seed": f"{seed + index:x}",
-        "limits": {"sockets": 1024, "memory_mb": 64},
-        "settings": settings,
-        "known": {"rev": 0, "all": True, "targets": list(known)},
+
+
+def _category(number: int) -> JsonObject:
+    return {
+        "name": f"r{number}",
+        "aim": 1000.0,
+        "hard_limit": 4000.0,
+        "points": 2.0,
+        "idempotency": "pure",
+        "group": "all",
+        "dedup_window": 5000.0,
+        "late_worth": 0.2,
     }
-    return json.dumps(config | ({"counter": counter} if counter else {}))
 
 
-def entries(count: int, endpoints: Sequence[str], seed: int = 0) -> list[dict[str, Any]]:
-    """So many entries of discovery's list; their endpoints take turns among the given ones."""
+def endpoint_entries(count: int, endpoints: Sequence[str], seed: int = 0) -> list[JsonObject]:
+    """Return so many entries of an endpoint list, with the given endpoints in turn."""
     random = Random(seed)
     return [
         {
-            "uid": f"s-{random.getrandbits(32):08x}{n:x}",
-            "endpoint": endpoints[n % len(endpoints)],
-            "az": ZONES[n % len(ZONES)],
-            "model": KINDS[n % len(KINDS)],
-            "pod_group": n % 8,
+            "uid": f"s-{random.getrandbits(32):08x}{number:x}",
+            "endpoint": endpoints[number % len(endpoints)],
+            "az": ZONES[number % len(ZONES)],
+            "model": MACHINE_TYPES[number % len(MACHINE_TYPES)],
+            "pod_group": number % CELLS,
             "state": "active",
             "capacity_hint": 1.0,
             "boot_ms": 0,
         }
-        for n in range(count)
+        for number in range(count)
     ]
--- /dev/null
+++ b/fleetlab/stand_in.py
@@ -0,0 +1,71 @@
+"""The base of the stand-in servers: their listeners and the tasks of their connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+LOOPBACK = "127.0.0.1"
+
+
+class StandInServer:
+    """A server on loopback whose connections all end with it.
+
+    A subclass listens with `_listen` and handles one connection in `_serve`.
+    """
+
+    def __init__(self) -> None:
+        self._listeners: list[asyncio.Server] = []
+        self._connection_tasks: set[asyncio.Task[None]] = set()
+
+    async def stop(self) -> None:
+        """Close all ports and all connections."""
+        for listener in self._listeners:
+            listener.close()
+        for task in list(self._connection_tasks):
+            task.cancel()
+        await asyncio.gather(*self._connection_tasks, return_exceptions=True)
+
+    async def _listen(self, sock: socket.socket | None = None) -> str:
+        """Listen on a bound socket, or on a port of the system's choice; return host and port."""
+        if sock is None:
+            listener = await asyncio.start_server(self._run_connection, LOOPBACK, 0)
+        else:
+            listener = await asyncio.start_server(self._run_connection, sock=sock)
+        self._listeners.append(listener)
+        return format_address(listener.sockets[0].getsockname())
+
+    async def _run_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connection_tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
+            pass  # the peer has left, or sent what is no message
+        except asyncio.CancelledError:
+            pass  # by stop(): asyncio's own callback would log it as an error
+        finally:
+            self._connection_tasks.discard(task)
+            self._close_connection(writer)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Handle one connection until it ends."""
+        raise NotImplementedError
+
+    def _close_connection(self, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+
+def format_address(socket_name: tuple[str, int]) -> str:
+    """Return host and port as the configuration writes them."""
+    host, port = socket_name
+    return f"{host}:{port}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address as the configuration writes it."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/fleetlab/sweep.py
+++ b/fleetlab/sweep.py
@@ -1,216 +1,231 @@
-"""Sizes played one after another: hollow ingresses before an agent and a counter of their own."""
+"""One point of a sweep: synthetic ingresses before a discovery and a counter of their own."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from random import Random
 
 import msgspec
 
-from fleetlab.agent import Agent
-from fleetlab.children import Child, Children
-from fleetlab.counter import CounterServer
-from fleetlab.hollow import HollowSpec, Report
-from fleetlab.measure import check_memory
+from fleetlab.counter_server import CounterServer
+from fleetlab.discovery_server import DiscoveryServer
 from fleetlab.plan import INGRESSES
+from fleetlab.process_stats import check_memory
+from fleetlab.processes import ChildProcess, ProcessGroup
 from fleetlab.results import Figures
-from fleetlab.site import entries
-from sumacpost.policy.subsetting import MIN_SUBSET_SIZE
-
-READY_S = 30.0  # for a list to be held by all, and for the customers to be met
-LIST_POINT = 200  # backends where another axis is played
-A_PROCESS = 40  # hollow ingresses in one process, at most
-ENTRY_KB, INGRESS_MB, PROCESS_MB, TENANT_KB, ROUTE_KB = (
-    2.0,
-    2.0,
-    60.0,
-    2.0,
-    60.0,
-)  # rough, to check memory
-NAMES_AT = (
-    "127.0.0.1:9",
-)  # no attempt of a hollow ingress goes out, so nobody has to listen there
-
-
-class Point(msgspec.Struct, frozen=True):
-    """What one point of a sweep plays; rate counts requests a second at each ingress."""
+from fleetlab.site import endpoint_entries
+from fleetlab.sweep_figures import Measurement, compute_figures
+from fleetlab.synthetic_messages import SyntheticReport, SyntheticSpec
+
+READY_TIMEOUT_S = 30.0  # until all hold a list and have met their customers
+READY_POLL_S = 0.1
+MEASURE_POLL_S = 0.5
+REPORT_MARGIN_S = 1.5  # longer than the time between reports
+PROCESS_MARGIN_S = 30.0  # after which a forgotten process ends by itself
+DEFAULT_BACKENDS = 200  # on the other axes
+INGRESSES_PER_PROCESS = 40
+
+# Rough sizes, to check memory beforehand.
+ENTRY_KB = 2.0
+TENANT_KB = 2.0
+ROUTE_KB = 60.0
+INGRESS_MB = 2.0
+PROCESS_MB = 60.0
+
+# Synthetic ingresses make no attempts, so nobody has to listen here.
+UNUSED_ENDPOINTS = ("127.0.0.1:9",)
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """What one point of a sweep plays."""
 
     ingresses: int = 1
-    backends: int = LIST_POINT
-    meet: int = 0
+    backends: int = DEFAULT_BACKENDS
+    preloaded_customers: int = 0
     classes: int = 3
     changes_per_s: float = 0.0
-    rate: float = 20.0
-    burst: float = 1000.0
+    rate: float = 20.0  # requests a second at each ingress
+    burst: float = 1000.0  # units of a customer's plan
+
+    @property
+    def expected_mb(self) -> float:
+        """The memory that the point takes, roughly."""
+        ingress_kb = (
+            self.backends * ENTRY_KB
+            + self.preloaded_customers * TENANT_KB
+            + self.classes * ROUTE_KB
+        )
+        processes = self.ingresses // INGRESSES_PER_PROCESS + 1
+        return (
+            self.ingresses * (INGRESS_MB + ingress_kb / 1024)
+            + self.backends * ENTRY_KB / 1024
+            + processes * PROCESS_MB
+        )
 
 
-def point(axis: str, size: int) -> Point:
-    """The point of this size on an axis; ValueError for an unknown axis."""
+def point_of(axis: str, size: int) -> Point:
+    """Return the point of this size on an axis; ValueError for an unknown axis."""
     match axis:
         case "backends":
             return Point(backends=size)
         case "ingresses":
             return Point(ingresses=size, rate=5.0)
         case "tenants":
-            return Point(meet=size)
+            return Point(preloaded_customers=size)
         case "routes":
             return Point(classes=size)
         case "changes":
             return Point(changes_per_s=size, ingresses=4)
         case "counter":
-            return Point(
-                rate=size, burst=8.0
-            )  # so small a burst that each request is a call or two
+            # The burst is so small that each request is a counter call or two.
+            return Point(rate=size, burst=8.0)
     raise ValueError(f"{axis} is no axis")
 
 
-def reports(child: Child) -> list[Report]:
-    """What a hollow process has reported; what it writes beside that is left out."""
-    return [
-        msgspec.json.decode(line, type=Report) for line in list(child.out) if line.startswith(b"{")
-    ]
+@dataclass(frozen=True, slots=True)
+class _Fleet:
+    """The processes of synthetic ingresses and the servers before which they run."""
 
+    discovery: DiscoveryServer
+    processes: ProcessGroup
+    children: Sequence[ChildProcess]
 
-def _ready(child: Child) -> bool:
-    found = reports(child)
-    return bool(found) and found[-1].ready_s is not None
+    @property
+    def ready(self) -> bool:
+        return all(_is_ready(child) for child in self.children)
 
+    @property
+    def running(self) -> bool:
+        return all(child.running for child in self.children)
 
-async def _changes(agent: Agent, per_s: float, seed: int) -> None:
-    """Backends that start anew, one at a time; they say when, so that it shows how late that is told."""
-    random, loop = Random(seed), asyncio.get_running_loop()
-    at = loop.time()
-    while True:
-        at += 1 / per_s
-        await asyncio.sleep(at - loop.time())
-        agent.change([random.randrange(LIST_POINT)], boot_ms=round(time.time() * 1000, 1))
-
-
-@contextlib.asynccontextmanager
-async def _hollows(
-    children: Children,
-    played: Point,
-    agent: Agent,
-    counter: CounterServer,
-    seed: int,
-    seconds: float,
-) -> AsyncIterator[list[Child]]:
-    hollow = []
-    for first in range(0, played.ingresses, A_PROCESS):
-        spec = HollowSpec(
-            ingresses=min(A_PROCESS, played.ingresses - first),
-            gateways=max(INGRESSES, played.ingresses),
-            discovery=agent.address,
-            counter=counter.address,
-            first=first,
-            rate=played.rate,
-            meet=played.meet,
-            classes=played.classes,
-            burst=played.burst,
-            seed=seed,
-            seconds=READY_S + seconds + 30,
-        )
-        hollow.append(
-            await children.start("fleetlab.hollow", first=msgspec.json.encode(spec) + b"\n")
-        )
-    try:
-        yield hollow
-    finally:
-        await children.end()
+    def reports(self) -> list[list[SyntheticReport]]:
+        return [_read_reports(child) for child in self.children]
+
+
+def _read_reports(child: ChildProcess) -> list[SyntheticReport]:
+    """Return the reports of a process, without what else it has written."""
+    return [
+        msgspec.json.decode(line, type=SyntheticReport)
+        for line in list(child.out)
+        if line.startswith(b"{")
+    ]
+
+
+def _is_ready(child: ChildProcess) -> bool:
+    reports = _read_reports(child)
+    return bool(reports) and reports[-1].ready_s is not None
 
 
 async def play(axis: str, size: int, seconds: float, seed: int) -> Figures:
-    """The figures of one point, measured for so many seconds once all ingresses hold the list.
+    """Return the figures of one point, measured for so long once all ingresses hold the list.
 
-    Per ingress: held_mb and peak_mb over an empty process, control_cpu_percent of a core (all but the batches
-    of requests), control_bytes_per_s read from discovery and counter. None: not measured, no list was held.
+    Per ingress: held_mb and peak_mb beyond an empty process, control_cpu_percent of a core (without
+    the batches of requests), control_bytes_per_s read from discovery and counter. A figure is None
+    if it could not be measured, as no list was held. Raise MemoryLimitError if the machine's memory
+    doesn't suffice.
     """
-    played = point(axis, size)
-    kb = played.backends * ENTRY_KB + played.meet * TENANT_KB + played.classes * ROUTE_KB
-    expected = (
-        played.ingresses * (INGRESS_MB + kb / 1024)
-        + played.backends * ENTRY_KB / 1024
-        + (played.ingresses // A_PROCESS + 1) * PROCESS_MB
-    )
-    check_memory([], expected)
-    loop, children, changing = asyncio.get_running_loop(), Children(), None
-    agent, counter = Agent(entries(played.backends, NAMES_AT, seed)), CounterServer()
-    await agent.start()
+    point = point_of(axis, size)
+    check_memory([], point.expected_mb)
+    async with _start_fleet(point, seconds, seed) as fleet:
+        await _wait_until_ready(fleet)
+        changing = None
+        if point.changes_per_s:
+            changing = asyncio.create_task(_restart_backends(fleet, point.changes_per_s, seed))
+        try:
+            return compute_figures(await _measure(fleet, point, seconds))
+        finally:
+            if changing is not None:
+                changing.cancel()
+
+
+@asynccontextmanager
+async def _start_fleet(point: Point, seconds: float, seed: int) -> AsyncIterator[_Fleet]:
+    """Start servers and ingresses; all are ended whatever happens."""
+    discovery = DiscoveryServer(endpoint_entries(point.backends, UNUSED_ENDPOINTS, seed))
+    counter = CounterServer()
+    processes = ProcessGroup()
+    await discovery.start()
     await counter.start()
     try:
-        async with _hollows(children, played, agent, counter, seed, seconds) as hollow:
-            end = loop.time() + READY_S
-            while loop.time() < end and not all(_ready(child) for child in hollow):
-                if any(not child.running for child in hollow):
-                    break
-                check_memory(children.pids)
-                await asyncio.sleep(0.1)
-            if played.changes_per_s:
-                changing = asyncio.create_task(_changes(agent, played.changes_per_s, seed))
-            began = [len(reports(child)) for child in hollow]
-            lists, end = agent.whole_lists, loop.time() + seconds + 1.5
-            while loop.time() < end:
-                check_memory(children.pids)
-                await asyncio.sleep(min(0.5, seconds))
-            told = [reports(child) for child in hollow]
-        return _figures(
-            played,
-            [found[max(0, at - 1) :] for found, at in zip(told, began, strict=True)],
-            agent.whole_lists - lists,
+        template = SyntheticSpec(
+            ingresses=0,
+            gateways=max(INGRESSES, point.ingresses),
+            discovery=discovery.address,
+            counter=counter.address,
+            rate=point.rate,
+            preloaded_customers=point.preloaded_customers,
+            classes=point.classes,
+            burst=point.burst,
+            seed=seed,
+            seconds=READY_TIMEOUT_S + seconds + PROCESS_MARGIN_S,
         )
+        children = await _start_processes(processes, template, point.ingresses)
+        yield _Fleet(discovery, processes, children)
     finally:
-        if changing is not None:
-            changing.cancel()
-        await children.end()
-        await agent.stop()
+        await processes.end()
+        await discovery.stop()
         await counter.stop()
 
 
-def _figures(played: Point, told: Sequence[Sequence[Report]], whole_lists: int) -> Figures:
-    """Sums over the processes, from the first report of the measured time to the last."""
-    held = [found[-1] for found in told if found]
-    needed = min(
-        MIN_SUBSET_SIZE, played.backends
-    )  # an ingress keeps its part of a long list, and must have so many
-    unheld = max((1 - min(1.0, r.least_entries / needed) for r in held), default=1.0)
-    figures: Figures = {
-        "unheld_share": unheld,
-        "held_entries": sum(r.entries for r in held) / played.ingresses,
-        "whole_lists_given": float(whole_lists),
-    }
-    names = [
-        "ready_s",
-        "held_mb",
-        "peak_mb",
-        "rss_mb",
-        "control_cpu_percent",
-        "control_bytes_per_s",
-        "decision_us",
-        "counter_calls_per_s",
-        "refused_share",
-    ] + ["told_ms"] * (played.changes_per_s > 0)
-    spans = [(found[0], found[-1]) for found in told if len(found) > 1]
-    if len(spans) < len(told) or any(last.ready_s is None for _, last in spans):
-        return figures | dict.fromkeys(names)
-    count = played.ingresses
-    wall = sum(last.at_s - first.at_s for first, last in spans) / len(spans)
-
-    def rise(name: str) -> float:
-        return float(sum(getattr(last, name) - getattr(first, name) for first, last in spans))
-
-    arrived, changes = rise("arrived"), rise("changes")
-    return figures | {
-        "ready_s": max(last.ready_s or 0.0 for _, last in spans),
-        "held_mb": sum(last.rss_mb - last.base_mb for _, last in spans) / count,
-        "peak_mb": sum(last.peak_mb - last.base_mb for _, last in spans) / count,
-        "rss_mb": sum(last.rss_mb for _, last in spans),
-        "control_cpu_percent": 100 * (rise("cpu_s") - rise("decision_cpu_s")) / wall / count,
-        "control_bytes_per_s": (rise("discovery_bytes") + rise("counter_bytes")) / wall / count,
-        "decision_us": 1e6 * rise("decision_cpu_s") / arrived if arrived else None,
-        "counter_calls_per_s": rise("counter_calls") / wall / count,
-        "refused_share": rise("refused") / arrived if arrived else None,
-        **({"told_ms": max(r.told_ms for found in told for r in found[1:])} if changes else {}),
-    }
+async def _start_processes(
+    processes: ProcessGroup, template: SyntheticSpec, ingresses: int
+) -> list[ChildProcess]:
+    """Start as many processes as these ingresses need."""
+    children = []
+    for first_index in range(0, ingresses, INGRESSES_PER_PROCESS):
+        spec = msgspec.structs.replace(
+            template,
+            ingresses=min(INGRESSES_PER_PROCESS, ingresses - first_index),
+            first_index=first_index,
+        )
+        first_input = msgspec.json.encode(spec) + b"\n"
+        children.append(
+            await processes.start("fleetlab.synthetic_process", first_input=first_input)
+        )
+    return children
+
+
+async def _wait_until_ready(fleet: _Fleet) -> None:
+    """Wait until all ingresses are ready, a process has ended or the time is up."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + READY_TIMEOUT_S
+    while loop.time() < end and not fleet.ready and fleet.running:
+        check_memory(fleet.processes.pids)
+        await asyncio.sleep(READY_POLL_S)
+
+
+async def _restart_backends(fleet: _Fleet, per_s: float, seed: int) -> None:
+    """Let backends start anew, one at a time; the time is in the entry, so its delay is seen."""
+    loop = asyncio.get_running_loop()
+    random = Random(seed)
+    due_at = loop.time()
+    while True:
+        due_at += 1 / per_s
+        await asyncio.sleep(due_at - loop.time())
+        started_ms = round(time.time() * 1000, 1)
+        fleet.discovery.change([random.randrange(DEFAULT_BACKENDS)], boot_ms=started_ms)
+
+
+async def _measure(fleet: _Fleet, point: Point, seconds: float) -> Measurement:
+    loop = asyncio.get_running_loop()
+    counts_before = [len(reports) for reports in fleet.reports()]
+    full_lists_before = fleet.discovery.full_lists
+    end = loop.time() + seconds + REPORT_MARGIN_S
+    while loop.time() < end:
+        check_memory(fleet.processes.pids)
+        await asyncio.sleep(min(MEASURE_POLL_S, seconds))
+    return Measurement(
+        ingresses=point.ingresses,
+        backends=point.backends,
+        changes_expected=point.changes_per_s > 0,
+        reports=[
+            reports[max(0, count - 1) :]
+            for reports, count in zip(fleet.reports(), counts_before, strict=True)
+        ],
+        full_lists=fleet.discovery.full_lists - full_lists_before,
+    )
--- /dev/null
+++ b/fleetlab/sweep_figures.py
@@ -0,0 +1,107 @@
+"""The figures of one point of a sweep, from the reports of its processes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from fleetlab.results import Figures
+from fleetlab.synthetic_messages import SyntheticReport
+from sumacpost.policy.subsetting import MIN_SUBSET_SIZE
+
+_FIGURES_WHEN_READY = (
+    "ready_s",
+    "held_mb",
+    "peak_mb",
+    "rss_mb",
+    "control_cpu_percent",
+    "control_bytes_per_s",
+    "decision_us",
+    "counter_calls_per_s",
+    "refused_share",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """What was seen of one point in the measured time."""
+
+    ingresses: int
+    backends: int
+    changes_expected: bool
+    reports: Sequence[Sequence[SyntheticReport]]  # of each process, from the last one before it on
+    full_lists: int  # that discovery has sent
+
+
+@dataclass(frozen=True, slots=True)
+class _Span:
+    """The first and the last report of a process in the measured time."""
+
+    first: SyntheticReport
+    last: SyntheticReport
+
+    @property
+    def wall_s(self) -> float:
+        return self.last.at_s - self.first.at_s
+
+    def rise(self, field: str) -> float:
+        """Return by how much a sum has risen."""
+        rise: float = getattr(self.last, field) - getattr(self.first, field)
+        return rise
+
+
+def compute_figures(measurement: Measurement) -> Figures:
+    """Return sums over the processes, by ingress where their name doesn't say otherwise.
+
+    Figures that need every ingress to be ready and to have reported twice are None without that.
+    """
+    figures = _list_figures(measurement)
+    spans = [_Span(reports[0], reports[-1]) for reports in measurement.reports if len(reports) > 1]
+    all_reported = len(spans) == len(measurement.reports)
+    if not all_reported or any(span.last.ready_s is None for span in spans):
+        names = list(_FIGURES_WHEN_READY)
+        if measurement.changes_expected:
+            names.append("told_ms")
+        return figures | dict.fromkeys(names)
+    figures |= _cost_figures(spans, measurement.ingresses)
+    if _rise(spans, "changes"):
+        figures["told_ms"] = max(
+            report.max_notification_ms for reports in measurement.reports for report in reports[1:]
+        )
+    return figures
+
+
+def _list_figures(measurement: Measurement) -> Figures:
+    last_reports = [reports[-1] for reports in measurement.reports if reports]
+    # An ingress keeps its part of a long list only, but must hold as many backends as a subset has.
+    needed = min(MIN_SUBSET_SIZE, measurement.backends)
+    unheld = max(
+        (1 - min(1.0, report.min_entries / needed) for report in last_reports), default=1.0
+    )
+    return {
+        "unheld_share": unheld,
+        "held_entries": sum(report.entries for report in last_reports) / measurement.ingresses,
+        "whole_lists_given": float(measurement.full_lists),
+    }
+
+
+def _cost_figures(spans: Sequence[_Span], ingresses: int) -> Figures:
+    wall_s = sum(span.wall_s for span in spans) / len(spans)
+    arrived = _rise(spans, "arrived")
+    control_cpu_s = _rise(spans, "cpu_s") - _rise(spans, "decision_cpu_s")
+    control_bytes = _rise(spans, "discovery_bytes") + _rise(spans, "counter_bytes")
+    return {
+        "ready_s": max(span.last.ready_s or 0.0 for span in spans),
+        "held_mb": sum(span.last.rss_mb - span.last.base_mb for span in spans) / ingresses,
+        "peak_mb": sum(span.last.peak_mb - span.last.base_mb for span in spans) / ingresses,
+        "rss_mb": sum(span.last.rss_mb for span in spans),
+        "control_cpu_percent": 100 * control_cpu_s / wall_s / ingresses,
+        "control_bytes_per_s": control_bytes / wall_s / ingresses,
+        "decision_us": 1e6 * _rise(spans, "decision_cpu_s") / arrived if arrived else None,
+        "counter_calls_per_s": _rise(spans, "counter_calls") / wall_s / ingresses,
+        "refused_share": _rise(spans, "rejected") / arrived if arrived else None,
+    }
+
+
+def _rise(spans: Sequence[_Span], field: str) -> float:
+    return float(sum(span.rise(field) for span in spans))
--- /dev/null
+++ b/tests/fleetlab/test_plan.py
@@ -0,0 +1,33 @@
+"""The tables of the plan, and what the program may know of the lab."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+
+from fleetlab.plan import DEFAULT_POINTS, MAX_POINTS, PLAN_SIZES
+from fleetlab.site import config_text
+from fleetlab.sweep import point_of
+from sumacpost.config import read_config
+from tests.fleetlab.support import UNUSED_ENDPOINTS
+from tests.support.paths import ROOT
+
+
+@pytest.mark.parametrize("axis", DEFAULT_POINTS)
+def test_every_axis_has_points_and_makes_a_configuration_that_can_be_used(axis: str) -> None:
+    points = DEFAULT_POINTS[axis]
+    assert len(points) >= 4
+    assert max(points) <= MAX_POINTS[axis]
+    assert axis in PLAN_SIZES
+    point = point_of(axis, points[0])
+    config = read_config(
+        config_text(index=0, gateways=9, discovery=UNUSED_ENDPOINTS[0], classes=point.classes)
+    )
+    assert len(config.settings.classes) == point.classes
+
+
+def test_the_ingress_does_not_know_of_its_lab() -> None:
+    """Nothing in the program that serves needs the lab or its libraries."""
+    for path in ROOT.glob("sumacpost/**/*.py"):
+        assert not re.search(r"fleetlab|numpy|msgspec|hdrh|click|\brich\b", path.read_text()), path
--- /dev/null
+++ b/tests/fleetlab/test_synthetic_ingress.py
@@ -0,0 +1,45 @@
+"""Synthetic ingresses that share a process."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+from fleetlab.site import endpoint_entries
+from fleetlab.synthetic_ingress import SyntheticIngress
+from fleetlab.synthetic_messages import SyntheticSpec
+from fleetlab.synthetic_process import read_configs
+from sumacpost.discovery.endpoint_list import EndpointListReader
+from sumacpost.model import EndpointListUpdate, EndpointStatus, UpdateKind
+from tests.fleetlab.support import UNUSED_ENDPOINTS
+from tests.support.event_loop import run
+
+
+def test_ingresses_of_one_process_have_separate_state() -> None:
+    """Neither a list nor a quota nor a count is taken from a neighbour."""
+
+    async def scenario() -> None:
+        spec = SyntheticSpec(
+            ingresses=2, gateways=6, discovery=UNUSED_ENDPOINTS[0], burst=6.0, seed=1
+        )
+        one, other = (SyntheticIngress(config) for config in read_configs(spec))
+        full_list = {"rev": 4, "all": True, "targets": endpoint_entries(9, UNUSED_ENDPOINTS)}
+        update, addresses = EndpointListReader("abc", ()).read(json.dumps(full_list).encode())
+        one.update_endpoints(update, addresses)
+        assert (len(one.addresses), one.version) == (9, 4)
+        assert (len(other.addresses), other.version) == (0, 0)
+
+        for _ in range(4):
+            one.arrive(5, 0)
+        # The quota of one ingress out of three that a customer's requests come to.
+        assert (one.counts.sent, one.counts.rejected) == (2, 2)
+        other.update_endpoints(update, addresses)
+        other.arrive(5, 0)
+        counts = other.counts
+        assert (counts.arrived, counts.sent, counts.rejected) == (1, 1, 0)
+
+        gone = [replace(entry, state=EndpointStatus.GONE) for entry in update.entries[1:]]
+        one.update_endpoints(EndpointListUpdate(UpdateKind.CHANGES, gone, 5), {})
+        assert (len(one.addresses), len(other.addresses)) == (1, 9)
+
+    run(scenario())
