--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -16,8 +16,9 @@
 
 import pytest
 
-from sumacpost.server.listener import MAX_PIPELINED
-from sumacpost.upstream.pool import REST_S, BackendConnection, ConnectionPool
+from sumacpost.server.connection import MAX_PIPELINED
+from sumacpost.upstream.connection import BackendConnection
+from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.event_loop import run, until
@@ -60,7 +61,7 @@
             for writer in backend.writers:
                 writer.write(OK)
         await until(lambda: [len(p.idle) for p in pools(w)] == [each] * backends)
-        await asyncio.sleep(2 * REST_S)
+        await asyncio.sleep(2 * REUSE_DELAY_S)
         yield w
 
 
@@ -87,14 +88,16 @@
     if how == "stays":
         await until(lambda: len(attempts(w)) == before + 1)
         return
-    await until(lambda: not any(c.request.id == b"%016x" % NUMBER for c in ingress._calls.values()))
+    await until(
+        lambda: not any(c.request.id == b"%016x" % NUMBER for c in ingress._pending.values())
+    )
     for backend in w.backends:
         backend.script = answer()
     assert (await w.ask(ask(number=900)))[
         0
     ] == 200  # whatever was written before it has come by now
     assert len(attempts(w)) == before
-    assert NUMBER not in [int(c.request.id, 16) for c in ingress._calls.values()]
+    assert NUMBER not in [int(c.request.id, 16) for c in ingress._pending.values()]
 
 
 # ---- waiting for the counter
@@ -103,14 +106,14 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("event", ["it grants", "it is lost"])
-def test_what_the_counter_lets_go_is_not_sent_for_a_client_that_left_in_that_turn(
+def test_counter_reply_starts_no_attempt_for_a_client_that_left_in_that_turn(
     how: str, gone_first: bool, event: str
 ) -> None:
     run(_counter(how, gone_first, event))
 
 
 @each_way_to_go
-def test_a_counter_that_falls_silent_lets_nothing_go_for_a_client_that_left(how: str) -> None:
+def test_counter_timeout_starts_no_attempt_for_a_client_that_left(how: str) -> None:
     """Its time-out is a timer: in a late turn of the loop it comes before any socket is looked at."""
     run(_counter(how, True, "it is silent"))
 
@@ -142,7 +145,11 @@
                 Quota_Info="units=6,spread=3,first=0",
             )
         )
-        await until(lambda: any(call for asked in gateway.counts.values() for *_, call in asked))
+        await until(
+            lambda: any(
+                call.request for calls in gateway.quota_sync.unanswered.values() for call in calls
+            )
+        )
         await until(lambda: len(w.counter.requests) > calls)
         assert not attempts(w)
         writer = w.counter.writers[0]
@@ -162,7 +169,7 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("event", ["turned away", "spoilt", "ended"])
-def test_no_further_attempt_follows_one_that_fails_as_its_client_leaves(
+def test_no_retry_follows_an_attempt_that_fails_as_its_client_leaves(
     how: str, gone_first: bool, event: str
 ) -> None:
     async def test() -> None:
@@ -190,13 +197,14 @@
 def until_overdue(w: Any) -> float:
     """How long until the attempt that is out is overdue, and a little."""
     ingress = w.service._ingress
-    (due,) = [due for b in ingress._gateway.backends.values() for *_, due in b.out.values()]
+    backends = ingress._gateway.endpoints.backends.values()
+    (due,) = [sent.overdue_at for b in backends for sent in b.in_flight.values()]
     return (due - ingress._clock.now()) / 1000 + 0.05
 
 
 @each_way_to_go
 @pytest.mark.parametrize("late", [True, False])
-def test_no_second_copy_follows_for_a_client_that_left_before_its_timer(
+def test_no_hedged_request_follows_for_a_client_that_left_before_its_timer(
     how: str, late: bool
 ) -> None:
     """In a late turn of the loop timers come before any socket is looked at."""
@@ -250,7 +258,7 @@
 @each_way_to_go
 @pytest.mark.parametrize("moment", ["connected", "ready"])
 @pytest.mark.parametrize("which", ["first", "further", "second copy"])
-def test_a_connection_that_comes_up_as_its_client_leaves_carries_no_attempt(
+def test_connection_opened_as_its_client_leaves_carries_no_attempt(
     how: str, moment: str, which: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A connection dialled is no attempt: that begins with its bytes, a turn of the loop or two later."""
@@ -286,7 +294,7 @@
 @each_way_to_go
 @either_order
 @pytest.mark.parametrize("behind", [b"", ask(number=501), ask(number=501)[:40]])
-def test_what_stands_behind_others_is_not_sent_as_they_are_answered_and_its_client_leaves(
+def test_unread_request_is_not_forwarded_if_its_client_leaves_as_a_response_goes_out(
     how: str, gone_first: bool, behind: bytes
 ) -> None:
     """More that the client sent may stand unread before its end."""
@@ -299,11 +307,11 @@
                 await until(lambda n=number: len(attempts(w, n)) == 1)
             server = w.service._server
             client.write(ask("vat-filing"))
-            await until(lambda: any(c._held for c in server._clients))
+            await until(lambda: any(c._unread for c in server.connections.open))
             (first,) = attempts(w, 100)
             client.write(behind)
             meet(client, how, lambda: write_now(first.writers[-1], OK), gone_first)
-            await asyncio.sleep(2 * REST_S)  # a connection that it could have
+            await asyncio.sleep(2 * REUSE_DELAY_S)  # a connection that it could have
             await expect(w, how, 0)
 
     run(test())
@@ -312,14 +320,14 @@
 @each_way_to_go
 @pytest.mark.parametrize("where", ["unread", "at the door"])
 @pytest.mark.parametrize("behind", [b"", ask(number=501), ask(number=501)[:40]])
-def test_what_came_and_was_not_read_before_its_client_left_is_not_sent(
+def test_request_unread_when_its_client_left_is_not_forwarded(
     how: str, where: str, behind: bytes
 ) -> None:
     async def test() -> None:
         async with warm() as w:
             client = HeldClient(w.address) if where == "unread" else None
             if client is not None:
-                await until(lambda: len(w.service._server._clients) == 3)
+                await until(lambda: len(w.service._server.connections.open) == 3)
             client = client or HeldClient(w.address)
             client.write(ask() + behind)
             meet(client, how, lambda: None, True)
@@ -328,7 +336,7 @@
                     how == "stays"
                     or not any(
                         c._sock.fileno() >= 0 and c.has_disconnected()
-                        for c in w.service._server._clients
+                        for c in w.service._server.connections.open
                     )
                 )
             )
@@ -338,7 +346,7 @@
 
 
 @each_way_to_go
-def test_unread_bytes_before_its_end_do_not_hide_that_a_client_left(how: str) -> None:
+def test_unread_bytes_do_not_hide_that_a_client_left(how: str) -> None:
     """A further request of the client stands unread before its end, so that a peek would show no end."""
 
     async def test() -> None:
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -16,7 +16,7 @@
 from tests.support.peers import answer, silence
 
 
-def test_a_drain_takes_what_comes_finishes_what_was_taken_and_closes_the_rest() -> None:
+def test_drain_accepts_and_finishes_requests_and_closes_idle_connections() -> None:
     async def test() -> None:
         async with world(silence) as w:
             idle, busy = await w.client(), await w.client()
@@ -43,7 +43,7 @@
     run(test())
 
 
-def test_a_drain_does_not_wait_for_a_request_that_never_ends() -> None:
+def test_drain_does_not_wait_for_an_incomplete_request() -> None:
     async def test() -> None:
         async with world(answer()) as w:
             client = await w.client()
@@ -56,7 +56,7 @@
     run(test())
 
 
-def test_answers_owed_on_one_connection_all_come_though_service_ends_between_them() -> None:
+def test_pipelined_responses_are_all_sent_though_the_drain_starts_between_them() -> None:
     async def test() -> None:
         async with world(silence, silence) as w:
             client = await w.client()
@@ -64,7 +64,7 @@
                 client.writer.write(request("vat-filing", number, Request_Timeout=SILENT))
                 await until(lambda n=number: sent(w) == n + 1)
             w.stop.set()
-            await until(lambda: w.service._server.draining)
+            await until(lambda: w.service._server.handler.draining)
             for backend in w.backends:
                 backend.writers[0].write(OK)
             first, second = await client.answer(), await client.answer()
@@ -76,21 +76,21 @@
     run(test())
 
 
-def test_what_comes_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
+def test_request_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
     """SIGKILL comes the longest deadline and 0.7 s after SIGTERM, a request up to a second after it."""
 
     async def test() -> None:
         async with world(silence) as w:
             w.stop.set()
-            await until(lambda: w.service._server.draining)
+            await until(lambda: w.service._server.handler.draining)
             late = await w.client()
             late.writer.write(request("ledger-read", Request_Timeout=SILENT))
             await until(lambda: sent(w) == 1)
-            (call,) = w.service._ingress._calls.values()
+            (call,) = w.service._ingress._pending.values()
             longest = max(c["hard_limit"] for c in SETTINGS["categories"])
             assert (
                 call.deadline
-                <= w.service._ingress._answer_by
+                <= w.service._ingress._drain_deadline
                 < w.service._ingress._clock.now() + longest + 700
             )
             told = float(
@@ -104,13 +104,13 @@
     run(test())
 
 
-def test_who_stands_at_the_door_as_it_closes_gets_an_answer(
+def test_connection_in_the_listen_queue_is_accepted_before_the_listener_closes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """All eight places are taken: the listener was closed, and the ninth was reset with its request."""
-    for name in ("DRAIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MOST_S"):
-        monkeypatch.setattr(f"sumacpost.server.listener.{name}", 0.05)
-    monkeypatch.setattr("sumacpost.server.listener.DRAIN_DOOR_S", 1000.0)
+    for name in ("DRAIN_MIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MAX_ACCEPT_S"):
+        monkeypatch.setattr(f"sumacpost.server.drain.{name}", 0.05)
+    monkeypatch.setattr("sumacpost.server.drain.DRAIN_MAX_BACKLOG_S", 1000.0)
 
     async def test() -> None:
         async with world(*[silence] * 8, sockets=64) as w:
@@ -121,7 +121,7 @@
                 await until(lambda n=number: sent(w) == n + 1)
             late = await w.client()
             late.writer.write(request("vat-filing", 50, Request_Timeout=SILENT))
-            await until(lambda: not w.service._server._accepting)
+            await until(lambda: not w.service._server.listener.accepting)
             w.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
             for backend in w.backends:
@@ -134,7 +134,7 @@
 
 
 @pytest.mark.parametrize("error", [errno.EMFILE, errno.EPROTO, errno.EPERM])
-def test_an_accept_that_fails_ends_nothing(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_failing_accept_does_not_end_a_drain(error: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """One in the drain would have ended the process, with all that it had taken."""
 
     async def test() -> None:
@@ -142,7 +142,7 @@
             client = await w.client()
             client.writer.write(request("vat-filing", Request_Timeout=SILENT))
             await until(lambda: sent(w) == 1)
-            listener = w.service._server._listener
+            listener = w.service._server.listener._socket
 
             class Failing:
                 def accept(self) -> Any:
@@ -151,7 +151,7 @@
                 def __getattr__(self, name: str) -> Any:
                     return getattr(listener, name)
 
-            w.service._server._listener = Failing()
+            w.service._server.listener._socket = Failing()
             w.stop.set()
             await asyncio.sleep(0.5)  # the door would be closed by now
             w.backends[0].writers[0].write(OK)
@@ -162,7 +162,7 @@
 
 
 @pytest.mark.parametrize("end_first", [True, False])
-def test_a_request_that_crosses_the_close_of_its_connection_is_answered_or_never_read(
+def test_request_crossing_the_close_of_its_connection_is_answered_or_never_read(
     end_first: bool,
 ) -> None:
     """The client sends what was not read once more, elsewhere; what was read has its answer."""
@@ -187,7 +187,7 @@
     run(test())
 
 
-def test_the_end_does_not_wait_for_calls_of_the_counter_that_are_out() -> None:
+def test_drain_does_not_wait_for_outstanding_counter_calls() -> None:
     async def test() -> None:
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
         async with world(
