--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -11,10 +11,16 @@
 from typing import Any
 
 from sumacpost.config import read_config
+from sumacpost.counter.client import CounterClient
+from sumacpost.ingress import Ingress
+from sumacpost.policy.gateway import Gateway
+from sumacpost.server.server import Server
 from sumacpost.service import Service, serve
+from sumacpost.upstream.pool_manager import PoolManager
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import endpoint_entry
+from tests.support.event_loop import until
 from tests.support.http_client import Client, Response
 from tests.support.peers import Peer, Script, never_respond
 
@@ -42,6 +48,36 @@
         """How many requests the backends have received altogether."""
         return sum(len(backend.requests) for backend in self.backends)
 
+    @property
+    def server(self) -> Server:
+        """The side of the clients."""
+        return self.service._server
+
+    @property
+    def bridge(self) -> Ingress:
+        """What connects sockets and gateway."""
+        return self.service._ingress
+
+    @property
+    def gateway(self) -> Gateway:
+        """The decisions."""
+        return self.bridge._gateway
+
+    @property
+    def pool_manager(self) -> PoolManager:
+        """The side of the backends."""
+        return self.bridge.backends
+
+    @property
+    def counter_client(self) -> CounterClient:
+        """The client of the counter, where there is one."""
+        assert self.bridge.counter is not None
+        return self.bridge.counter
+
+    async def wait_for_requests(self, count: int) -> None:
+        """Wait until the backends have received so many requests."""
+        await until(lambda: self.requests_received == count)
+
     async def client(self) -> Client:
         """Connect a client, to be closed at the end."""
         reader, writer = await asyncio.open_connection(*self.address)
