Take the options of a real run as one typed group

The command passed nine arguments on one by one, and the counting event loop took options of any kind that nobody gives; both would need an exception from the linter.

--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import astuple, fields
 from pathlib import Path
+from typing import TypedDict, Unpack
 
 import click
 from rich.console import Console
@@ -89,6 +90,18 @@
         )
 
 
+class _RealOptions(TypedDict):
+    """Options of `real` that are fields of a RealRun."""
+
+    backends: int
+    seconds: float
+    known: int
+    index: int
+    rate: float
+    changes_per_s: float
+    seed: int
+
+
 @cli.command()
 @OUT
 @click.option(
@@ -121,34 +134,16 @@
 )
 @click.option(
     "--changes",
+    "changes_per_s",
     default=1.0,
     type=click.FloatRange(0, MAX_CHANGES_PER_S),
     help="Changes of the list, a second.",
 )
 @SEED
-def real(  # noqa: PLR0913, PLR0917 - click passes one argument for each option
-    out: Path,
-    backends: int,
-    mode: str,
-    seconds: float,
-    known: int,
-    index: int,
-    rate: float,
-    changes: float,
-    seed: int,
-) -> None:
+def real(out: Path, mode: str, **options: Unpack[_RealOptions]) -> None:
     """Play one real ingress before stand-in servers, and measure it from outside."""
     out.mkdir(parents=True, exist_ok=True)
-    run = RealRun(
-        backends=backends,
-        mode=ResponseMode(mode),
-        seconds=seconds,
-        seed=seed,
-        index=index,
-        known=known,
-        rate=rate,
-        changes_per_s=changes,
-    )
+    run = RealRun(mode=ResponseMode(mode), **options)
     note = ""
     figures: Figures = {}
     try:
@@ -157,13 +152,15 @@
         note = str(error) or "the ingress did not serve in time"
     else:
         if figures["ready_s"] is None:
-            note = f"never ready within {seconds:g} s"
+            note = f"never ready within {run.seconds:g} s"
     axis = "real" if run.mode is ResponseMode.GOOD else f"real-{mode}"
-    result = Result("real", axis, backends, seed, figures, this_commit(), this_machine(), note)
-    append(out / f"{axis}.jsonl", result)
+    append(
+        out / f"{axis}.jsonl",
+        Result("real", axis, run.backends, run.seed, figures, this_commit(), this_machine(), note),
+    )
     if note:
         Console(stderr=True).print(note, highlight=False, soft_wrap=True)
-    table = Table("figure", "value", title=f"one ingress, {backends} backends listed, {mode}")
+    table = Table("figure", "value", title=f"one ingress, {run.backends} backends listed, {mode}")
     for name, value in figures.items():
         table.add_row(name, "-" if value is None else f"{value:,.3f}")
     Console().print(table)
--- a/fleetlab/counting_loop.py
+++ b/fleetlab/counting_loop.py
@@ -48,15 +48,17 @@
         protocol_factory: Callable[[], asyncio.Protocol],
         host: str,
         port: int,
-        **options: Any,  # noqa: ANN401 - those of the event loop, passed on
     ) -> tuple[Any, asyncio.Protocol]:  # the transport is of a type of uvloop's own
-        """Connect as the event loop does; every byte received is counted."""
+        """Connect to a host and port; every byte received is counted.
+
+        Other options of the event loop's method are not supported.
+        """
 
         def count(size: int) -> None:
             self.received[port] = self.received.get(port, 0) + size
 
         inner = protocol_factory()
         transport, _ = await super().create_connection(
-            lambda: _CountingProtocol(inner, count), host, port, **options
+            lambda: _CountingProtocol(inner, count), host, port
         )
         return transport, inner
