Let synthetic ingresses connect over a socket of their own again

The watch of discovery makes its socket itself after unreadable lists, and the counting event loop had just lost the options it needs for that: such a watch would have ended with a TypeError and started anew without end. No test covered it; there is one now.

--- a/fleetlab/counting_loop.py
+++ b/fleetlab/counting_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -41,24 +42,29 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.received: dict[int, int] = {}
+        self.received: dict[int | None, int] = {}
 
     async def create_connection(  # type: ignore[override]
         self,
         protocol_factory: Callable[[], asyncio.Protocol],
-        host: str,
-        port: int,
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: socket.socket | None = None,
     ) -> tuple[Any, asyncio.Protocol]:  # the transport is of a type of uvloop's own
-        """Connect to a host and port; every byte received is counted.
+        """Connect to a host and port, or use a connected socket; every byte received is counted.
 
-        Other options of the event loop's method are not supported.
+        Bytes from a given socket are counted under None. Other options of the event loop's method
+        are not supported.
         """
 
         def count(size: int) -> None:
             self.received[port] = self.received.get(port, 0) + size
 
         inner = protocol_factory()
+        # Any, as uvloop's overloads are for an address or a socket, but not for either.
+        where: dict[str, Any] = {"host": host, "port": port, "sock": sock}
         transport, _ = await super().create_connection(
-            lambda: _CountingProtocol(inner, count), host, port
+            lambda: _CountingProtocol(inner, count), **where
         )
         return transport, inner
