--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -51,7 +51,7 @@
 
 @click.group(no_args_is_help=False)
 def cli() -> None:
-    """A scale run: play sizes, fit slopes, and say what they mean at the plan's size."""
+    """Measure ingresses at many sizes, fit slopes, and extrapolate them to the plan's size."""
 
 
 @cli.command()
@@ -69,7 +69,7 @@
 def sweep(
     out: Path, axes: tuple[str, ...], points: tuple[int, ...], seconds: float, seed: int
 ) -> None:
-    """Play a grid of sizes with synthetic ingresses; each result is written at once."""
+    """Measure a grid of sizes with synthetic ingresses; each result is written at once."""
     grid = make_grid(axes, points)
     out.mkdir(parents=True, exist_ok=True)
     commit = this_commit()
@@ -79,7 +79,7 @@
         note = ""
         figures: Figures = {}
         try:
-            figures = run_interruptible(sweep_points.play(point.axis, point.size, seconds, seed))
+            figures = run_interruptible(sweep_points.measure(point.axis, point.size, seconds, seed))
         except MemoryLimitError as error:
             note = str(error)
         result = Result("sweep", point.axis, point.size, seed, figures, commit, machine, note)
@@ -141,13 +141,13 @@
 )
 @SEED
 def real(out: Path, mode: str, **options: Unpack[_RealOptions]) -> None:
-    """Play one real ingress before stand-in servers, and measure it from outside."""
+    """Run one real ingress before stand-in servers, and measure it from outside."""
     out.mkdir(parents=True, exist_ok=True)
     run = RealRun(mode=ResponseMode(mode), **options)
     note = ""
     figures: Figures = {}
     try:
-        figures = run_interruptible(real_ingress.compare(run))
+        figures = run_interruptible(real_ingress.measure_with_baseline(run))
     except (MemoryLimitError, RuntimeError, TimeoutError) as error:
         note = str(error) or "the ingress did not serve in time"
     else:
--- a/fleetlab/command_options.py
+++ b/fleetlab/command_options.py
@@ -66,7 +66,7 @@
 
 
 def make_grid(axes: Sequence[str], points: Sequence[int]) -> list[GridPoint]:
-    """Return the points of a sweep; without axes all are played, without points the default."""
+    """Return the points of a sweep; all axes if none is named, and the default points."""
     if points and len(axes) != 1:
         raise click.UsageError("--points needs one --axis")
     grid = [
--- a/fleetlab/plan.py
+++ b/fleetlab/plan.py
@@ -1,4 +1,4 @@
-"""The size to design for: each axis's size in the plan, each figure's limit, and what is played."""
+"""The size to design for: each axis's size in the plan, limits of figures, points to measure."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 # A machine that fails or is replaced changes the list twice: it goes and it comes.
 CHANGES_PER_DAY = CONFIG_CHANGES_PER_DAY + 2 * (MACHINES_FAILED_PER_DAY + MACHINES_REPLACED_PER_DAY)
 
-# The plan's size on each axis. One ingress that meets every tenant and knows every route is the
+# The plan's size on each axis. One ingress that serves every tenant and every route is the
 # worst case.
 PLAN_SIZES: dict[str, float] = {
     "backends": BACKENDS,
@@ -49,7 +49,7 @@
     "added_p99_ms": ADDED_MS,
 }
 
-# The points that a sweep plays on each axis unless others are named.
+# The points that a sweep measures on each axis unless others are named.
 DEFAULT_POINTS: dict[str, tuple[int, ...]] = {
     "backends": (200, 2_000, 10_000, 27_000, BACKENDS),
     "ingresses": (10, 20, 40, 80, 160),
@@ -59,7 +59,7 @@
     "counter": (25, 50, 100, 200, 400),
 }
 
-# The largest point that is played, so that a typing error doesn't exhaust the machine.
+# The largest point that is allowed, so that a typing error doesn't exhaust the machine.
 MAX_POINTS: dict[str, int] = {
     "backends": 200_000,
     "ingresses": 4_000,
--- a/fleetlab/real.py
+++ b/fleetlab/real.py
@@ -15,7 +15,7 @@
 BASELINE_MAX_SECONDS = 3.0
 
 
-async def play(run: RealRun) -> Figures:
+async def measure(run: RealRun) -> Figures:
     """Return the figures of one ingress.
 
     A figure is None if it could not be measured. Where the ingress is never ready, only memory,
@@ -34,10 +34,10 @@
             await session.end()
 
 
-async def compare(run: RealRun) -> Figures:
+async def measure_with_baseline(run: RealRun) -> Figures:
     """Return the figures of a run and, as peak_over_200_mb, what the long list adds to peak memory.
 
-    That is compared with a run with 200 listed backends, which is played first.
+    That is compared with a run with 200 listed backends, which is made first.
     """
     baseline_run = replace(
         run,
@@ -45,8 +45,8 @@
         mode=ResponseMode.GOOD,
         seconds=min(run.seconds, BASELINE_MAX_SECONDS),
     )
-    baseline = await play(baseline_run)
-    figures = await play(run)
+    baseline = await measure(baseline_run)
+    figures = await measure(run)
     peak = figures.get("peak_rss_mb")
     baseline_peak = baseline.get("peak_rss_mb")
     figures["peak_over_200_mb"] = None
--- a/fleetlab/real_environment.py
+++ b/fleetlab/real_environment.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RealRun:
-    """What one run plays."""
+    """The parameters of one run."""
 
     backends: int  # listed by discovery
     mode: ResponseMode = ResponseMode.GOOD
--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -53,7 +53,7 @@
     """Return a slope for each figure of each axis with at least two different measured sizes.
 
     A figure has missed its limit if a point measured up to the plan's size is beyond it. Otherwise
-    a verdict needs a limit, four points, a measured value at each point played up to that size,
+    a verdict needs a limit, four points, a measured value at each point up to that size,
     and a limit further from the line than the worst residual. A line that falls promises no less
     than the greatest value measured up to that size.
     """
--- a/fleetlab/sweep.py
+++ b/fleetlab/sweep.py
@@ -21,7 +21,7 @@
 from fleetlab.sweep_figures import Measurement, compute_figures
 from fleetlab.synthetic_messages import SyntheticReport, SyntheticSpec
 
-READY_TIMEOUT_S = 30.0  # until all hold a list and have met their customers
+READY_TIMEOUT_S = 30.0  # until all hold a list and have served their preloaded customers
 READY_POLL_S = 0.1
 MEASURE_POLL_S = 0.5
 REPORT_MARGIN_S = 1.5  # longer than the time between reports
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Point:
-    """What one point of a sweep plays."""
+    """The sizes and rates of one point of a sweep."""
 
     ingresses: int = 1
     backends: int = DEFAULT_BACKENDS
@@ -121,7 +121,7 @@
     return bool(reports) and reports[-1].ready_s is not None
 
 
-async def play(axis: str, size: int, seconds: float, seed: int) -> Figures:
+async def measure(axis: str, size: int, seconds: float, seed: int) -> Figures:
     """Return the figures of one point, measured for so long once all ingresses hold the list.
 
     Per ingress: held_mb and peak_mb beyond an empty process, control_cpu_percent of a core (without
--- a/fleetlab/synthetic_ingress.py
+++ b/fleetlab/synthetic_ingress.py
@@ -35,7 +35,7 @@
 from sumacpost.policy.gateway import Gateway
 from sumacpost.supervisor import SupervisedTask
 
-ATTEMPT_MS = 1.0  # what every attempt takes, as the gateway is told
+ATTEMPT_MS = 1.0  # elapsed time that is reported for every attempt
 TIME_LEFT_MS = 2000.0  # of a request, at its arrival
 GATEWAY_SPREAD = 3  # ingresses that receive a customer's requests
 
--- a/fleetlab/synthetic_messages.py
+++ b/fleetlab/synthetic_messages.py
@@ -1,4 +1,4 @@
-"""What a process of synthetic ingresses is told and what it reports, each as one JSON line."""
+"""The specification of a process of synthetic ingresses and its reports, one JSON line each."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
     first_index: int = 0  # of the process's ingresses among the gateways
     rate: float = 20.0  # requests a second at each ingress
     customers: int = 1000
-    preloaded_customers: int = 0  # each ingress meets so many once before the load begins
+    preloaded_customers: int = 0  # each ingress serves so many once before the load
     classes: int = 3
     burst: float = 1000.0  # units, and units a second, of the plan
     seed: int = 0
@@ -26,7 +26,7 @@
     """Sums over all ingresses of a process since its start."""
 
     at_s: float  # since the start
-    ready_s: float | None  # when all held a list and had met their customers; None before
+    ready_s: float | None  # when all held a list and had preloaded customers; None before
     entries: int  # of endpoint lists
     min_entries: int  # at the ingress that holds fewest
     discovery_bytes: int
--- a/tests/fleetlab/test_real.py
+++ b/tests/fleetlab/test_real.py
@@ -18,7 +18,7 @@
 
 def test_a_real_ingress_serves_and_drains_a_port() -> None:
     run = RealRun(backends=20, seconds=0.5, seed=1, rate=50.0)
-    figures = asyncio.run(real.play(run))
+    figures = asyncio.run(real.measure(run))
     assert figures["served"]
     assert figures["refused"] is not None
     assert figures["unanswered"] is not None
@@ -30,7 +30,7 @@
 
 def test_an_unreadable_list_ends_in_figures_and_no_exception() -> None:
     run = RealRun(backends=20, mode=ResponseMode.NOT_A_LIST, seconds=0.5, seed=1, rate=50.0)
-    figures = asyncio.run(real.play(run))
+    figures = asyncio.run(real.measure(run))
     assert figures["ready_s"] is None
     assert "requests" not in figures
     assert figures["healthz_worst_ms"] is not None
