--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -17,7 +17,7 @@
 from sumacpost.server.request_reader import RequestMessage, RequestReader
 from sumacpost.server.response import PendingResponse
 
-# Responses owed on one connection, before further input is buffered unread.
+# Responses pending on one connection, before further input is buffered unread.
 MAX_PIPELINED = 8
 # Input buffered so, which is one more request of any size; beyond it the connection ends.
 MAX_UNREAD_BYTES = MAX_HEAD + MAX_BODY
@@ -29,7 +29,7 @@
     """Whether a connection still takes requests."""
 
     READING = auto()
-    CLOSING = auto()  # input is discarded; the connection ends after the responses owed
+    CLOSING = auto()  # input is discarded; the connection ends after the pending responses
 
 
 # Up to Python 3.11 each access to a member through its class costs a call.
@@ -73,7 +73,7 @@
         self._registry.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
-        """Buffer the input, and parse as much of it as the responses owed allow.
+        """Buffer the input, and parse as much of it as the pending responses allow.
 
         Reading from the socket is never paused: only its end tells that the client has left.
         """
@@ -96,18 +96,18 @@
         self.advance()
 
     def connection_lost(self, _exc: Exception | None) -> None:
-        """Cancel the requests whose responses are still owed."""
+        """Cancel the requests whose responses are still pending."""
         self._stop_reading()
         self._registry.connection_closed(self)
-        owed = self._pending_responses
+        unsent = self._pending_responses
         self._pending_responses = deque()
-        for response in owed:
+        for response in unsent:
             self._handler.cancel(response)
 
     # ---- requests and responses
 
     def advance(self) -> None:
-        """Write the responses that are due, and parse on as far as those still owed allow."""
+        """Write the responses that are due, and parse on as far as those still pending allow."""
         if self._parsing:
             return  # responses that are ready at once go out when the bytes have been parsed
         wrote = self._write_due_responses()
@@ -227,7 +227,7 @@
         self._transport.close()
 
     def evict(self) -> None:
-        """Close at once, as the place is needed: a client that does not read would hold it."""
+        """Close at once, as the place is needed: a client that reads nothing would keep it."""
         self._state = _CLOSING
         if self._transport.get_write_buffer_size():
             self._transport.abort()
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -27,7 +27,7 @@
 
 
 class ConnectionRegistry:
-    """The open client connections; each that owes no response is in one of the queues.
+    """The open client connections; each without a pending response is in one of the queues.
 
     waiting: no complete request has come yet, or the next has begun.
     idle: between requests.
@@ -84,7 +84,7 @@
     # ---- what a connection waits for
 
     def mark_busy(self, connection: ClientConnection) -> None:
-        """Note that responses are owed: the connection neither times out nor can be evicted."""
+        """Note that responses are pending: the connection neither times out nor can be evicted."""
         self.waiting.discard(connection)
         self.idle.discard(connection)
 
@@ -116,7 +116,7 @@
     # ---- eviction and time-outs
 
     def eviction_candidate(self) -> ClientConnection | None:
-        """Return the connection that is missed least, or None if all owe responses.
+        """Return the connection that is missed least, or None if all have pending responses.
 
         First those that have sent their last response, then those that have brought no request,
         then idle ones. A new connection has had no time to send its request, so it comes last
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -33,7 +33,7 @@
             response.send(error.status, error.reason.encode(), _PLAIN_TEXT)
 
     def cancel(self, response: PendingResponse) -> None:
-        """Cancel the request if its response is still owed: its client has gone."""
+        """Cancel the request if its response is still pending: its client has gone."""
         if response.head is None and response.request is not None:
             self._ingress.cancel_request(response.request)
 
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -1,11 +1,11 @@
-"""The response that a client's request is owed."""
+"""The pending response to a request of a client."""
 
 from __future__ import annotations
 
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from sumacpost.ingress import PendingRequest
+from sumacpost.ingress import Headers, PendingRequest
 
 if TYPE_CHECKING:
     from sumacpost.server.connection import ClientConnection
@@ -22,13 +22,11 @@
         self.connection = connection
         self.keep_alive = keep_alive  # the connection stays open after this response
         self.received_at = received_at  # monotonic seconds: when the request's last byte came
-        self.request: PendingRequest | None = None  # once the ingress has taken it
+        self.request: PendingRequest | None = None  # once the ingress has accepted it
         self.head: bytes | None = None  # without its Connection header and the empty line
         self.body = b""
 
-    def send(
-        self, status: int, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()
-    ) -> None:
+    def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
         """Send the final response once those before it on the connection are sent.
 
         Raise RuntimeError if there has been one.
