--- a/sumacpost/discovery/endpoint_list.py
+++ b/sumacpost/discovery/endpoint_list.py
@@ -106,7 +106,7 @@
     def result(self, cached: bool = False) -> EndpointList:
         """Return the list, once all of it has come; raise EndpointListError if it is none.
 
-        cached: it was kept by this ingress, rather than sent by discovery.
+        cached: it comes from this ingress's configuration, not from discovery.
         """
         try:
             targets = self._list_fields["targets"]
@@ -198,7 +198,7 @@
     def _choose_deduplication_peers(self) -> None:
         """Hold the same number of peers for each cell that the partition has a backend of.
 
-        Those of the last list are kept first.
+        Those that the last list gave come first.
         """
         cells: set[int] = set()
         peers_by_cell: dict[int, list[BackendId]] = {}
--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -38,8 +38,8 @@
 RESPONSE_TIMEOUT_S = 0.5
 RESPONSE_TIMEOUT_GRACE_FRACTION = 0.5
 MIN_RESPONSE_TIMEOUT_S = 0.1
-# Time for a whole response, extended by what it brings at the least rate: one that trickles without
-# end is given up in time for another poll within 6 s.
+# Time for a complete response, extended by what it brings at the least rate: one that trickles
+# without end is given up in time for another poll within 6 s.
 TRANSFER_TIMEOUT_S = 3.0
 MIN_TRANSFER_BYTES_PER_S = 256 * 1024
 # Read in one turn of the event loop: some thirty entries, a millisecond at most.
