--- /dev/null
+++ b/fleetlab/counting_loop.py
@@ -0,0 +1,70 @@
+"""An event loop that counts the bytes which its connections receive."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+
+class _CountingProtocol(asyncio.Protocol):
+    """Passes everything on to another protocol and counts the bytes that are received."""
+
+    def __init__(self, inner: asyncio.Protocol, count: Callable[[int], None]) -> None:
+        self._inner = inner
+        self._count = count
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._inner.connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._count(len(data))
+        self._inner.data_received(data)
+
+    def eof_received(self) -> bool | None:
+        return self._inner.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._inner.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        self._inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._inner.resume_writing()
+
+
+class CountingLoop(uvloop.Loop):
+    """The event loop of the ingress, with counts of received bytes by the port connected to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.received: dict[int | None, int] = {}
+
+    async def create_connection(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: socket.socket | None = None,
+    ) -> tuple[Any, asyncio.Protocol]:  # the transport is of a type of uvloop's own
+        """Connect to a host and port, or use a connected socket; every byte received is counted.
+
+        Bytes from a given socket are counted under None. Other options of the event loop's method
+        are not supported.
+        """
+
+        def count(size: int) -> None:
+            self.received[port] = self.received.get(port, 0) + size
+
+        inner = protocol_factory()
+        # Any, as uvloop's overloads are for an address or a socket, but not for either.
+        where: dict[str, Any] = {"host": host, "port": port, "sock": sock}
+        transport, _ = await super().create_connection(
+            lambda: _CountingProtocol(inner, count), **where
+        )
+        return transport, inner
