--- a/fleetlab/http_connection.py
+++ b/fleetlab/http_connection.py
@@ -8,6 +8,7 @@
 
 from fleetlab.stand_in import split_address
 
+HTTP_OK = 200
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.I)
 
 
--- a/fleetlab/load_generator.py
+++ b/fleetlab/load_generator.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from random import Random
 
-from fleetlab.http_connection import HttpConnection
+from fleetlab.http_connection import HTTP_OK, HttpConnection
 from fleetlab.latency import MAX_LATENCY_US, new_histogram
 
 MAX_CONNECTIONS = 256
@@ -81,7 +81,7 @@
         async with self._connection_slots:
             status = await self._exchange(intended_at, message)
         self.statuses[status] += 1
-        if status == 200:
+        if status == HTTP_OK:
             latency_us = int((asyncio.get_running_loop().time() - intended_at) * 1e6)
             self.latency.record_value(max(1, min(MAX_LATENCY_US, latency_us)))
 
--- a/fleetlab/monitors.py
+++ b/fleetlab/monitors.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from fleetlab.http_connection import HttpConnection
+from fleetlab.http_connection import HTTP_OK, HttpConnection
 from fleetlab.latency import max_ms, new_histogram
 
 HEALTH_CHECK_INTERVAL_S = 0.02
@@ -69,7 +69,7 @@
             return
         latency_us = int((asyncio.get_running_loop().time() - intended_at) * 1e6)
         self.latency.record_value(max(1, latency_us))
-        if status == 200:
+        if status == HTTP_OK:
             self.ready.set()
 
     def _close(self) -> None:
--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -24,7 +24,7 @@
 )
 from sumacpost.discovery.incremental_json import IncrementalJson
 from sumacpost.errors import EndpointListError, ResponseError
-from sumacpost.http1 import Response, ResponseReader
+from sumacpost.http1 import HTTP_OK, Response, ResponseReader
 from sumacpost.model import EndpointListUpdate, UpdateKind
 
 log = logging.getLogger(__name__)
@@ -45,7 +45,6 @@
 # Read in one turn of the event loop: some thirty entries, a millisecond at most.
 READ_BYTES = 4 * 1024
 UPDATE_BATCH_ENTRIES = 64  # handed on in one turn of the event loop: a millisecond
-HTTP_OK = 200
 
 UpdateListener = Callable[[EndpointListUpdate, AddressByBackend], None]
 
--- a/sumacpost/errors.py
+++ b/sumacpost/errors.py
@@ -1,7 +1,7 @@
 """The errors that the program raises itself, all of them subclasses of SumacpostError.
 
-Each stands for something that a peer or the operator sent and that can't be used. Where callers handle
-malformed data of any kind alike, the error is a ValueError too.
+Each stands for something that a peer or the operator sent and that can't be used. Where callers
+handle malformed data of any kind alike, the error is a ValueError too.
 """
 
 from __future__ import annotations
--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -14,6 +14,9 @@
 MAX_HEAD = 16 * 1024
 MAX_CONTENT_LENGTH_DIGITS = 12
 
+HTTP_OK = 200
+FIRST_FINAL_STATUS = 200  # those below are of interim responses
+
 
 class _TrailingDataError(Exception):
     """Another response begins before the complete one has been taken."""
@@ -107,7 +110,7 @@
     def on_headers_complete(self) -> None:
         """Check that the body has a definite end, and that its length is within the bound."""
         status = self._parser.get_status_code()
-        if status < 200:
+        if status < FIRST_FINAL_STATUS:
             return
         self._headers_done = True
         length = self._headers.get(b"content-length")
@@ -128,13 +131,13 @@
             raise ResponseError(f"a body of over {self._max_body} bytes")
         if self._on_body is None:
             self._body.append(data)
-        elif self._parser.get_status_code() == 200:
+        elif self._parser.get_status_code() == HTTP_OK:
             self._on_body(data)
 
     def on_message_complete(self) -> None:
         """Put the response together; an interim response is followed by the real one."""
         status = self._parser.get_status_code()
-        if status >= 200:
+        if status >= FIRST_FINAL_STATUS:
             body = b"".join(self._body)
             keep_alive = self._parser.should_keep_alive()
             self._complete = Response(status, self._headers, body, keep_alive)
--- a/sumacpost/policy/return_queue.py
+++ b/sumacpost/policy/return_queue.py
@@ -61,5 +61,5 @@
         """Return how many clients a second are to come back, by mean and spread of their units."""
         mean = self.unit_sum / self.requests if self.requests else units
         mean_square = self.squared_unit_sum / self.requests if self.requests else 0.0
-        variance = mean_square - mean * mean if self.requests >= 2 else 0.0
+        variance = mean_square - mean * mean if self.requests > 1 else 0.0
         return (fill_rate or mean) / mean * (1 + sqrt(max(0.0, variance)) / mean)
--- a/sumacpost/upstream/attempt.py
+++ b/sumacpost/upstream/attempt.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
-from sumacpost.http1 import Response
+from sumacpost.http1 import HTTP_OK, Response
 from sumacpost.model import BackendId, Outcome
 
 
@@ -73,7 +73,7 @@
 
     A status that the protocol does not name counts as an error: the request may have run.
     """
-    if response.status == 200:
+    if response.status == HTTP_OK:
         return Outcome.OK
     if response.status in (503, 504) and response.headers.get(b"not-started", b"").strip() == b"1":
         return Outcome.REJECTED
