Move the settings' text form beside the configuration, which needs it to serve

Cause: the ingress read its settings through a module of the simulator, so the files that the deploy file names as those that serve were not all of them.

--- a/sumacpost/settings_json.py
+++ b/sumacpost/settings_json.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from sumacpost.model import Settings
-from sumacpost.simulator.settings_text import parse_settings
+from sumacpost.settings_text import parse_settings
 
 _OBJECT_LISTS = ("categories", "plans")  # lists of objects even where they are empty
 
--- a/sumacpost/simulator/codec.py
+++ b/sumacpost/simulator/codec.py
@@ -43,9 +43,9 @@
     TimerFired,
     UpdateKind,
 )
+from sumacpost.settings_text import parse_settings
 from sumacpost.simulator import records
 from sumacpost.simulator.records import ActionCode, EventCode
-from sumacpost.simulator.settings_text import parse_settings
 
 Member = TypeVar("Member", bound=IntEnum)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,7 +14,7 @@
 from sumacpost.config import read_config
 from sumacpost.errors import ConfigError
 from sumacpost.settings_json import flatten
-from sumacpost.simulator.settings_text import parse_settings
+from sumacpost.settings_text import parse_settings
 from tests.support.configuration import MINIMAL_CONFIG, SETTINGS
 from tests.support.paths import ROOT
 
--- a/tests/simulator/test_settings_text.py
+++ b/tests/test_settings_text.py
@@ -6,7 +6,7 @@
 
 from sumacpost.errors import CodecError
 from sumacpost.model import Idempotency
-from sumacpost.simulator.settings_text import parse_settings
+from sumacpost.settings_text import parse_settings
 from tests.simulator.examples import SETTINGS_TEXT
 
 REQUIRED_KEYS = [
