Hold up connections to backends by a fixture, and write and read through the client

What was patched in by each test is a fixture in conftest.py now; tests write and read by the client's own methods instead of reaching into its streams.

--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -26,15 +26,15 @@
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(begin)
+            client.write(begin)
 
             async def drip() -> None:
                 while begin.startswith(b"POST"):
                     await asyncio.sleep(0.05)
-                    client.writer.write(b"x" if begin.endswith(b"fi") else b"")
+                    client.write(b"x" if begin.endswith(b"fi") else b"")
 
             dripping = asyncio.create_task(drip())
-            got = await client.reader.read()
+            got = await client.read_to_end()
             dripping.cancel()
             assert got.startswith(b"HTTP/1.1 408 ") if begin.strip() else got == b""
             assert (await ingress.send(request(number=2))).status == 200
@@ -54,9 +54,9 @@
             assert (await client.send(request())).status == 200
             await asyncio.sleep(0.4)  # between requests there is no such limit
             assert (await client.send(request(number=2))).status == 200
-            client.writer.write(request(number=3)[:-1])
+            client.write(request(number=3)[:-1])
             assert (await client.read_response()).status == 408
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
 
@@ -71,7 +71,7 @@
             for number in range(40):
                 client = await ingress.client()
                 if number % 2:
-                    client.writer.write(request()[:30])
+                    client.write(request()[:30])
             assert (await asyncio.wait_for(ingress.send(request(number=2)), 1.0)).status == 200
             assert (await used.send(request(number=3))).status == 200  # they went before it
 
@@ -95,7 +95,7 @@
                 once.append(await ingress.client())
                 assert (await once[-1].send(request(number=number + 1))).status == 200
             for client in once[:6]:
-                assert await client.reader.read() == b""  # closed, not reset
+                assert await client.read_to_end() == b""  # closed, not reset
             await until(lambda: len(connections.idle) == len(connections.open) == 4)
             assert (await once[-1].send(request(number=50))).status == 200
             assert (await used.send(request(number=51))).status == 200
@@ -114,14 +114,12 @@
             busy = []
             for number in range(8):
                 busy.append(await ingress.client())
-                busy[-1].writer.write(
-                    request("payment-book", number=number, Request_Timeout="5.000")
-                )
+                busy[-1].write(request("payment-book", number=number, Request_Timeout="5.000"))
                 await until(lambda: sum(len(b.requests) for b in ingress.backends) == len(busy))
             await until(lambda: sum(len(b.requests) for b in ingress.backends) == 8)
-            assert [await client.reader.read() for client in idle] == [b""] * 8
+            assert [await client.read_to_end() for client in idle] == [b""] * 8
             waiting = await ingress.client()
-            waiting.writer.write(HEALTH_REQUEST)
+            waiting.write(HEALTH_REQUEST)
             reading = asyncio.create_task(waiting.read_response())
             await asyncio.sleep(0.1)
             assert not reading.done()
@@ -171,12 +169,12 @@
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
             for number in range(8):
-                (await ingress.client()).writer.write(
+                (await ingress.client()).write(
                     request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
                 )
                 await ingress.wait_for_requests(number + 1)
             late = await ingress.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+            late.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: not ingress.server.listener.accepting)
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             await ingress.wait_for_requests(9)
@@ -223,9 +221,7 @@
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             client = await ingress.client()
-            client.writer.write(
-                request("vat-filing", Request_Timeout=LONG_TIMEOUT, Connection="close")
-            )
+            client.write(request(Request_Timeout=LONG_TIMEOUT, Connection="close"))
             await ingress.wait_for_requests(1)
             connections = ingress.server.connections
             (connection,) = connections.open
@@ -233,6 +229,6 @@
             await asyncio.sleep(0.3)  # three times what a message may take
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             assert (await client.read_response()).status == 200
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
--- a/tests/server/test_disconnect_races.py
+++ b/tests/server/test_disconnect_races.py
@@ -11,7 +11,7 @@
 from sumacpost.upstream.connection import BackendConnection
 from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.configuration import SETTINGS
-from tests.support.dials import Dials
+from tests.support.connection_gate import ConnectionGate
 from tests.support.event_loop import run, until
 from tests.support.http_client import LONG_TIMEOUT, request
 from tests.support.ingress import running_ingress
@@ -32,7 +32,7 @@
             await asyncio.sleep(2 * REUSE_DELAY_S)
             server.listener.pause()
             late = await ingress.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+            late.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: not late.writer.transport.get_write_buffer_size())
             late.disconnect(how)
             connection_opened = server.connections.connection_opened
@@ -52,17 +52,16 @@
 
 
 def test_request_waiting_for_a_connection_is_cancelled_with_its_client(
-    monkeypatch: pytest.MonkeyPatch,
+    connection_gate: ConnectionGate,
 ) -> None:
     async def test() -> None:
-        dials = Dials(monkeypatch)
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: dials.begun == 1)
+            client.write(request(Request_Timeout=LONG_TIMEOUT))
+            await until(lambda: connection_gate.arrived == 1)
             client.disconnect("closed")
             await until(lambda: not ingress.server.connections.open)
-            dials.let.set()
+            connection_gate.open()
             await until(lambda: ingress.pool_manager.open_connections == 0)
             assert ingress.requests_received == 0
             assert not ingress.gateway.pending
@@ -83,7 +82,7 @@
         patient = {"extra": SETTINGS["extra"] | {"count_wait": 4000.0}}
         async with running_ingress(respond(), counter=late, settings=patient) as ingress:
             client = await ingress.client()
-            client.writer.write(
+            client.write(
                 request(
                     Plan="basis",
                     Request_Timeout=LONG_TIMEOUT,
@@ -131,7 +130,7 @@
             with monkeypatch.context() as patched:
                 patched.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
                 client = await ingress.client()
-                client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
+                client.write(request(Request_Timeout=LONG_TIMEOUT))
                 pools = ingress.pool_manager._pools.values()
                 # The connection that opened is kept for others.
                 await until(lambda: any(pool.idle for pool in pools))
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -20,14 +20,14 @@
         async with running_ingress(never_respond) as ingress:
             idle, busy = await ingress.client(), await ingress.client()
             assert (await idle.send(HEALTH_REQUEST)).status == 200
-            busy.writer.write(request(Request_Timeout="8.000"))
+            busy.write(request(Request_Timeout="8.000"))
             await until(lambda: len(ingress.backends[0].requests) == 1)
             ingress.stop.set()
-            assert await idle.reader.read() == b""
+            assert await idle.read_to_end() == b""
             late = await ingress.client()  # as of one that has not noticed yet
             assert (await late.send(HEALTH_REQUEST)).status == 503
             late = await ingress.client()
-            late.writer.write(request(number=2, Request_Timeout="8.000"))
+            late.write(request(number=2, Request_Timeout="8.000"))
             await until(lambda: len(ingress.backends[0].requests) == 2)
             await asyncio.sleep(0.8)  # the listener is closed by now
             with pytest.raises(ConnectionRefusedError):
@@ -47,11 +47,11 @@
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(request()[:50])
+            client.write(request()[:50])
             await asyncio.sleep(0.05)
             ingress.stop.set()
             await ingress.task
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
 
@@ -61,7 +61,7 @@
         async with running_ingress(never_respond, never_respond) as ingress:
             client = await ingress.client()
             for number in range(2):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+                client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 await ingress.wait_for_requests(number + 1)
             ingress.stop.set()
             await until(lambda: ingress.server.handler.draining)
@@ -71,7 +71,7 @@
             assert (first.status, second.status) == (200, 200)
             assert b"Connection: close" not in first.head
             assert b"Connection: close" in second.head
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
             await ingress.task
 
     run(test())
@@ -85,7 +85,7 @@
             ingress.stop.set()
             await until(lambda: ingress.server.handler.draining)
             late = await ingress.client()
-            late.writer.write(request("ledger-read", Request_Timeout=LONG_TIMEOUT))
+            late.write(request("ledger-read", Request_Timeout=LONG_TIMEOUT))
             await ingress.wait_for_requests(1)
             (call,) = ingress.bridge._pending.values()
             longest = max(c["hard_limit"] for c in SETTINGS["categories"])
@@ -120,12 +120,12 @@
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
             for number in range(8):
-                (await ingress.client()).writer.write(
+                (await ingress.client()).write(
                     request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
                 )
                 await ingress.wait_for_requests(number + 1)
             late = await ingress.client()
-            late.writer.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+            late.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: not ingress.server.listener.accepting)
             ingress.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
@@ -145,7 +145,7 @@
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             client = await ingress.client()
-            client.writer.write(request("vat-filing", Request_Timeout=LONG_TIMEOUT))
+            client.write(request(Request_Timeout=LONG_TIMEOUT))
             await ingress.wait_for_requests(1)
             listener = ingress.server.listener._socket
 
@@ -178,12 +178,12 @@
             assert (await client.send(HEALTH_REQUEST)).status == 200
             if end_first:
                 ingress.stop.set()
-                client.writer.write(request())
+                client.write(request())
             else:
-                client.writer.write(request())
+                client.write(request())
                 ingress.stop.set()
             try:
-                got = await client.reader.read()
+                got = await client.read_to_end()
             except ConnectionResetError:
                 got = b""
             await ingress.task
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import cast
 
 import pytest
 
@@ -22,7 +21,7 @@
     """
     client = await ingress.client()
     for number in range(MAX_PIPELINED):
-        client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+        client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
         await ingress.wait_for_requests(number + 1)
     (connection,) = ingress.server.connections.open
     return client, connection
@@ -38,7 +37,7 @@
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(b"".join(request(number=n) for n in range(40)))
+            client.write(b"".join(request(number=n) for n in range(40)))
             statuses = {(await client.read_response()).status for _ in range(40)}
             assert statuses <= {200, 429}  # 429 where the backend has too much to do
 
@@ -54,7 +53,7 @@
             client, connection = await fill_pipeline(ingress)
             unread = [request("vat-filing", n, Request_Timeout=LONG_TIMEOUT) for n in (50, 51)]
             for data in unread:
-                client.writer.write(data)
+                client.write(data)
             await until(lambda: connection._unread_bytes == len(b"".join(unread)))
             client.disconnect(how)
             await until(lambda: not ingress.server.connections.open and not ingress.bridge._pending)
@@ -69,7 +68,7 @@
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client, connection = await fill_pipeline(ingress)
-            client.writer.write(request("vat-filing", 50, Request_Timeout="5.000"))
+            client.write(request("vat-filing", 50, Request_Timeout="5.000"))
             await until(lambda: connection._unread_bytes > 0)
             await asyncio.sleep(0.05)  # time that it loses
             for backend in ingress.backends:
@@ -89,14 +88,14 @@
         async with running_ingress(*[never_respond] * 8) as ingress:
             client, connection = await fill_pipeline(ingress)
             some_90_kilobytes = b"".join(request("vat-filing", 100 + n) for n in range(400))
-            client.writer.write(some_90_kilobytes)
+            client.write(some_90_kilobytes)
             await until(lambda: connection._state is ConnectionState.CLOSING)
             assert connection._unread_bytes == 0
             respond_to_all(ingress)
             statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED)]
             assert statuses == [200] * MAX_PIPELINED
             assert (await client.read_response()).status == 429
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
             assert ingress.requests_received == MAX_PIPELINED
 
     run(test())
@@ -108,22 +107,21 @@
     async def test() -> None:
         async with running_ingress(respond(b"x" * 60_000)) as ingress:
             client = await ingress.client()
-            transport = cast(asyncio.Transport, client.writer.transport)
-            transport.pause_reading()
+            client.pause_reading()
             number = 0
             while not (
                 ingress.server.connections.open
                 and (connection := next(iter(ingress.server.connections.open)))._writing_paused
             ):
-                client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+                client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
                 await until(lambda: not connection._pending_responses or connection._writing_paused)
                 await asyncio.sleep(0)
             before = ingress.requests_received
-            client.writer.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+            client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
             await until(lambda: connection._unread_bytes > 0)
             assert ingress.requests_received == before
-            transport.resume_reading()
+            client.resume_reading()
             statuses = [(await client.read_response()).status for _ in range(number + 1)]
             assert 200 in statuses
             assert not connection._unread
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -74,10 +74,10 @@
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
             for byte in request():
-                client.writer.write(bytes([byte]))
+                client.write(bytes([byte]))
                 await asyncio.sleep(0)
             assert (await client.read_response()).status == 200
-            client.writer.write(
+            client.write(
                 request(number=2)
                 + HEALTH_REQUEST
                 + request(number=3, path="/nowhere")
@@ -129,7 +129,7 @@
             )
             client = await ingress.client()
             assert (await client.send(data.encode())).status == 400
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
             assert ingress.backends[0].requests == []
 
     run(test())
@@ -144,7 +144,7 @@
             client = await ingress.client()
             head = request(body="", Content_Length=str(length))
             assert (await client.send(head)).status == status
-            assert await client.reader.read() == b""
+            assert await client.read_to_end() == b""
 
     run(test())
 
@@ -155,7 +155,7 @@
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
-            client.writer.write(
+            client.write(
                 request(body="", Content_Length="3000000") + request(number=2) + b"x" * 3_000_000
             )
             assert (await client.read_response()).status == 413
--- a/tests/support/disconnects.py
+++ b/tests/support/disconnects.py
@@ -50,7 +50,7 @@
     async with running_ingress(*[never_respond] * backends, **changes) as ingress:
         for number in range(backends):
             client = await ingress.client()
-            client.writer.write(slow_request(number=number))
+            client.write(slow_request(number=number))
             await until_attempted(ingress, number)
         assert [b.connections for b in ingress.backends] == [1] * backends
         for backend in ingress.backends:
--- a/tests/upstream/test_connection_races.py
+++ b/tests/upstream/test_connection_races.py
@@ -15,7 +15,7 @@
 from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.attempts import Outcomes
 from tests.support.configuration import SETTINGS
-from tests.support.dials import Dials
+from tests.support.connection_gate import ConnectionGate
 from tests.support.discovery_agent import endpoint_entry
 from tests.support.event_loop import run, until
 from tests.support.http_client import request
@@ -25,19 +25,19 @@
 
 @pytest.mark.parametrize("state", [EndpointStatus.DRAINING, EndpointStatus.GONE])
 def test_a_waiting_attempt_is_skipped_once_its_backend_drains_or_is_gone(
-    state: EndpointStatus, monkeypatch: pytest.MonkeyPatch
+    state: EndpointStatus, connection_gate: ConnectionGate
 ) -> None:
     """A connect timeout may be longer than the grace of a drain."""
 
     async def test() -> None:
-        peer, dials = Peer(respond()), Dials(monkeypatch)
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
-        await until(lambda: dials.begun == 1)
+        await until(lambda: connection_gate.arrived == 1)
         outcomes.backends.apply_update(EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, state)]))
         assert not attempt.ended  # the list is taken in first
-        dials.let.set()
+        connection_gate.open()
         await until(lambda: attempt.ended and outcomes.backends.open_connections == 0)
         assert [(a, o) for a, o, _ in outcomes.ended] == [(attempt, Outcome.SKIPPED)]
         assert peer.requests == []
@@ -48,16 +48,16 @@
 
 
 def test_a_waiting_attempt_is_skipped_once_its_backend_has_moved(
-    monkeypatch: pytest.MonkeyPatch,
+    connection_gate: ConnectionGate,
 ) -> None:
     async def test() -> None:
-        peer, dials = Peer(respond()), Dials(monkeypatch)
+        peer = Peer(respond())
         await peer.start()
         outcomes = Outcomes(peer.port)
         attempt = outcomes.start()
-        await until(lambda: dials.begun == 1)
+        await until(lambda: connection_gate.arrived == 1)
         outcomes.backends.update_endpoint(1, ("127.0.0.1", 1))
-        dials.let.set()
+        connection_gate.open()
         await until(lambda: attempt.ended)
         assert outcomes.ended[0][1] is Outcome.SKIPPED
         assert peer.requests == []
@@ -96,7 +96,7 @@
 
 
 def test_a_request_whose_backend_drains_while_it_connects_goes_to_another(
-    monkeypatch: pytest.MonkeyPatch,
+    connection_gate: ConnectionGate,
 ) -> None:
     """Whatever its class: it has not run."""
 
@@ -108,13 +108,12 @@
                 body = await changes
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
-        dials = Dials(monkeypatch)
         async with running_ingress(
             respond(b"first"), respond(b"second"), discovery=lists
         ) as ingress:
             client = await ingress.client()
-            client.writer.write(request("vat-filing", Request_Timeout="20.000"))
-            await until(lambda: dials.begun == 1)
+            client.write(request(Request_Timeout="20.000"))
+            await until(lambda: connection_gate.arrived == 1)
             ((pool, _),) = [(p, a) for p in ingress.pool_manager._pools.values() for a in p.waiting]
             drained = next(n for n, b in enumerate(ingress.backends) if b.port == pool.endpoint[1])
             changes.set_result(
@@ -128,8 +127,8 @@
                     }
                 ).encode()
             )
-            await until(lambda: dials.begun == 2)
-            dials.let.set()
+            await until(lambda: connection_gate.arrived == 2)
+            connection_gate.open()
             status, _, body = await client.read_response()
             assert (status, body) == (200, (b"second", b"first")[drained])
             assert ingress.backends[drained].requests == []
@@ -137,6 +136,16 @@
     run(test())
 
 
+def peek(writer: asyncio.StreamWriter) -> bytes | None:
+    """Return what a peer sees at this moment: b"" is an end, None is silence."""
+    descriptor = socket.dup(writer.transport.get_extra_info("socket").fileno())
+    with socket.socket(fileno=descriptor) as sock:
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return None
+
+
 @pytest.mark.parametrize(
     "cut",
     [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", b"noise that is no response\r\n\r\n"],
@@ -152,14 +161,7 @@
         original = BackendConnection.start
 
         def start(connection: BackendConnection, attempt: Attempt) -> None:
-            for writer in cut_off:  # what its backend sees at this moment
-                with socket.socket(
-                    fileno=socket.dup(writer.transport.get_extra_info("socket").fileno())
-                ) as peek:
-                    try:
-                        seen.append(peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-                    except BlockingIOError:
-                        seen.append(None)
+            seen.extend(peek(writer) for writer in cut_off)
             original(connection, attempt)
 
         async def break_off(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
@@ -172,12 +174,9 @@
         async with running_ingress(never_respond, never_respond, settings=alone) as ingress:
             client = await ingress.client()
             for number in range(2):  # a standing connection to each
-                (await ingress.client()).writer.write(
-                    request("ledger-read", number, Request_Timeout="20.000")
-                )
-                await until(
-                    lambda n=number: sum(len(b.requests) for b in ingress.backends) == n + 1
-                )
+                other = await ingress.client()
+                other.write(request("ledger-read", number, Request_Timeout="20.000"))
+                await ingress.wait_for_requests(number + 1)
             for backend in ingress.backends:
                 backend.writers[0].write(OK_RESPONSE)
             await until(lambda: sum(len(p.idle) for p in ingress.pool_manager._pools.values()) == 2)
@@ -185,9 +184,8 @@
             for backend in ingress.backends:
                 backend.script = break_off
             monkeypatch.setattr(BackendConnection, "start", start)
-            assert (
-                await client.send(request("ledger-read", 2, Request_Timeout="20.000"))
-            ).status == 200
+            response = await client.send(request("ledger-read", 2, Request_Timeout="20.000"))
+            assert response.status == 200
             assert [b.connections for b in ingress.backends] == [1, 1]
             assert seen == [b""]
 
--- a/tests/upstream/test_forwarding.py
+++ b/tests/upstream/test_forwarding.py
@@ -81,7 +81,7 @@
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
             client = await ingress.client()
-            client.writer.write(request())
+            client.write(request())
             await until(lambda: bool(ingress.backends[0].requests))
             client.writer.close()
             await until(lambda: ingress.backends[0].closed == 1)
--- a/tests/upstream/test_stalled_responses.py
+++ b/tests/upstream/test_stalled_responses.py
@@ -71,9 +71,7 @@
     async def test() -> None:
         async with running_ingress(never_respond, never_respond) as ingress:
             hasten(ingress)
-            assert (
-                await ingress.send(request("vat-filing", Request_Timeout="0.400"))
-            ).status == 502
+            assert (await ingress.send(request(Request_Timeout="0.400"))).status == 502
             assert sum(len(b.requests) for b in ingress.backends) == 1
 
     run(test())
@@ -99,7 +97,7 @@
         async with running_ingress(first_only(never_respond)) as ingress:
             hasten(ingress)
             silent = await ingress.client()
-            silent.writer.write(request("vat-filing", 1, Request_Timeout=LONG))
+            silent.write(request("vat-filing", 1, Request_Timeout=LONG))
             await until(lambda: len(ingress.backends[0].requests) == 1)
             gateway, clock = ingress.gateway, ingress.bridge._clock
             (backend,), (call,) = gateway.endpoints.backends.values(), gateway.pending.values()
