--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -94,14 +94,14 @@
                 <= ingress.bridge._drain_deadline
                 < ingress.bridge._clock.now() + longest + 700
             )
-            told = float(
+            timeout_s = float(
                 ingress.backends[0]
                 .requests[0]
                 .lower()
                 .split(b"request-timeout: ")[1]
                 .split(b"\r\n")[0]
             )
-            assert told < (longest + 700) / 1000
+            assert timeout_s < (longest + 700) / 1000
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             assert (await late.read_response()).status == 200
             await ingress.task
