--- a/sumacpost/policy/backend.py
+++ b/sumacpost/policy/backend.py
@@ -1,7 +1,5 @@
 """What is known of one backend."""
 
-from __future__ import annotations
-
 from dataclasses import dataclass
 from math import inf
 
--- a/sumacpost/policy/endpoint_table.py
+++ b/sumacpost/policy/endpoint_table.py
@@ -1,7 +1,5 @@
 """The backends of the endpoint list, this gateway's subset of them, and their deduplication."""
 
-from __future__ import annotations
-
 from bisect import bisect_left, insort
 from itertools import islice
 from typing import NamedTuple
--- a/sumacpost/policy/fleet_estimate.py
+++ b/sumacpost/policy/fleet_estimate.py
@@ -1,7 +1,5 @@
 """What is learnt of the fleet and its backends from the ends of attempts and from load reports."""
 
-from __future__ import annotations
-
 from sumacpost.model import AttemptEnded, Outcome, RequestArrived, Settings
 from sumacpost.policy.backend import Backend, InFlightAttempt
 from sumacpost.policy.latency import FAILURE_WEIGHT, LatencyInflation
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -1,7 +1,5 @@
 """The gateway: one event in, actions out; the life of a request."""
 
-from __future__ import annotations
-
 from math import inf
 from random import Random
 
--- a/sumacpost/policy/latency.py
+++ b/sumacpost/policy/latency.py
@@ -1,7 +1,5 @@
 """The estimator of latency inflation: time taken over time expected."""
 
-from __future__ import annotations
-
 from math import inf
 
 FAILURE_WEIGHT = 0.3  # weight of a failure, and the most that a rare observation may have
--- a/sumacpost/policy/load_balancing.py
+++ b/sumacpost/policy/load_balancing.py
@@ -1,7 +1,5 @@
 """The choice of a backend: forecast, near ties, and admission by the forecast."""
 
-from __future__ import annotations
-
 from math import inf
 from random import Random
 
--- a/sumacpost/policy/pending_request.py
+++ b/sumacpost/policy/pending_request.py
@@ -1,7 +1,5 @@
 """A request that has no final answer yet: what has been tried, and what may have run."""
 
-from __future__ import annotations
-
 from dataclasses import InitVar, dataclass, field
 from math import inf
 
--- a/sumacpost/policy/quota.py
+++ b/sumacpost/policy/quota.py
@@ -1,7 +1,5 @@
 """A customer's token bucket and its share of the plan's quota, and the table of customers."""
 
-from __future__ import annotations
-
 from dataclasses import InitVar, dataclass, field
 from math import inf
 from random import Random
--- a/sumacpost/policy/quota_sync.py
+++ b/sumacpost/policy/quota_sync.py
@@ -1,7 +1,5 @@
 """What is added to the shared counter, learnt from it, and how often it is called."""
 
-from __future__ import annotations
-
 from collections import deque
 from collections.abc import Container
 from dataclasses import dataclass
--- a/sumacpost/policy/retries.py
+++ b/sumacpost/policy/retries.py
@@ -1,7 +1,5 @@
 """Retries: their budget, the table of those permitted, and hedged requests."""
 
-from __future__ import annotations
-
 from sumacpost.model import Actions, DeduplicationScope, Idempotency, SetTimer, Settings
 from sumacpost.policy.pending_request import PendingRequest
 
--- a/sumacpost/policy/return_queue.py
+++ b/sumacpost/policy/return_queue.py
@@ -1,7 +1,5 @@
 """DIBA: the virtual queue of rejected clients, under the names of the paper's Algorithm 6."""
 
-from __future__ import annotations
-
 from collections import deque
 from math import sqrt
 
--- a/sumacpost/policy/slow_start.py
+++ b/sumacpost/policy/slow_start.py
@@ -1,7 +1,5 @@
 """The work budget of a backend that is warming up."""
 
-from __future__ import annotations
-
 from random import Random
 
 from sumacpost.model import Settings
--- a/sumacpost/policy/subsetting.py
+++ b/sumacpost/policy/subsetting.py
@@ -1,11 +1,8 @@
 """Partition of a long endpoint list, and the subset of it that each gateway sends to.
 
-Both are functions of the list and of the gateway's index alone, so that every gateway computes
-the same result without talking to the others.
+Both follow from the list and the gateway's index alone: gateways agree without communication.
 """
 
-from __future__ import annotations
-
 from bisect import bisect_left
 from math import ceil, gcd
 from typing import NamedTuple
@@ -58,10 +55,7 @@
         return self.partition_count != before
 
     def needs_repartitioning(self, held: int) -> bool:
-        """Return whether the fleet has outgrown this partition count, or shrunk far below it.
-
-        held: backends of this partition.
-        """
+        """Return whether so many backends held show a fleet far too large or small for it."""
         if held > 2 * MAX_PARTITION_BACKENDS:
             return self._is_divisible()
         return self.partition_count > 1 and held < MAX_PARTITION_BACKENDS / 4
@@ -109,11 +103,8 @@
         self.ready: list[ReadyBackend] = []
         self._shard_position = position // self.shard_count
         # A step that is coprime to the number of gateways leads to each of them once.
-        self._steps = [
-            step
-            for step in range(1, max(2, self.shard_gateways))
-            if gcd(step, self.shard_gateways) == 1
-        ]
+        candidates = range(1, max(2, self.shard_gateways))
+        self._steps = [step for step in candidates if gcd(step, self.shard_gateways) == 1]
         self._is_current = False  # whether the two below are those of the present list
         self._members: list[int] = []
         self._gateway_counts: dict[int, int] = {}
@@ -143,10 +134,8 @@
     def assign(self) -> Assignment:
         """Compute the subsets of all gateways of this shard."""
         backend_count = len(self.ready)
-        mean_gateways = max(
-            MIN_SUBSET_SIZE / self.shard_count,
-            MIN_SUBSET_SIZE * self.shard_gateways / max(1, backend_count),
-        )
+        fair_gateways = MIN_SUBSET_SIZE * self.shard_gateways / max(1, backend_count)
+        mean_gateways = max(MIN_SUBSET_SIZE / self.shard_count, fair_gateways)
         mean_size = backend_count * mean_gateways / self.shard_gateways
         max_size = ceil(MAX_LOAD_FACTOR * max(MIN_SUBSET_SIZE, mean_size) - ROUNDING_ERROR)
         min_size = max(MIN_SUBSET_SIZE, ceil(mean_size - ROUNDING_ERROR))
