Take what costs out of the choice of a backend and of a request's way

The fleet's latency inflation was computed for each backend compared, though it is one figure for a choice; it is computed once now. Small accessors on the path of each request are written where they are used.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -187,7 +187,8 @@
 
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Forward a good response, and report the outcome."""
-        pending = _owner_of(attempt)
+        assert isinstance(attempt.owner, PendingRequest)
+        pending = attempt.owner
         served = outcome is Outcome.OK and pending.number in self._pending
         units = 0.0
         report: tuple[float, ...] = ()
@@ -290,7 +291,8 @@
         Cancel its request if the client has gone: in a late turn of the loop a timer may come
         before the end of the client's connection.
         """
-        pending = _owner_of(attempt)
+        assert isinstance(attempt.owner, PendingRequest)
+        pending = attempt.owner
         if pending.response.client_disconnected():
             self.cancel_request(pending)
         return not attempt.ended
@@ -322,12 +324,6 @@
             self._report_attempt_end(pending, attempt, outcome)
 
 
-def _owner_of(attempt: Attempt) -> PendingRequest:
-    """Return the request that an attempt was started for."""
-    assert isinstance(attempt.owner, PendingRequest)
-    return attempt.owner
-
-
 def _forwarded_headers(response: Response) -> Headers:
     headers = response.headers
     return tuple((name, headers[name]) for name in FORWARDED_RESPONSE_HEADERS if name in headers)
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -150,9 +150,10 @@
         attempt = InFlightAttempt(
             now, request.work, outstanding, request.event.request_class, now + overdue_after_ms
         )
+        attempt_number = len(request.tried)
         request.tried.append(backend)
-        request.in_flight[request.last_attempt] = attempt
-        backend.begin(number, request.last_attempt, attempt)
+        request.in_flight[attempt_number] = attempt
+        backend.begin(number, attempt_number, attempt)
         self.estimate.observe_work(request.work)
         self._actions.append(Send(number, backend.endpoint.backend))
         self._actions += self.retries.hedge_timer(now, request, overdue_after_ms)
@@ -190,7 +191,7 @@
             request.customer.settle_units(event.actual_units or charged, charged)
         request.in_flight.pop(event.attempt, None)
         if event.concluded:
-            if self.settings.cancel:
+            if request.in_flight and self.settings.cancel:
                 self._actions += [Cancel(event.request, n) for n in request.in_flight]
             del self.pending[event.request]
             return
--- a/sumacpost/policy/load_balancing.py
+++ b/sumacpost/policy/load_balancing.py
@@ -57,14 +57,15 @@
             eligible = self._random.sample(eligible, MAX_CANDIDATES)
         return [self._endpoints.backends[number] for number in eligible]
 
-    def forecast(self, now: float, backend: Backend, request: PendingRequest) -> float:
+    def forecast(
+        self, now: float, backend: Backend, request: PendingRequest, fleet_inflation: float
+    ) -> float:
         """Return the expected time of an attempt at this backend; silence bounds it from below.
 
         While others are answered there is no silence: one connection may be dead.
         """
-        usual = self._estimate.inflation.inflation(now)
         own = backend.inflation_by_class[request.event.request_class]
-        inflation = own.inflation(now, usual)
+        inflation = own.inflation(now, fleet_inflation)
         expected_ms = request.work * inflation * self.outstanding(now, backend)
         oldest = next(iter(backend.in_flight.values()), None)
         if oldest is None:
@@ -80,19 +81,26 @@
             allowed = [b for b in allowed if b not in request.tried]
         if not allowed:
             return None
-        forecasts = [self.forecast(now, backend, request) for backend in allowed]
+        fleet_inflation = self._estimate.inflation.inflation(now)
+        forecasts = [self.forecast(now, b, request, fleet_inflation) for b in allowed]
         limit = min(forecasts) * TIE_FACTOR
         ties = [b for b, forecast in zip(allowed, forecasts, strict=True) if forecast <= limit]
         best = self._random.choice(ties)
-        return best if self._admits(now, request, best, threshold) else None
+        return best if self._admits(now, request, best, threshold, fleet_inflation) else None
 
-    def _admits(self, now: float, request: PendingRequest, best: Backend, threshold: float) -> bool:
+    def _admits(
+        self,
+        now: float,
+        request: PendingRequest,
+        best: Backend,
+        threshold: float,
+        fleet_inflation: float,
+    ) -> bool:
         """Draw whether a request is sent, by how far the wait is past what it may meet."""
-        fleet = self._estimate.inflation.inflation(now)
-        own = best.inflation_by_class[request.event.request_class].inflation(now, fleet)
+        own = best.inflation_by_class[request.event.request_class].inflation(now, fleet_inflation)
         # the lower one: one bad backend is no sign of an overloaded fleet
         mean_work = self._estimate.mean_work
-        wait_ms = min(fleet, own) * mean_work * self.outstanding(now, best)
+        wait_ms = min(fleet_inflation, own) * mean_work * self.outstanding(now, best)
         left_ms = request.objective_at - now
         excess = max(1.0, wait_ms / threshold)
         if threshold < inf and not request.tried:
--- a/sumacpost/policy/subsetting.py
+++ b/sumacpost/policy/subsetting.py
@@ -123,12 +123,14 @@
 
     def members(self) -> list[int]:
         """Return the backends of this gateway."""
-        self._update()
+        if not self._is_current:
+            self._update()
         return self._members
 
     def gateways_of(self, backend: int) -> int:
         """Return how many gateways send to this backend, all shards together."""
-        self._update()
+        if not self._is_current:
+            self._update()
         return max(1, self._gateway_counts.get(backend, 1)) * self.shard_count
 
     def assign(self) -> Assignment:
@@ -144,10 +146,9 @@
         return assignment
 
     def _update(self) -> None:
-        if not self._is_current:
-            subsets, self._gateway_counts = self.assign()
-            self._members = subsets[self._shard_position]
-            self._is_current = True
+        subsets, self._gateway_counts = self.assign()
+        self._members = subsets[self._shard_position]
+        self._is_current = True
 
     def _with_draws(self, backend_hash: int, backend: int) -> ReadyBackend:
         draw = splitmix64(backend_hash)
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -111,7 +111,12 @@
         if self._parsing:
             return  # responses that are ready at once go out when the bytes have been parsed
         wrote = self._write_due_responses()
-        while self._unread and self._may_parse():
+        while (
+            self._unread
+            and self._state is _READING
+            and not self._writing_paused
+            and len(self._pending_responses) < MAX_PIPELINED
+        ):
             self._parse_next()
             wrote = self._write_due_responses() or wrote
         self._update_registry(wrote)
@@ -134,13 +139,6 @@
             return False  # a system that doesn't tell: it shows once the bytes are read
         return tcp_state == TCP_CLOSE_WAIT
 
-    def _may_parse(self) -> bool:
-        return (
-            self._state is _READING
-            and not self._writing_paused
-            and len(self._pending_responses) < MAX_PIPELINED
-        )
-
     def _parse_next(self) -> None:
         received = self._unread.popleft()
         self._received_at = received.received_at
--- a/tests/policy/test_fleet_scale.py
+++ b/tests/policy/test_fleet_scale.py
@@ -49,10 +49,14 @@
     backends = 0
 
     def counted(
-        balancer: LoadBalancer, now: float, backend: Backend, pending: PendingRequest
+        balancer: LoadBalancer,
+        now: float,
+        backend: Backend,
+        pending: PendingRequest,
+        fleet_inflation: float,
     ) -> float:
         forecasts[backends] += 1
-        return forecast(balancer, now, backend, pending)
+        return forecast(balancer, now, backend, pending, fleet_inflation)
 
     monkeypatch.setattr(LoadBalancer, "forecast", counted)
     for backends in (10, 1000):
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -65,8 +65,10 @@
     later = START + 2000
     overdue = g.endpoints.backends[send.backend]
     idle = g.endpoints.backends[3 - send.backend]
-    assert g.load_balancer.forecast(later, overdue, g.pending[1]) > 1000
-    assert g.load_balancer.forecast(later, idle, g.pending[1]) < 1000
+    forecast = g.load_balancer.forecast
+    fleet_inflation = g.estimate.inflation.inflation(later)
+    assert forecast(later, overdue, g.pending[1], fleet_inflation) > 1000
+    assert forecast(later, idle, g.pending[1], fleet_inflation) < 1000
 
 
 def test_requests_are_spread_over_equal_backends() -> None:
--- a/tests/upstream/test_stalled_responses.py
+++ b/tests/upstream/test_stalled_responses.py
@@ -101,11 +101,16 @@
             await until(lambda: len(ingress.backends[0].requests) == 1)
             gateway, clock = ingress.gateway, ingress.bridge._clock
             (backend,), (call,) = gateway.endpoints.backends.values(), gateway.pending.values()
+
+            def forecast(now: float) -> float:
+                fleet_inflation = gateway.estimate.inflation.inflation(now)
+                return gateway.load_balancer.forecast(now, backend, call, fleet_inflation)
+
             began = clock.now()
             await asyncio.sleep(0.5)
-            assert gateway.load_balancer.forecast(clock.now(), backend, call) > 400
+            assert forecast(clock.now()) > 400
             assert (await ingress.send(request("vat-filing", 2))).status == 200
             assert began + 500 <= backend.responded_at + 1
-            assert gateway.load_balancer.forecast(backend.responded_at + 1, backend, call) < 400
+            assert forecast(backend.responded_at + 1) < 400
 
     run(test())
