--- a/tests/policy/test_policy_limits.py
+++ b/tests/policy/test_policy_limits.py
@@ -24,9 +24,7 @@
 )
 FORBIDDEN_CALL = re.compile(r"\bset\(|\bopen\(|\bprint\(|\bglobal\b")
 PROJECT_IMPORT = re.compile(r"^\s*(?:import|from) (sumacpost|fleetlab)\b(\S*)", re.M)
-
-
-package_docstring = ROOT / "sumacpost" / "__init__.py"
+PACKAGE_DOCSTRING = ROOT / "sumacpost" / "__init__.py"
 
 
 def python_files(path: Path) -> list[Path]:
@@ -44,7 +42,7 @@
     served = [path for name in deploy["node"] for path in python_files(ROOT / name)]
     package = python_files(ROOT / "sumacpost")
     elsewhere = [path for path in package if path.parent.name in ("policy", "simulator")]
-    assert sorted(served + elsewhere) == [p for p in package if p != package_docstring]
+    assert sorted(served + elsewhere) == [p for p in package if p != PACKAGE_DOCSTRING]
 
 
 def test_the_policy_keeps_its_limits() -> None:
--- a/tests/server/test_connection_limits.py
+++ b/tests/server/test_connection_limits.py
@@ -11,7 +11,7 @@
 
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, Client, request
-from tests.support.ingress import running_ingress
+from tests.support.ingress import connect_beyond_bound, running_ingress
 from tests.support.peers import OK_RESPONSE, never_respond, respond
 
 
@@ -168,14 +168,7 @@
 
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
-            for number in range(8):
-                (await ingress.client()).write(
-                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
-                )
-                await ingress.wait_for_requests(number + 1)
-            late = await ingress.client()
-            late.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: not ingress.server.listener.accepting)
+            await connect_beyond_bound(ingress)
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             await ingress.wait_for_requests(9)
 
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -11,7 +11,7 @@
 from tests.support.configuration import SETTINGS
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, request
-from tests.support.ingress import running_ingress
+from tests.support.ingress import connect_beyond_bound, running_ingress
 from tests.support.peers import OK_RESPONSE, never_respond, respond
 
 
@@ -119,14 +119,7 @@
 
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
-            for number in range(8):
-                (await ingress.client()).write(
-                    request("vat-filing", number, Request_Timeout=LONG_TIMEOUT)
-                )
-                await ingress.wait_for_requests(number + 1)
-            late = await ingress.client()
-            late.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: not ingress.server.listener.accepting)
+            late = await connect_beyond_bound(ingress)
             ingress.stop.set()
             await asyncio.sleep(0.3)  # long past the time at which it would have closed
             for backend in ingress.backends:
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -21,7 +21,7 @@
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import endpoint_entry
 from tests.support.event_loop import until
-from tests.support.http_client import Client, Response
+from tests.support.http_client import LONG_TIMEOUT, Client, Response, request
 from tests.support.peers import Peer, Script, never_respond
 
 
@@ -141,3 +141,17 @@
         "settings": copy.deepcopy(SETTINGS) | copy.deepcopy(settings),
         "known": {"rev": 5, "all": True, "targets": entries},
     }
+
+
+async def connect_beyond_bound(ingress: RunningIngress) -> Client:
+    """Take all eight places of an ingress with 64 sockets, a pending request each.
+
+    Return a client that has sent a request and stands in the listen queue.
+    """
+    for number in range(8):
+        (await ingress.client()).write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
+        await ingress.wait_for_requests(number + 1)
+    late = await ingress.client()
+    late.write(request("vat-filing", 50, Request_Timeout=LONG_TIMEOUT))
+    await until(lambda: not ingress.server.listener.accepting)
+    return late
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -8,7 +8,7 @@
 import re
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Self
 
 # What a peer does with one request that it has read.
 Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
@@ -69,6 +69,13 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.closed = 0
 
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.stop()
+
     async def start(self, port: int = 0) -> None:
         """Listen on the port, or on one that the system chooses."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
--- a/tests/upstream/test_attempt.py
+++ b/tests/upstream/test_attempt.py
@@ -60,14 +60,12 @@
 )
 def test_each_response_has_its_outcome(script: Script, outcome: Outcome) -> None:
     async def test() -> None:
-        peer = Peer(script)
-        await peer.start()
-        got, response = await Outcomes(peer.port).outcome()
-        assert got is outcome
-        if outcome is Outcome.OK:
-            assert response is not None
-            assert response.body == b"done"
-        peer.stop()
+        async with Peer(script) as peer:
+            got, response = await Outcomes(peer.port).outcome()
+            assert got is outcome
+            if outcome is Outcome.OK:
+                assert response is not None
+                assert response.body == b"done"
 
     run(test())
 
@@ -112,12 +110,10 @@
         async def hang_up(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
             writer.transport.abort()
 
-        peer = Peer(hang_up, half)
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        # more than the kernel's buffers take: the peer is gone while some is still to be written
-        assert (await outcomes.outcome(b"x" * 50_000_000))[0] is Outcome.CONNECT_FAILED
-        assert (await outcomes.outcome(b"x" * 10))[0] is Outcome.RESET
-        peer.stop()
+        async with Peer(hang_up, half) as peer:
+            outcomes = Outcomes(peer.port)
+            # more than the kernel's buffers take: the peer goes while some is to be written
+            assert (await outcomes.outcome(b"x" * 50_000_000))[0] is Outcome.CONNECT_FAILED
+            assert (await outcomes.outcome(b"x" * 10))[0] is Outcome.RESET
 
     run(test())
--- a/tests/upstream/test_connection_races.py
+++ b/tests/upstream/test_connection_races.py
@@ -30,19 +30,19 @@
     """A connect timeout may be longer than the grace of a drain."""
 
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        attempt = outcomes.start()
-        await until(lambda: connection_gate.arrived == 1)
-        outcomes.backends.apply_update(EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, state)]))
-        assert not attempt.ended  # the list is taken in first
-        connection_gate.open()
-        await until(lambda: attempt.ended and outcomes.backends.open_connections == 0)
-        assert [(a, o) for a, o, _ in outcomes.ended] == [(attempt, Outcome.SKIPPED)]
-        assert peer.requests == []
-        assert peer.connections == 0
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            attempt = outcomes.start()
+            await until(lambda: connection_gate.arrived == 1)
+            outcomes.backends.apply_update(
+                EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, state)])
+            )
+            assert not attempt.ended  # the list is taken in first
+            connection_gate.open()
+            await until(lambda: attempt.ended and outcomes.backends.open_connections == 0)
+            assert [(a, o) for a, o, _ in outcomes.ended] == [(attempt, Outcome.SKIPPED)]
+            assert peer.requests == []
+            assert peer.connections == 0
 
     run(test())
 
@@ -51,17 +51,15 @@
     connection_gate: ConnectionGate,
 ) -> None:
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        attempt = outcomes.start()
-        await until(lambda: connection_gate.arrived == 1)
-        outcomes.backends.update_endpoint(1, ("127.0.0.1", 1))
-        connection_gate.open()
-        await until(lambda: attempt.ended)
-        assert outcomes.ended[0][1] is Outcome.SKIPPED
-        assert peer.requests == []
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            attempt = outcomes.start()
+            await until(lambda: connection_gate.arrived == 1)
+            outcomes.backends.update_endpoint(1, ("127.0.0.1", 1))
+            connection_gate.open()
+            await until(lambda: attempt.ended)
+            assert outcomes.ended[0][1] is Outcome.SKIPPED
+            assert peer.requests == []
 
     run(test())
 
@@ -72,25 +70,23 @@
     """Connecting can't be cancelled any more at that point."""
 
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-
-        class Leaving(BackendConnection):
-            def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
-                super().__init__(pool, sock)
-                assert attempt.connect_task is None
-                assert not attempt.ended
-                outcomes.backends.apply_update(
-                    EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, EndpointStatus.GONE)])
-                )
-
-        monkeypatch.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
-        attempt = outcomes.start()
-        await until(lambda: attempt.ended and outcomes.backends.open_connections == 0)
-        assert outcomes.ended[0][1] is Outcome.SKIPPED
-        assert peer.requests == []
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+
+            class Leaving(BackendConnection):
+                def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
+                    super().__init__(pool, sock)
+                    assert attempt.connect_task is None
+                    assert not attempt.ended
+                    outcomes.backends.apply_update(
+                        EndpointListUpdate(UpdateKind.CHANGES, [Endpoint(1, EndpointStatus.GONE)])
+                    )
+
+            monkeypatch.setattr("sumacpost.upstream.pool.BackendConnection", Leaving)
+            attempt = outcomes.start()
+            await until(lambda: attempt.ended and outcomes.backends.open_connections == 0)
+            assert outcomes.ended[0][1] is Outcome.SKIPPED
+            assert peer.requests == []
 
     run(test())
 
@@ -213,13 +209,11 @@
             cast(asyncio.ReadTransport, writer.transport).pause_reading()
             writer.write(early_response)
 
-        peer = Peer(early, first_bytes)
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        got, _ = await outcomes.outcome(b"x" * 50_000_000)
-        assert got is outcome
-        assert outcomes.backends.open_connections == 0
-        peer.stop()
+        async with Peer(early, first_bytes) as peer:
+            outcomes = Outcomes(peer.port)
+            got, _ = await outcomes.outcome(b"x" * 50_000_000)
+            assert got is outcome
+            assert outcomes.backends.open_connections == 0
 
     run(test())
 
@@ -228,17 +222,15 @@
     """Such responses came up to 4 ms later, by a clock of whole milliseconds; 7 ms are too few."""
 
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        await outcomes.outcome()
-        (connection,) = outcomes.backends._pools[1].idle
-        connection.idle_since = asyncio.get_running_loop().time() - 0.007
-        assert outcomes.start().connection is None  # it gets a connection of its own
-        connection.idle_since = asyncio.get_running_loop().time() - 0.02
-        assert outcomes.start().connection is connection
-        await until(lambda: len(outcomes.ended) == 3)
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            await outcomes.outcome()
+            (connection,) = outcomes.backends._pools[1].idle
+            connection.idle_since = asyncio.get_running_loop().time() - 0.007
+            assert outcomes.start().connection is None  # it gets a connection of its own
+            connection.idle_since = asyncio.get_running_loop().time() - 0.02
+            assert outcomes.start().connection is connection
+            await until(lambda: len(outcomes.ended) == 3)
 
     run(test())
 
@@ -247,35 +239,31 @@
     """It waited on in the pool that had been replaced, and was sent after its end."""
 
     async def test() -> None:
-        peer = Peer(never_respond)
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        first = outcomes.start()
-        await until(lambda: len(peer.requests) == 1)
-        second = outcomes.start()
-        (old,) = outcomes.backends._pools.values()
-        assert second.pool is old
-        outcomes.backends.update_endpoint(1, ("127.0.0.1", 1))
-        outcomes.backends.cancel(second)
-        assert not old.waiting
-        peer.writers[0].write(OK_RESPONSE)
-        await until(lambda: first.ended and outcomes.backends.open_connections == 0)
-        assert len(peer.requests) == 1
-        peer.stop()
+        async with Peer(never_respond) as peer:
+            outcomes = Outcomes(peer.port)
+            first = outcomes.start()
+            await until(lambda: len(peer.requests) == 1)
+            second = outcomes.start()
+            (old,) = outcomes.backends._pools.values()
+            assert second.pool is old
+            outcomes.backends.update_endpoint(1, ("127.0.0.1", 1))
+            outcomes.backends.cancel(second)
+            assert not old.waiting
+            peer.writers[0].write(OK_RESPONSE)
+            await until(lambda: first.ended and outcomes.backends.open_connections == 0)
+            assert len(peer.requests) == 1
 
     run(test())
 
 
 def test_a_backend_that_has_restarted_gets_new_connections() -> None:
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        await outcomes.outcome()
-        outcomes.backends.update_endpoint(1, ("127.0.0.1", peer.port), 7.0)
-        assert outcomes.backends.open_connections == 0
-        assert (await outcomes.outcome())[0] is Outcome.OK
-        assert peer.connections == 2
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            await outcomes.outcome()
+            outcomes.backends.update_endpoint(1, ("127.0.0.1", peer.port), 7.0)
+            assert outcomes.backends.open_connections == 0
+            assert (await outcomes.outcome())[0] is Outcome.OK
+            assert peer.connections == 2
 
     run(test())
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -17,24 +17,22 @@
 
 def test_the_most_recently_used_connection_is_reused() -> None:
     async def test() -> None:
-        peer = Peer(never_respond)
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        first, second = outcomes.start(), outcomes.start()
-        await until(lambda: len(peer.requests) == 2)
-        for writer in peer.writers:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            await until(lambda: len(outcomes.ended) in (1, 2))
-        await until(lambda: len(outcomes.ended) == 2)
-        last = outcomes.backends._pools[1].idle[-1]
-        await asyncio.sleep(2 * REUSE_DELAY_S)
-        third = outcomes.start()
-        assert third.connection is last
-        assert peer.connections == 2
-        assert first.ended
-        assert second.ended
-        assert not third.ended
-        peer.stop()
+        async with Peer(never_respond) as peer:
+            outcomes = Outcomes(peer.port)
+            first, second = outcomes.start(), outcomes.start()
+            await until(lambda: len(peer.requests) == 2)
+            for writer in peer.writers:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await until(lambda: len(outcomes.ended) in (1, 2))
+            await until(lambda: len(outcomes.ended) == 2)
+            last = outcomes.backends._pools[1].idle[-1]
+            await asyncio.sleep(2 * REUSE_DELAY_S)
+            third = outcomes.start()
+            assert third.connection is last
+            assert peer.connections == 2
+            assert first.ended
+            assert second.ended
+            assert not third.ended
 
     run(test())
 
@@ -43,19 +41,17 @@
     """Nor in the moment before the loop has read that: a request would end as a reset."""
 
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        await outcomes.outcome()
-        connection = outcomes.backends._pools[1].idle[-1]
-        assert connection.usable()
-        # the close happens at the other end while this loop does nothing else
-        other = peer.writers[0].transport.get_extra_info("socket")
-        socket.socket(fileno=socket.dup(other.fileno())).shutdown(socket.SHUT_RDWR)
-        assert not connection.usable()
-        assert (await outcomes.outcome())[0] is Outcome.OK
-        assert peer.connections == 2
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            await outcomes.outcome()
+            connection = outcomes.backends._pools[1].idle[-1]
+            assert connection.usable()
+            # the close happens at the other end while this loop does nothing else
+            other = peer.writers[0].transport.get_extra_info("socket")
+            socket.socket(fileno=socket.dup(other.fileno())).shutdown(socket.SHUT_RDWR)
+            assert not connection.usable()
+            assert (await outcomes.outcome())[0] is Outcome.OK
+            assert peer.connections == 2
 
     run(test())
 
@@ -64,24 +60,22 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        peer = Peer(never_respond)
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        first = outcomes.start()
-        await until(lambda: len(peer.requests) == 1)
-
-        async def never_up(pool: ConnectionPool, attempt: Attempt) -> None:
-            pass
-
-        monkeypatch.setattr(ConnectionPool, "_connect", never_up)
-        second = outcomes.start()
-        peer.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-        await until(lambda: first.ended and second.connection is not None)
-        outcomes.backends._pools[1]._connect_failed(second)  # its own connection fails in vain
-        await until(lambda: len(peer.requests) == 2)
-        assert peer.connections == 1
-        assert not second.ended
-        peer.stop()
+        async with Peer(never_respond) as peer:
+            outcomes = Outcomes(peer.port)
+            first = outcomes.start()
+            await until(lambda: len(peer.requests) == 1)
+
+            async def never_up(pool: ConnectionPool, attempt: Attempt) -> None:
+                pass
+
+            monkeypatch.setattr(ConnectionPool, "_connect", never_up)
+            second = outcomes.start()
+            peer.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await until(lambda: first.ended and second.connection is not None)
+            outcomes.backends._pools[1]._connect_failed(second)  # its own connection fails in vain
+            await until(lambda: len(peer.requests) == 2)
+            assert peer.connections == 1
+            assert not second.ended
 
     run(test())
 
@@ -90,18 +84,16 @@
     """One that served an older attempt left its own waiting, if the other connection failed."""
 
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        pool = outcomes.backends._pools[1]
-        first = Attempt(None, 0, 1, PAYLOAD, 0.0)
-        pool.waiting.append(first)  # its connection has not come up yet
-        assert (await outcomes.outcome())[0] is Outcome.OK
-        await until(lambda: first.ended)  # after the reuse delay
-        pool._connect_failed(first)
-        assert [o for a, o, _ in outcomes.ended if a is first] == [Outcome.OK]
-        assert peer.connections == 1
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            pool = outcomes.backends._pools[1]
+            first = Attempt(None, 0, 1, PAYLOAD, 0.0)
+            pool.waiting.append(first)  # its connection has not come up yet
+            assert (await outcomes.outcome())[0] is Outcome.OK
+            await until(lambda: first.ended)  # after the reuse delay
+            pool._connect_failed(first)
+            assert [o for a, o, _ in outcomes.ended if a is first] == [Outcome.OK]
+            assert peer.connections == 1
 
     run(test())
 
@@ -123,49 +115,43 @@
 
 def test_cancelling_an_attempt_closes_its_connection() -> None:
     async def test() -> None:
-        peer = Peer(never_respond)
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        attempt = outcomes.start()
-        await until(lambda: bool(peer.requests))
-        outcomes.backends.cancel(attempt)
-        await until(lambda: peer.closed == 1)
-        assert outcomes.backends.open_connections == 0
-        assert not outcomes.ended
-        peer.stop()
+        async with Peer(never_respond) as peer:
+            outcomes = Outcomes(peer.port)
+            attempt = outcomes.start()
+            await until(lambda: bool(peer.requests))
+            outcomes.backends.cancel(attempt)
+            await until(lambda: peer.closed == 1)
+            assert outcomes.backends.open_connections == 0
+            assert not outcomes.ended
 
     run(test())
 
 
 def test_an_attempt_cancelled_while_it_connects_is_never_written() -> None:
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port)
-        outcomes.backends.cancel(outcomes.start())
-        await until(
-            lambda: outcomes.backends.open_connections == 0
-        )  # nor is its connection waited for
-        assert (await outcomes.outcome())[0] is Outcome.OK
-        assert len(peer.requests) == 1
-        assert len(outcomes.ended) == 1
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port)
+            outcomes.backends.cancel(outcomes.start())
+            await until(
+                lambda: outcomes.backends.open_connections == 0
+            )  # nor is its connection waited for
+            assert (await outcomes.outcome())[0] is Outcome.OK
+            assert len(peer.requests) == 1
+            assert len(outcomes.ended) == 1
 
     run(test())
 
 
 def test_idle_connections_are_closed_before_the_backend_closes_them() -> None:
     async def test() -> None:
-        peer = Peer(respond())
-        await peer.start()
-        outcomes = Outcomes(peer.port, idle_timeout_s=0.0)
-        await outcomes.outcome()
-        assert outcomes.backends.open_connections == 1
-        await asyncio.sleep(0.01)
-        outcomes.backends.sweep()
-        assert outcomes.backends.open_connections == 0
-        await until(lambda: peer.closed == 1)
-        peer.stop()
+        async with Peer(respond()) as peer:
+            outcomes = Outcomes(peer.port, idle_timeout_s=0.0)
+            await outcomes.outcome()
+            assert outcomes.backends.open_connections == 1
+            await asyncio.sleep(0.01)
+            outcomes.backends.sweep()
+            assert outcomes.backends.open_connections == 0
+            await until(lambda: peer.closed == 1)
 
     run(test())
 
