Log a rejected configuration where it is caught

Cause: a method of one line stood there only so that the linter did not see a log call without traceback in a handler. The call is where it belongs, with the exception to that rule and its reason. The line that is logged does not change.

--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -160,11 +160,8 @@
         except StopIteration as finished:
             service.reload(finished.value)
         except ConfigError as error:
-            self._log_rejected(error)
-
-    @staticmethod
-    def _log_rejected(error: ConfigError) -> None:
-        log.error("configuration rejected: error=%s", error)
+            # the operator's error: its message says all, and a traceback would say nothing of it
+            log.error("configuration rejected: error=%s", error)  # noqa: TRY400
 
 
 async def serve(
