Record what becomes of requests, attempts and connections, and why

Cause: the log of the incident had two lines, drain started and serving. It told neither which requests were in flight, nor their deadlines, nor why an attempt or a connection ended; so the records of clients and backends had to be used.

Each transition has its subject (the request's id or a peer's address), a reason and fields: accepted, attempt started (first, retry, hedge) and ended, concluded, cancelled, refused; connections of both sides closed, and why; the phases of a drain. In service events are counted and the last 512 kept, shown by SIGUSR1; in a drain each is logged as it comes, as a killed process can tell nothing later. The counts are logged at the end of a drain.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -11,6 +11,7 @@
 
 from sumacpost.config import Config
 from sumacpost.counter.client import CounterClient
+from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
 from sumacpost.discovery.endpoint_list import AddressByBackend
 from sumacpost.errors import RequestError
 from sumacpost.http1 import Response
@@ -110,6 +111,7 @@
             counter_timeout_ms=COUNTER_TIMEOUT_FACTOR * config.settings.counter_timeout_ms,
         )
         self.ready = False  # until there is a backend to send to
+        self.recorder = EventRecorder()
         self.backends = PoolManager(
             max_connections=max_connections_per_side(config),
             connect_timeout_s=config.connect_timeout_s,
@@ -117,6 +119,7 @@
             on_attempt_ended=self._attempt_ended,
             max_body_bytes=config.max_response_bytes,
             is_wanted=self._is_wanted,
+            recorder=self.recorder,
         )
         self.counter: CounterClient | None = None
         if settings.counter:
@@ -168,6 +171,15 @@
             arrival.request, request, response, deadline=now + arrival.time_left_ms
         )
         self._pending[pending.number] = pending
+        self.recorder.record(
+            EventKind.REQUEST_ACCEPTED,
+            "serving" if self._drain_deadline == inf else "draining",
+            request.id,
+            "number=%d class=%d time_left_ms=%.0f",
+            pending.number,
+            arrival.request_class,
+            arrival.time_left_ms,
+        )
         self._handle(arrival)
         if pending.number in self._pending:
             pending.timer = self._loop.call_later(
@@ -178,12 +190,39 @@
     def cancel_request(self, pending: PendingRequest) -> None:
         """Drop a request whose client has gone."""
         if self._remove_pending(pending):
+            self.recorder.record(
+                EventKind.REQUEST_CANCELLED,
+                "client_left",
+                pending.request.id,
+                "attempts=%d",
+                len(pending.attempts),
+            )
             self._handle(RequestCancelled(pending.number))
             self._cancel_remaining(pending)
 
     def drain(self) -> None:
         """Give requests from now on a deadline before the process is killed."""
-        self._drain_deadline = self._clock.now() + self._drain_ms
+        now = self._clock.now()
+        self._drain_deadline = now + self._drain_ms
+        self.recorder.logs_live = True
+        self.recorder.record(
+            EventKind.DRAIN_PHASE,
+            "started",
+            "requests",
+            "pending=%d respond_within_ms=%.0f",
+            len(self._pending),
+            self._drain_ms,
+        )
+        for pending in self._pending.values():
+            self.recorder.record(
+                EventKind.DRAIN_PHASE,
+                "request_pending",
+                pending.request.id,
+                "number=%d time_left_ms=%.0f attempts=%d",
+                pending.number,
+                pending.deadline - now,
+                len(pending.attempts),
+            )
 
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Forward a good response, and report the outcome."""
@@ -195,6 +234,7 @@
         if response is not None:
             if served:
                 self._remove_pending(pending)
+                self._record_conclusion(pending, 200, "served")
                 pending.response.send(200, response.body, _forwarded_headers(response))
                 billed_units = response.headers.get(b"billed-units", b"")
                 units = read_billed_units(billed_units, self._max_units)
@@ -209,7 +249,8 @@
             self._cancel_attempt(pending, attempt, Outcome.TIMEOUT)
         if pending.number in self._pending:
             log.error("request left without a response: request=%d", pending.number)
-            self._respond(pending, 504)
+            self.recorder.log_history(pending.request.id)
+            self._respond(pending, 504, "unanswered")
 
     def _report_attempt_end(
         self,
@@ -219,13 +260,23 @@
         units: float = 0.0,
         report: tuple[float, ...] = (),
     ) -> None:
+        elapsed_ms = self._clock.now() - attempt.started_at_ms
+        self.recorder.record(
+            EventKind.ATTEMPT_ENDED,
+            outcome.name.lower(),
+            pending.request.id,
+            "attempt=%d backend=%x elapsed_ms=%.0f",
+            attempt.index,
+            attempt.backend,
+            elapsed_ms,
+        )
         self._handle(
             AttemptEnded(
                 pending.number,
                 attempt.index,
                 attempt.backend,
                 outcome,
-                elapsed_ms=self._clock.now() - attempt.started_at_ms,
+                elapsed_ms=elapsed_ms,
                 concluded=pending.number not in self._pending,
                 actual_units=units,
                 report=report,
@@ -246,16 +297,17 @@
             number = getattr(subject, "request", None) or getattr(event, "request", None)
             pending = self._pending.get(number or 0)
             if pending is not None:
-                self._respond(pending, 500)
+                self._respond(pending, 500, "internal_error")
 
     def _carry_out(self, action: Action) -> None:
         match action:
             case Send():
                 self._start_attempt(action)
-            case Reject(number, retry_after_ms):
-                self._respond(self._pending[number], 429, _retry_after_header(retry_after_ms))
-            case Fail(number):
-                self._respond(self._pending[number], 502)
+            case Reject(number, retry_after_ms, reason):
+                headers = _retry_after_header(retry_after_ms)
+                self._respond(self._pending[number], 429, reason.value, headers)
+            case Fail(number, reason):
+                self._respond(self._pending[number], 502, reason.value)
             case Cancel(number, index):
                 pending = self._pending.get(number)
                 if pending is not None:  # else all its attempts end with it
@@ -281,6 +333,15 @@
             pending.request.retryable,
         )
         pending.attempts.append(attempt)
+        self.recorder.record(
+            EventKind.ATTEMPT_STARTED,
+            action.reason.value,
+            pending.request.id,
+            "attempt=%d backend=%x time_left_ms=%.0f",
+            attempt.index,
+            attempt.backend,
+            pending.deadline - now,
+        )
         # a request without a timer has just arrived, and its client has been looked at
         if pending.timer is None or self._is_wanted(attempt):
             self.backends.start(attempt)
@@ -297,12 +358,26 @@
             self.cancel_request(pending)
         return not attempt.ended
 
-    def _respond(self, pending: PendingRequest, status: int, headers: Headers = ()) -> None:
+    def _respond(
+        self, pending: PendingRequest, status: int, reason: str, headers: Headers = ()
+    ) -> None:
         """Send the final response of the ingress itself, unless there has been one."""
         if self._remove_pending(pending):
+            self._record_conclusion(pending, status, reason)
             pending.response.send(status, b"", headers)
             self._cancel_remaining(pending)
 
+    def _record_conclusion(self, pending: PendingRequest, status: int, reason: str) -> None:
+        self.recorder.record(
+            EventKind.REQUEST_CONCLUDED,
+            reason,
+            pending.request.id,
+            "status=%d time_left_ms=%.0f attempts=%d",
+            status,
+            pending.deadline - self._clock.now(),
+            len(pending.attempts),
+        )
+
     def _remove_pending(self, pending: PendingRequest) -> bool:
         """Note that no response is owed any more; return False if none was owed before."""
         if self._pending.pop(pending.number, None) is None:
--- a/sumacpost/model/actions.py
+++ b/sumacpost/model/actions.py
@@ -3,10 +3,33 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from sumacpost.model.events import BackendId
 
 
+class SendReason(Enum):
+    """Why an attempt is started."""
+
+    FIRST = "first"
+    RETRY = "retry"  # the attempt before it has ended without a good response
+    HEDGE = "hedge"  # the attempt before it is overdue and goes on
+
+
+class ConclusionReason(Enum):
+    """Why a request gets a final response that no backend has made."""
+
+    UNSTATED = "unstated"
+    QUOTA = "quota"  # the customer is over its quota
+    CEILING = "ceiling"  # the customer is over its plan's hard ceiling
+    OVERLOAD = "overload"  # no backend would serve it in time
+    NOT_REPEATABLE = "not_repeatable"  # an attempt may have run, and no other may follow
+    ATTEMPTS_USED = "attempts_used"  # as many as the settings permit have ended
+    DEADLINE = "deadline"  # too little time is left for another attempt
+    RETRY_BUDGET = "retry_budget"  # too many retries are being sent altogether
+    NO_BACKEND = "no_backend"  # none is left to send a retry to
+
+
 @dataclass(slots=True)
 class Send:
     """Start an attempt. The attempts of a request are numbered from 0, in the order of sending.
@@ -15,11 +38,13 @@
         request: the number of the request.
         backend: where to send it.
         timeout_ms: how long to wait for the response; 0: until the client's deadline.
+        reason: why it is started, for the log.
     """
 
     request: int
     backend: BackendId
     timeout_ms: float = 0.0
+    reason: SendReason = SendReason.FIRST
 
 
 @dataclass(slots=True)
@@ -42,10 +67,12 @@
     Attributes:
         request: the number of the request.
         retry_after_ms: when the client is advised to retry, from now on; 0: no advice.
+        reason: why, for the log.
     """
 
     request: int
     retry_after_ms: float = 0.0
+    reason: ConclusionReason = ConclusionReason.UNSTATED
 
 
 @dataclass(slots=True)
@@ -54,9 +81,11 @@
 
     Attributes:
         request: the number of the request.
+        reason: why, for the log.
     """
 
     request: int
+    reason: ConclusionReason = ConclusionReason.UNSTATED
 
 
 @dataclass(slots=True)
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -4,7 +4,16 @@
 from random import Random
 
 from sumacpost.model import events
-from sumacpost.model.actions import Action, Actions, Cancel, Fail, Reject, Send
+from sumacpost.model.actions import (
+    Action,
+    Actions,
+    Cancel,
+    ConclusionReason,
+    Fail,
+    Reject,
+    Send,
+    SendReason,
+)
 from sumacpost.model.settings import Settings
 from sumacpost.policy.backend import Backend, InFlightAttempt
 from sumacpost.policy.endpoint_table import EndpointTable
@@ -74,25 +83,25 @@
             return
         customer.exhausted = True
         if not below_ceiling:
-            self._reject(now, request)
+            self._reject(now, request, ConclusionReason.CEILING)
         elif plan.over_quota_weight > plan.over_quota_cost:
             too_large = bucket_size < event.units
             self._admit(now, request, Grant.BUCKET if too_large else Grant.BEYOND_QUOTA)
         elif not self.quota_sync.probably_granted(now, customer):
-            self._reject(now, request)
+            self._reject(now, request, ConclusionReason.QUOTA)
         elif self.quota_sync.may_ask(now, request):
             self._ask_counter(now, request)
         elif self.quota_sync.enabled or customer.tokens >= bucket_size:
             # a full bucket does for a larger request, which would never pass otherwise
             self._admit(now, request, Grant.BUCKET)
         else:
-            self._reject(now, request)
+            self._reject(now, request, ConclusionReason.QUOTA)
 
     def _ask_counter(self, now: float, request: PendingRequest) -> None:
         """Hold a request until the counter replies; no call for one that would be rejected."""
         threshold = self.load_balancer.admission_threshold(request.event.request_class)
         if self.load_balancer.choose(now, request, threshold) is None:
-            self._reject(now, request)
+            self._reject(now, request, ConclusionReason.OVERLOAD)
             return
         request.customer.unreported_units += request.event.units
         self._actions += self.quota_sync.settle(now, request.customer, request)
@@ -105,7 +114,7 @@
         if call.request is not None and call.grant is not None:
             self._admit(now, call.request, call.grant)
         elif call.request is not None:
-            self._reject(now, call.request)
+            self._reject(now, call.request, ConclusionReason.QUOTA)
         self._actions += self.quota_sync.settle_after_reply(now, call)
 
     def _admit(self, now: float, request: PendingRequest, grant: Grant) -> None:
@@ -121,7 +130,7 @@
         if backend is None:
             if grant is Grant.COUNTER:
                 customer.unreported_units -= units
-            self._reject(now, request)
+            self._reject(now, request, ConclusionReason.OVERLOAD)
             return
         if customer.plan.ceiling_rate:
             customer.ceiling_tokens -= units
@@ -129,20 +138,22 @@
             customer.tokens -= units
             customer.unreported_units += units
             self._actions += self.quota_sync.settle(now, customer)
-        self._send(now, request, backend)
+        self._send(now, request, backend, SendReason.FIRST)
 
-    def _reject(self, now: float, request: PendingRequest) -> None:
+    def _reject(self, now: float, request: PendingRequest, reason: ConclusionReason) -> None:
         """Conclude a request with the time after which its client may come back."""
         no_show_ms = NO_SHOW_MS * self.settings.clients_mark_retries
         wait_ms = request.customer.return_time(now, request.event.units, no_show_ms)
         retry_after_ms = wait_ms * self.settings.retry_after
-        self._conclude(request, Reject(request.event.request, retry_after_ms))
+        self._conclude(request, Reject(request.event.request, retry_after_ms, reason))
 
     def _conclude(self, request: PendingRequest, answer: Action) -> None:
         self._actions.append(answer)
         self.pending.pop(request.event.request, None)
 
-    def _send(self, now: float, request: PendingRequest, backend: Backend) -> None:
+    def _send(
+        self, now: float, request: PendingRequest, backend: Backend, reason: SendReason
+    ) -> None:
         """Start an attempt and remember what it may do."""
         number = request.event.request
         outstanding = self.load_balancer.outstanding(now, backend)
@@ -155,7 +166,7 @@
         request.in_flight[attempt_number] = attempt
         backend.begin(number, attempt_number, attempt)
         self.estimate.observe_work(request.work)
-        self._actions.append(Send(number, backend.endpoint.backend))
+        self._actions.append(Send(number, backend.endpoint.backend, reason=reason))
         self._actions += self.retries.hedge_timer(now, request, overdue_after_ms)
 
     def _timer_fired(self, now: float, event: events.TimerFired) -> None:
@@ -213,15 +224,18 @@
         self, now: float, request: PendingRequest, threshold: float = inf
     ) -> None:
         """Send another attempt if one is permitted; else conclude once none is in flight."""
-        if self.retries.permits_retry(now, request):
+        obstacle = self.retries.retry_obstacle(now, request)
+        if obstacle is None:
             backend = self.load_balancer.choose(now, request, threshold)
             if backend is not None:
                 self.retries.retry_tokens -= 1
-                self._send(now, request, backend)
+                reason = SendReason.HEDGE if request.in_flight else SendReason.RETRY
+                self._send(now, request, backend, reason)
                 return
+            obstacle = ConclusionReason.NO_BACKEND
         if request.in_flight:
             return  # it may still be answered
         if self.retries.permits_rejection(request):
-            self._reject(now, request)
+            self._reject(now, request, obstacle)
         else:
-            self._conclude(request, Fail(request.event.request))
+            self._conclude(request, Fail(request.event.request, obstacle))
--- a/sumacpost/policy/retries.py
+++ b/sumacpost/policy/retries.py
@@ -1,6 +1,13 @@
 """Retries: their budget, the table of those permitted, and hedged requests."""
 
-from sumacpost.model import Actions, DeduplicationScope, Idempotency, SetTimer, Settings
+from sumacpost.model import (
+    Actions,
+    ConclusionReason,
+    DeduplicationScope,
+    Idempotency,
+    SetTimer,
+    Settings,
+)
 from sumacpost.policy.pending_request import PendingRequest
 
 RETRY_RATIO = 0.1  # retries earned by each request
@@ -20,14 +27,17 @@
         """Add what one request earns to the retry budget."""
         self.retry_tokens = min(MAX_RETRY_TOKENS, self.retry_tokens + RETRY_RATIO)
 
-    def permits_retry(self, now: float, request: PendingRequest) -> bool:
-        """Return whether another attempt may be sent now."""
-        return (
-            (request.is_repeatable or self._in_window(now, request))
-            and len(request.tried) < self._settings.max_attempts
-            and now < request.deadline - self._settings.tick_ms
-            and self.retry_tokens >= 1
-        )
+    def retry_obstacle(self, now: float, request: PendingRequest) -> ConclusionReason | None:
+        """Return why no other attempt may be sent now, or None if one may."""
+        if not (request.is_repeatable or self._in_window(now, request)):
+            return ConclusionReason.NOT_REPEATABLE
+        if len(request.tried) >= self._settings.max_attempts:
+            return ConclusionReason.ATTEMPTS_USED
+        if now >= request.deadline - self._settings.tick_ms:
+            return ConclusionReason.DEADLINE
+        if self.retry_tokens < 1:
+            return ConclusionReason.RETRY_BUDGET
+        return None
 
     def _in_window(self, now: float, request: PendingRequest) -> bool:
         """Return whether an attempt sent now would surely arrive in the deduplication window."""
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -10,8 +10,10 @@
 from enum import Enum, auto
 from typing import cast
 
+from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
 from sumacpost.http1 import MAX_BODY, MAX_HEAD
+from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.request_handler import RequestHandler
 from sumacpost.server.request_reader import RequestMessage, RequestReader
@@ -56,6 +58,7 @@
         self._handler = handler
         self._reader = RequestReader(self._on_request)
         self._state = _READING
+        self._close_reason = CloseReason.CLIENT_LEFT  # until the ingress closes it itself
         self._pending_responses: deque[PendingResponse] = deque()
         self._unread: deque[ReceivedData] = deque()
         self._unread_bytes = 0
@@ -84,6 +87,7 @@
         self.advance()
         if self._unread_bytes > MAX_UNREAD_BYTES:
             self._unread_dropped = True
+            self._close_reason = CloseReason.INVALID_INPUT
             self._reject(429)
 
     def pause_writing(self) -> None:
@@ -103,6 +107,14 @@
         self._pending_responses = deque()
         for response in unsent:
             self._handler.cancel(response)
+        self._handler.recorder.record(
+            EventKind.CLIENT_CONNECTION_CLOSED,
+            self._close_reason.value,
+            self._transport.get_extra_info("peername"),
+            "responses_owed=%d incomplete_bytes=%d",
+            len(unsent),
+            self._reader.incomplete_bytes,
+        )
 
     # ---- requests and responses
 
@@ -147,6 +159,10 @@
         try:
             self._reader.feed(received.data)
         except RequestError as error:
+            self._close_reason = CloseReason.INVALID_INPUT
+            self._handler.recorder.record(
+                EventKind.REQUEST_REFUSED, str(error.status), "", "error=%s", error
+            )
             self._reject(error.status)
         finally:
             self._parsing = False
@@ -215,25 +231,29 @@
     def on_request_timeout(self) -> None:
         """Answer a request that has not come whole in its time, or end a silent connection."""
         if self._reader.has_partial_message and self._state is _READING:
+            self._close_reason = CloseReason.REQUEST_TIMEOUT
             self._reject(408)
         else:
-            self.close()
+            self.close(CloseReason.REQUEST_TIMEOUT)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection between requests, once its last response is written."""
+        self._close_reason = reason
         self._state = _CLOSING
         self._transport.close()
 
     def evict(self) -> None:
         """Close at once, as the place is needed: a client that reads nothing would keep it."""
+        self._close_reason = CloseReason.EVICTED
         self._state = _CLOSING
         if self._transport.get_write_buffer_size():
             self._transport.abort()
         else:
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close at once: the client never reads its response, or never ends its request."""
+        self._close_reason = reason
         self._state = _CLOSING
         self._transport.abort()
 
@@ -248,6 +268,8 @@
         Where more input may come, the socket is read on for a while: closing it with unread bytes
         would reset the connection, and the response could be lost with it.
         """
+        if self._close_reason is CloseReason.CLIENT_LEFT:
+            self._close_reason = CloseReason.RESPONSE_WAS_LAST
         self._stop_reading()
         self._registry.mark_closing(self)
         if self._reader.incomplete_bytes or self._unread_dropped:
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -7,6 +7,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_queue import ConnectionQueue
 
 if TYPE_CHECKING:
@@ -105,7 +106,7 @@
         self.idle.add(connection)
         self.on_capacity()
         if len(self.idle) > self._max_idle and (longest_idle := self.idle.oldest()) is not None:
-            self._close_idle_connection(longest_idle)
+            self._close_idle_connection(longest_idle, CloseReason.EVICTED)
 
     def mark_closing(self, connection: ClientConnection) -> None:
         """Note that the last response is sent: the connection has LINGER_TIMEOUT_S to end."""
@@ -143,23 +144,23 @@
             self.waiting.discard(late)
             self.closing.add(late)
             late.on_request_timeout()
-        self.close_idle(now - IDLE_TIMEOUT_S)
+        self.close_idle(now - IDLE_TIMEOUT_S, CloseReason.IDLE)
         while (late := self.closing.oldest(now - LINGER_TIMEOUT_S)) is not None:
             self.closing.discard(late)
-            late.abort()
+            late.abort(CloseReason.LINGER_TIMEOUT)
 
-    def close_idle(self, before: float) -> None:
+    def close_idle(self, before: float, reason: CloseReason) -> None:
         """Close the connections that have been idle since before that time."""
         while (late := self.idle.oldest(before)) is not None:
-            self._close_idle_connection(late)
+            self._close_idle_connection(late, reason)
 
     def abort_waiting(self, before: float) -> None:
         """Abort the connections that have waited for a request since before that time."""
         while (late := self.waiting.oldest(before)) is not None:
-            late.abort()
+            late.abort(CloseReason.DRAIN_NO_REQUEST)
             self.connection_closed(late)
 
-    def _close_idle_connection(self, connection: ClientConnection) -> None:
+    def _close_idle_connection(self, connection: ClientConnection, reason: CloseReason) -> None:
         self.idle.discard(connection)
         self.closing.add(connection)
-        connection.close()
+        connection.close(reason)
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -5,6 +5,8 @@
 import asyncio
 import time
 
+from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
+from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.listener import LISTEN_BACKLOG, Listener
 
@@ -22,13 +24,31 @@
 DRAIN_POLL_S = 0.02
 
 
-async def drain_connections(listener: Listener, registry: ConnectionRegistry) -> None:
+async def drain_connections(
+    listener: Listener, registry: ConnectionRegistry, recorder: EventRecorder
+) -> None:
     """Close the listener once clients have stopped coming; return when all connections ended."""
     started_at = time.monotonic()
-    registry.close_idle(started_at)
+    _record_phase(recorder, "accepting", registry)
+    registry.close_idle(started_at, CloseReason.DRAIN_IDLE)
     await _accept_until_quiet(listener, started_at)
     listener.close()
+    _record_phase(recorder, "listener_closed", registry)
     await _finish_connections(registry)
+    _record_phase(recorder, "connections_ended", registry)
+
+
+def _record_phase(recorder: EventRecorder, phase: str, registry: ConnectionRegistry) -> None:
+    recorder.record(
+        EventKind.DRAIN_PHASE,
+        phase,
+        "connections",
+        "open=%d waiting=%d idle=%d closing=%d",
+        len(registry.open),
+        len(registry.waiting),
+        len(registry.idle),
+        len(registry.closing),
+    )
 
 
 async def _accept_until_quiet(listener: Listener, started_at: float) -> None:
@@ -48,5 +68,5 @@
         await asyncio.sleep(DRAIN_POLL_S)
         now = time.monotonic()
         registry.abort_waiting(now - DRAIN_REQUEST_TIMEOUT_S)
-        registry.close_idle(now - DRAIN_QUIET_S)
+        registry.close_idle(now - DRAIN_QUIET_S, CloseReason.DRAIN_IDLE)
         registry.enforce_timeouts()
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
 from sumacpost.ingress import Ingress
 from sumacpost.server.request import RequestParser
@@ -18,6 +19,7 @@
     def __init__(self, ingress: Ingress, parser: RequestParser) -> None:
         self._ingress = ingress
         self._parser = parser
+        self.recorder = ingress.recorder
         self.draining = False
 
     def handle(self, message: RequestMessage, response: PendingResponse) -> None:
@@ -30,6 +32,9 @@
             request = self._parser.parse(message)
             response.request = self._ingress.start_request(request, response)
         except RequestError as error:
+            self.recorder.record(
+                EventKind.REQUEST_REFUSED, str(error.status), message.target, "error=%s", error
+            )
             response.send(error.status, error.reason.encode(), _PLAIN_TEXT)
 
     def cancel(self, response: PendingResponse) -> None:
--- a/sumacpost/server/server.py
+++ b/sumacpost/server/server.py
@@ -33,7 +33,7 @@
     async def drain(self) -> None:
         """Accept what still comes, finish all requests, and return when all connections ended."""
         self.handler.drain()
-        await drain_connections(self.listener, self.connections)
+        await drain_connections(self.listener, self.connections, self.handler.recorder)
 
     def _new_connection(self, sock: socket.socket) -> ClientConnection:
         return ClientConnection(sock, self.connections, self.handler)
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 
 import uvloop
@@ -71,12 +72,18 @@
         self._log_serving()
         await stop.wait()
         log.info("drain started")
+        started_at = time.monotonic()
         await self._server.drain()
         for task in (self._discovery_task, self._counter_task, maintenance_task):
             if task is not None:
                 task.stop()
         self._ingress.backends.close()
-        log.info("drain finished")
+        log.info("drain finished: elapsed_s=%.3f", time.monotonic() - started_at)
+        self._ingress.recorder.log_counts()
+
+    def log_state(self) -> None:
+        """Log the latest events and the counts of all, for a look at a running ingress."""
+        self._ingress.recorder.log_latest()
 
     def reload(self, config: Config) -> None:
         """Use the addresses of another configuration; anything else in it needs a restart."""
@@ -175,9 +182,15 @@
 
 async def _serve_until_signalled(config: Config, path: str, reloader: ConfigReloader) -> None:
     stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signum, stop.set)
-    await serve(config, stop, lambda service: reloader.attach(service, path))
+        loop.add_signal_handler(signum, stop.set)
+
+    def attach(service: Service) -> None:
+        reloader.attach(service, path)
+        loop.add_signal_handler(signal.SIGUSR1, service.log_state)
+
+    await serve(config, stop, attach)
 
 
 def main() -> int:
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -10,6 +10,7 @@
 from typing import Protocol, cast
 
 from sumacpost.address import Address
+from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
 from sumacpost.errors import ResponseError
 from sumacpost.http1 import Response, ResponseReader
 from sumacpost.model import Outcome
@@ -31,12 +32,26 @@
     CLOSED = "closed"
 
 
+class CloseReason(Enum):
+    """Why a connection to a backend has ended; the values are for the log."""
+
+    LOST = "lost"  # the backend closed it, or the path broke
+    STALE = "stale"  # idle for too long, or found closed as it was to be used
+    EVICTED = "evicted"  # its place was needed
+    RETIRED = "retired"  # its backend has moved, restarted or gone, or the ingress ends
+    ATTEMPT_ABANDONED = "attempt_abandoned"
+    INVALID_RESPONSE = "invalid_response"
+    RESPONSE_STALLED = "response_stalled"
+    RESPONSE_WAS_LAST = "response_was_last"  # the response leaves it of no further use
+
+
 class ConnectionOwner(Protocol):
     """What a connection reports to: the pool that it belongs to."""
 
     endpoint: Address
     max_body_bytes: int
     reuse_limit: ReuseLimit
+    recorder: EventRecorder
 
     def park_idle(self, connection: BackendConnection) -> None:
         """Keep a connection that is free for another attempt."""
@@ -125,12 +140,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt in flight, if there is one."""
         del exc  # a connection that the peer closed and one that it reset count alike
-        self._fail()
+        self._fail(CloseReason.LOST)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close at once; nothing more is read or reported."""
         if self._state is ConnectionState.CLOSED:
             return
+        self._pool.recorder.record(
+            EventKind.BACKEND_CONNECTION_CLOSED,
+            reason.value,
+            self._pool.endpoint,
+            "state=%s",
+            self._state.value,
+        )
         self._state = ConnectionState.CLOSED
         if self._stall_timer is not None:
             self._stall_timer.cancel()
@@ -144,24 +166,24 @@
     def abandon_attempt(self) -> None:
         """Close the connection without an outcome for the attempt that it carries."""
         self.attempt = None
-        self.close()
+        self.close(CloseReason.ATTEMPT_ABANDONED)
 
     def _reject_response(self, error: object) -> None:
         host, port = self._pool.endpoint
         log.warning("response rejected: backend=%s:%d error=%s", host, port, error)
-        self._fail()
+        self._fail(CloseReason.INVALID_RESPONSE)
 
     def _response_stalled(self) -> None:
         host, port = self._pool.endpoint
         log.warning(
             "response stalled: backend=%s:%d timeout_s=%s", host, port, RESPONSE_STALL_TIMEOUT_S
         )
-        self._fail()
+        self._fail(CloseReason.RESPONSE_STALLED)
 
-    def _fail(self) -> None:
+    def _fail(self, reason: CloseReason) -> None:
         """Close, and end the attempt: the backend may have run it if it was written whole."""
         written = self._state is ConnectionState.WRITTEN
-        self.close()
+        self.close(reason)
         if self.attempt is not None and self.idle_since and not self._reader.response_begun:
             self._pool.reuse_limit.record_reset(
                 idle_s=self._request_started_at - self.idle_since,
@@ -179,6 +201,6 @@
             self._pool.reuse_limit.record_success()
             self._pool.park_idle(self)
         else:
-            self.close()
+            self.close(CloseReason.RESPONSE_WAS_LAST)
         if attempt is not None:
             self._pool.end_attempt(attempt, outcome, response)
--- a/sumacpost/upstream/pool.py
+++ b/sumacpost/upstream/pool.py
@@ -9,10 +9,11 @@
 from typing import Protocol
 
 from sumacpost.address import Address
+from sumacpost.diagnostics.event_recorder import EventRecorder
 from sumacpost.http1 import Response
 from sumacpost.model import Outcome
 from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback, AttemptState
-from sumacpost.upstream.connection import BackendConnection
+from sumacpost.upstream.connection import BackendConnection, CloseReason
 from sumacpost.upstream.reuse_limit import ReuseLimit
 
 # From a response to the next request on its connection. A backend may send a second response behind
@@ -27,6 +28,7 @@
     max_body_bytes: int
     connect_timeout_s: float
     reuse_limit: ReuseLimit
+    recorder: EventRecorder
     on_attempt_ended: AttemptEndedCallback
     is_wanted: Callable[[Attempt], bool]
 
@@ -45,6 +47,7 @@
         self.up_since_ms = up_since_ms
         self.max_body_bytes = owner.max_body_bytes
         self.reuse_limit = owner.reuse_limit
+        self.recorder = owner.recorder
         self.idle: deque[BackendConnection] = deque()  # the most recently used last
         self.waiting: deque[Attempt] = deque()  # the one that has waited longest first
         self._owner = owner
@@ -91,7 +94,7 @@
     def park_idle(self, connection: BackendConnection) -> None:
         """Keep a free connection; after the reuse delay the attempt waiting longest gets it."""
         if self._retired:
-            connection.close()
+            connection.close(CloseReason.RETIRED)
             return
         loop = asyncio.get_running_loop()
         connection.idle_since = loop.time()
@@ -113,14 +116,14 @@
     def close_idle(self, before: float) -> None:
         """Close the connections that have been idle since before a time of the loop's clock."""
         while self.idle and self.idle[0].idle_since < before:
-            self.idle[0].close()
+            self.idle[0].close(CloseReason.STALE)
 
     def retire(self) -> None:
         """Close the pool: attempts in flight go on, and their connections close with them."""
         self._retired = True
         self.reject_waiting()
         while self.idle:
-            self.idle[0].close()
+            self.idle[0].close(CloseReason.RETIRED)
 
     def _take_reusable(self) -> BackendConnection | None:
         """Take the connection used last out of those that may be reused now."""
@@ -132,7 +135,7 @@
             if connection.usable():
                 self.idle.remove(connection)
                 return connection
-            connection.close()
+            connection.close(CloseReason.STALE)
         return None
 
     def _serve_waiting(self) -> None:
@@ -163,7 +166,7 @@
             self.waiting.remove(attempt)
             connection.start(attempt)
         else:
-            connection.close()
+            connection.close(CloseReason.STALE)
             self._connect_failed(attempt)
 
     async def _open_connection(self, attempt: Attempt) -> BackendConnection:
--- a/sumacpost/upstream/pool_manager.py
+++ b/sumacpost/upstream/pool_manager.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable
 
 from sumacpost.address import Address
+from sumacpost.diagnostics.event_recorder import EventRecorder
 from sumacpost.http1 import MAX_BODY
 from sumacpost.model import BackendId, EndpointListUpdate, EndpointStatus, UpdateKind
 from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback
+from sumacpost.upstream.connection import CloseReason
 from sumacpost.upstream.pool import ConnectionPool
 from sumacpost.upstream.reuse_limit import ReuseLimit
 
@@ -34,11 +36,13 @@
         on_attempt_ended: AttemptEndedCallback,
         max_body_bytes: int = MAX_BODY,
         is_wanted: Callable[[Attempt], bool] = _always_wanted,
+        recorder: EventRecorder | None = None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.max_body_bytes = max_body_bytes
         self.on_attempt_ended = on_attempt_ended
         self.is_wanted = is_wanted
+        self.recorder = recorder or EventRecorder()
         self.reuse_limit = ReuseLimit(backend_idle_timeout_s)
         self.open_connections = 0  # those coming up included
         self._max_connections = max_connections
@@ -115,5 +119,5 @@
         candidate = min(oldest_idle, key=lambda idle: idle.idle_since, default=None)
         if candidate is None:
             return False
-        candidate.close()
+        candidate.close(CloseReason.EVICTED)
         return True
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -23,6 +23,7 @@
     Reject,
     RequestCancelled,
     Send,
+    SendReason,
     Settings,
     TimerFired,
     UpdateKind,
@@ -243,7 +244,7 @@
             return
         if self.fault == "retries anything":
             backend = next(iter(self.endpoints.backends.values()))
-            self._send(now, request, backend)
+            self._send(now, request, backend, SendReason.RETRY)
             return
         super()._retry_or_conclude(now, request, threshold)
 
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -17,7 +17,7 @@
 import pytest
 
 from sumacpost.server.connection import MAX_PIPELINED
-from sumacpost.upstream.connection import BackendConnection
+from sumacpost.upstream.connection import BackendConnection, CloseReason
 from sumacpost.upstream.pool import REUSE_DELAY_S, ConnectionPool
 from tests.support.configuration import SETTINGS
 from tests.support.disconnects import (
@@ -216,13 +216,13 @@
             client = BlockingClient(ingress.address)
             if which == "first":
                 for pool in pools(ingress):
-                    pool.idle[0].close()
+                    pool.idle[0].close(CloseReason.STALE)
             else:
                 client.write(slow_request())
                 await until_attempted(ingress)
                 for pool in pools(ingress):
                     if pool.idle:
-                        pool.idle[0].close()
+                        pool.idle[0].close(CloseReason.STALE)
             hook.callback = lambda: disconnect_during(lambda: None, client, how, True)
             before = len(attempts(ingress))
             if which == "first":
