--- /dev/null
+++ b/fleetlab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real ingress processes: overlapping faults, and the rules as its oracles."""
--- /dev/null
+++ b/fleetlab/soak/backend.py
@@ -0,0 +1,278 @@
+"""A backend that records each attempt and responds to it in ways that a schedule chooses."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+from typing import cast
+
+from fleetlab.soak.records import Attempt, AttemptResult
+from fleetlab.stand_in import format_address
+
+MAX_WORK_S = 0.05  # of a request that meets no fault
+PIECE_PAUSE_S = 0.02  # between the pieces of a response in pieces
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends RST
+
+
+class Behaviour(Enum):
+    """How a backend treats one attempt."""
+
+    SERVE = "serve"
+    SLOW = "slow"  # served after half a second to a second and a half
+    HANG = "hang"  # no response, the connection stays open
+    ERROR = "error"  # 500
+    NOT_STARTED = "not_started"  # 503 with Not-Started: 1
+    UNBOUNDED = "unbounded"  # served with no length; the connection's end ends the response
+    UNBOUNDED_IN_PIECES = "unbounded_in_pieces"
+    UNBOUNDED_RESET = "unbounded_reset"  # no length, half of the body, then a reset
+    TRUNCATED = "truncated"  # less than the stated length, then the connection ends
+    RESET = "reset"  # a reset with no response
+    NOISE = "noise"  # bytes that are no HTTP
+    IN_PIECES = "in_pieces"
+    SERVE_AND_CLOSE = "serve_and_close"  # Connection: close
+
+
+UNBOUNDED = frozenset({Behaviour.UNBOUNDED, Behaviour.UNBOUNDED_IN_PIECES})
+
+Chooser = Callable[[], Behaviour]
+
+
+@dataclass(slots=True)
+class BackendState:
+    """What a schedule may change of a backend while it runs."""
+
+    choose: Chooser
+    accept_delay_s: float = 0.0  # before the bytes of a new connection are read
+    idle_close_s: float = 30.0  # after which an idle connection is closed, or forgotten
+    forget_idle: bool = False  # whether idle connections are reset at their next request instead
+
+
+def always(behaviour: Behaviour) -> Chooser:
+    """Return a chooser of one behaviour."""
+    return lambda: behaviour
+
+
+def weighted(random: Random, weights: dict[Behaviour, float]) -> Chooser:
+    """Return a chooser that draws behaviours by weight."""
+    kinds = list(weights)
+    return lambda: random.choices(kinds, list(weights.values()))[0]
+
+
+@dataclass
+class SoakBackend:
+    """One backend on a loopback address; `attempts` holds all that it has received whole."""
+
+    uid: str
+    state: BackendState
+    random: Random
+    attempts: list[Attempt]
+    incarnation: int = 0
+    endpoint: str = ""
+    connections: dict[_Connection, None] = field(default_factory=dict)
+    _server: asyncio.Server | None = None
+    _address: tuple[str, int] = ("127.0.0.1", 0)
+
+    async def start(self) -> None:
+        """Listen: on a port of the system's choice the first time, on the same one later."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), *self._address, reuse_address=True
+        )
+        self._address = self._server.sockets[0].getsockname()[:2]
+        self.endpoint = format_address(self._address)
+
+    async def crash(self) -> None:
+        """Refuse connections and reset those that are open, as the end of a process does."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self.connections):
+            connection.reset()
+
+    async def restart(self) -> None:
+        """Listen again, as a new incarnation that remembers no request."""
+        self.incarnation += 1
+        await self.start()
+
+
+class _Connection(asyncio.Protocol):
+    """One connection of an ingress; it carries one request at a time."""
+
+    def __init__(self, backend: SoakBackend) -> None:
+        self._backend = backend
+        self._buffer = b""
+        self._first_byte_at = 0.0
+        self._attempt: Attempt | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._stale = False
+        self._transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._backend.connections[self] = None
+        delay_s = self._backend.state.accept_delay_s
+        if delay_s:
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_later(delay_s, self._resume)
+        self._rest()
+
+    def _resume(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _rest(self) -> None:
+        """Wait for a request, for as long as an idle connection is kept."""
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        self._idle_timer = asyncio.get_running_loop().call_later(
+            self._backend.state.idle_close_s, self._idle_too_long
+        )
+
+    def _idle_too_long(self) -> None:
+        if self._attempt is not None or self._buffer:
+            return
+        if self._backend.state.forget_idle:
+            self._stale = True
+        else:
+            self._transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._stale:
+            self.reset()
+            return
+        if not self._buffer:
+            self._first_byte_at = time.monotonic()
+        self._buffer += data
+        head, separator, rest = self._buffer.partition(b"\r\n\r\n")
+        if not separator or self._attempt is not None:
+            return
+        headers = _parse_headers(head)
+        length = int(headers.get(b"content-length", b"0"))
+        if len(rest) < length:
+            return
+        self._buffer = rest[length:]
+        self._start(headers)
+
+    def _start(self, headers: dict[bytes, bytes]) -> None:
+        now = time.monotonic()
+        behaviour = self._backend.state.choose()
+        self._attempt = Attempt(
+            headers.get(b"request-id", b"").decode(),
+            self._backend.uid,
+            self._backend.incarnation,
+            headers.get(b"idempotency-key", b"").decode(),
+            float(headers.get(b"request-timeout", b"0")),
+            self._first_byte_at,
+            now,
+            unbounded=behaviour in UNBOUNDED,
+        )
+        self._backend.attempts.append(self._attempt)
+        if behaviour is Behaviour.HANG:
+            return
+        random = self._backend.random
+        slow = behaviour is Behaviour.SLOW
+        delay_s = random.uniform(0.5, 1.5) if slow else random.uniform(0.0, MAX_WORK_S)
+        asyncio.get_running_loop().call_later(delay_s, self._respond, self._attempt, behaviour)
+
+    def _respond(self, attempt: Attempt, behaviour: Behaviour) -> None:
+        if attempt is not self._attempt or self._transport.is_closing():
+            return
+        body = b"%b from %b" % (attempt.request_id.encode(), attempt.backend.encode())
+        match behaviour:
+            case Behaviour.RESET:
+                self._conclude(attempt, AttemptResult.SPOILT)
+                self.reset()
+            case Behaviour.NOISE:
+                self._conclude(attempt, AttemptResult.SPOILT)
+                self._transport.write(b"\x00\xffnoise that is no response\r\n\r\n")
+            case Behaviour.ERROR:
+                self._conclude(attempt, AttemptResult.ERROR)
+                self._transport.write(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+            case Behaviour.NOT_STARTED:
+                self._conclude(attempt, AttemptResult.NOT_STARTED)
+                self._transport.write(
+                    b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+                )
+            case Behaviour.TRUNCATED:
+                self._conclude(attempt, AttemptResult.SPOILT)
+                length = len(body) + 10
+                self._transport.write(
+                    b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (length, body)
+                )
+                self._transport.close()
+            case _:
+                self._serve(attempt, behaviour, body)
+
+    def _serve(self, attempt: Attempt, behaviour: Behaviour, body: bytes) -> None:
+        """Write a good response, but for one without a length that a reset cuts short."""
+        attempt.body = body
+        loop = asyncio.get_running_loop()
+        half = len(body) // 2
+        if behaviour in (Behaviour.SERVE, Behaviour.SLOW, Behaviour.SERVE_AND_CLOSE):
+            closing = behaviour is Behaviour.SERVE_AND_CLOSE
+            connection = b"Connection: close\r\n" if closing else b""
+            self._transport.write(_bounded_head(body, connection) + body)
+            self._conclude(attempt, AttemptResult.SERVED)
+            if closing:
+                self._transport.close()
+        elif behaviour is Behaviour.IN_PIECES:
+            self._transport.write(_bounded_head(body) + body[:half])
+            loop.call_later(PIECE_PAUSE_S, self._write_last, attempt, body[half:], False)
+        elif behaviour is Behaviour.UNBOUNDED:
+            self._transport.write(b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n")
+            self._write_last(attempt, body, True)
+        elif behaviour is Behaviour.UNBOUNDED_IN_PIECES:
+            self._transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body[:half])
+            loop.call_later(PIECE_PAUSE_S, self._write_last, attempt, body[half:], True)
+        else:
+            self._transport.write(b"HTTP/1.1 200 OK\r\n\r\n" + body[:half])
+            self._conclude(attempt, AttemptResult.SPOILT)
+            loop.call_later(PIECE_PAUSE_S, self.reset)
+
+    def _write_last(self, attempt: Attempt, data: bytes, close: bool) -> None:
+        if attempt is not self._attempt or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        self._conclude(attempt, AttemptResult.SERVED)
+        if close:
+            self._transport.close()
+
+    def _conclude(self, attempt: Attempt, result: AttemptResult) -> None:
+        attempt.result = result
+        attempt.ended_at = time.monotonic()
+        self._attempt = None
+        self._rest()
+
+    def reset(self) -> None:
+        """End the connection with a reset."""
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        if sock is not None and not self._transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._transport.abort()
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        self._backend.connections.pop(self, None)
+        if self._attempt is not None:
+            self._attempt.result = AttemptResult.ABANDONED
+            self._attempt.ended_at = time.monotonic()
+            self._attempt = None
+
+
+def _bounded_head(body: bytes, more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n" % (more, len(body))
+
+
+def _parse_headers(head: bytes) -> dict[bytes, bytes]:
+    headers = {}
+    for line in head.split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        headers[name.strip().lower()] = value.strip()
+    return headers
--- /dev/null
+++ b/fleetlab/soak/client.py
@@ -0,0 +1,156 @@
+"""A client's connection to an ingress; each request on it is recorded."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from dataclasses import dataclass
+
+from fleetlab.soak.records import ClientRequest, Effect
+from fleetlab.stand_in import split_address
+
+LATE_S = 0.5  # after its time a response only earns nothing; later it is lost
+CONNECT_TIMEOUT_S = 2.0
+_HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestPlan:
+    """What a client asks for."""
+
+    request_id: str
+    class_name: str
+    effect: Effect
+    timeout_s: float
+    account: int = 9
+    plan: str = "plus"
+    spread: int = 1
+    first: int = 0
+
+    def encode(self) -> bytes:
+        """Return the request as it is written."""
+        body = b"" if self.effect is Effect.IDEMPOTENT else b"order " + self.request_id.encode()
+        method = "GET" if self.effect is Effect.IDEMPOTENT else "POST"
+        lines = [
+            f"{method} /{self.class_name}/7 HTTP/1.1",
+            "Host: service.internal",
+            f"Request-Id: {self.request_id}",
+            f"Plan: {self.plan}",
+            f"Account: {self.account:016x}",
+            f"Request-Timeout: {self.timeout_s:.3f}",
+            f"Quota-Info: units=1,spread={self.spread},first={self.first}",
+        ]
+        if self.effect is Effect.KEYED:
+            lines.append(f"Idempotency-Key: {self.request_id * 2}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + _HEAD_END + body
+
+
+class ClientConnection:
+    """One connection; several requests may be sent before the responses are read."""
+
+    def __init__(
+        self,
+        ingress: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        records: list[ClientRequest],
+    ) -> None:
+        self.ingress = ingress
+        self.open = True  # another request may be sent
+        self._reader = reader
+        self._writer = writer
+        self._records = records
+        self._used = False
+
+    @classmethod
+    async def connect(
+        cls, ingress: str, address: str, records: list[ClientRequest]
+    ) -> ClientConnection:
+        """Connect to an ingress; OSError or TimeoutError if that fails."""
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(*split_address(address))
+        writer.transport.get_extra_info("socket").setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+        )
+        return cls(ingress, reader, writer, records)
+
+    def has_ended(self) -> bool:
+        """Return whether the ingress has closed the connection, as far as is known here."""
+        return not self.open or self._reader.at_eof() or self._writer.is_closing()
+
+    async def send(self, plan: RequestPlan, pieces: int = 1, pause_s: float = 0.0) -> ClientRequest:
+        """Write a request, in so many pieces with pauses between, and record it."""
+        record = ClientRequest(
+            plan.request_id,
+            self.ingress,
+            plan.effect,
+            plan.timeout_s,
+            not self._used,
+            time.monotonic(),
+        )
+        self._used = True
+        self._records.append(record)
+        data = plan.encode()
+        size = -(-len(data) // pieces)
+        for start in range(0, len(data), size):
+            if start:
+                await asyncio.sleep(pause_s)
+            if self._writer.is_closing():
+                record.ended_at = time.monotonic()
+                self.open = False
+                return record
+            self._writer.write(data[start : start + size])
+        record.sent_at = time.monotonic()
+        return record
+
+    async def receive(self, record: ClientRequest) -> None:
+        """Read the response to a request until its time, and what is allowed after it, is over."""
+        assert record.sent_at is not None
+        try:
+            async with asyncio.timeout(record.timeout_s + LATE_S + 0.1):
+                head = await self._reader.readuntil(_HEAD_END)
+                record.received_bytes = len(head)
+                body = await self._reader.readexactly(_content_length(head))
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            partial = getattr(error, "partial", b"")
+            record.received_bytes += len(partial)
+            record.ended_at = time.monotonic()
+            self.close()
+        except TimeoutError:
+            self.close()
+        else:
+            record.answered_at = time.monotonic()
+            record.status = int(head.split(b" ", 2)[1])
+            record.body = body
+            if b"connection: close" in head.lower():
+                self.close()
+
+    async def leave(self, record: ClientRequest, after_s: float, reset: bool) -> None:
+        """Close the connection some time after a request, or read the response if it is earlier."""
+        receiving = asyncio.ensure_future(self.receive(record))
+        await asyncio.wait([receiving], timeout=after_s)
+        if receiving.done():
+            return
+        receiving.cancel()
+        await asyncio.gather(receiving, return_exceptions=True)
+        record.left_at = time.monotonic()
+        self.close(reset)
+
+    def close(self, reset: bool = False) -> None:
+        """Close the connection, by a FIN or a reset."""
+        self.open = False
+        if reset:
+            self._writer.transport.abort()
+        else:
+            self._writer.close()
+
+
+def _content_length(head: bytes) -> int:
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            return int(value)
+    return 0
--- /dev/null
+++ b/fleetlab/soak/ingress_process.py
@@ -0,0 +1,146 @@
+"""One ingress as a real process: its configuration, signals, health and log."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+from fleetlab.soak.records import Life
+from fleetlab.stand_in import split_address
+from fleetlab.versioned_list import JsonObject
+
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.02
+HEALTH_TIMEOUT_S = 1.0
+_HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+class IngressProcess:
+    """An ingress that is started, signalled and started again at the same address.
+
+    Attributes:
+        name: its name, the same in each life.
+        address: host and port where it serves clients.
+        config: its configuration file, as parsed JSON; written at each start and reload.
+        log_path: where all its lives write their log.
+        lives: its processes so far, the present one last.
+    """
+
+    def __init__(self, name: str, address: str, config: JsonObject, folder: Path) -> None:
+        self.name = name
+        self.address = address
+        self.config = config | {"name": name, "listen": address}
+        self.log_path = folder / f"{name}.log"
+        self.lives: list[Life] = []
+        self._config_path = folder / f"{name}.json"
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def life(self) -> Life:
+        """The present process, or the last one."""
+        return self.lives[-1]
+
+    @property
+    def running(self) -> bool:
+        """Whether there is a process that has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def write_config(self) -> None:
+        """Replace the configuration file in one step."""
+        temporary = self._config_path.with_suffix(".new")
+        temporary.write_text(json.dumps(self.config))
+        temporary.replace(self._config_path)
+
+    async def start(self) -> None:
+        """Start a process, and wait until it is ready; TimeoutError or RuntimeError if not."""
+        self.write_config()
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sumacpost",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"RELAY_CONFIG": str(self._config_path)},
+                start_new_session=True,  # an interrupt at the terminal is the soak's to handle
+            )
+        self.lives.append(Life(self.name, self._process.pid, time.monotonic()))
+        await self._wait_until_ready()
+
+    async def _wait_until_ready(self) -> None:
+        life = self.life
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await is_healthy(self.address):
+                if not self.running:
+                    raise RuntimeError(f"{self.name} ended before it was ready: {self.log_tail()}")
+                await asyncio.sleep(READY_POLL_S)
+        life.ready_at = time.monotonic()
+
+    def send_signal(self, signum: signal.Signals) -> None:
+        """Send a signal to the process if it still runs, and record it."""
+        if self._process is not None and self.running:
+            self.life.signals.append((signum.name, time.monotonic()))
+            self._process.send_signal(signum)
+
+    async def pause(self, seconds: float) -> None:
+        """Stop the process for a time, as a machine that is held up."""
+        self.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.send_signal(signal.SIGCONT)
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for the end of the process; return whether it has ended."""
+        assert self._process is not None
+        try:
+            async with asyncio.timeout(timeout_s):
+                exit_code = await self._process.wait()
+        except TimeoutError:
+            return False
+        if self.life.ended_at is None:
+            self.life.ended_at = time.monotonic()
+            self.life.exit_code = exit_code
+        return True
+
+    async def terminate(self, kill_after_s: float) -> None:
+        """Send SIGTERM, and SIGKILL so long after it if the process has not ended by then."""
+        self.send_signal(signal.SIGTERM)
+        if not await self.wait(kill_after_s):
+            await self.kill()
+
+    async def kill(self) -> None:
+        """Send SIGKILL and wait for the end."""
+        if self._process is None:
+            return
+        if self.running:
+            self.send_signal(signal.SIGKILL)
+        await self.wait(READY_TIMEOUT_S)
+
+    def log_text(self) -> str:
+        """Return what all lives have logged."""
+        return self.log_path.read_text(errors="replace") if self.log_path.exists() else ""
+
+    def log_tail(self) -> str:
+        """Return the end of the log."""
+        return self.log_text()[-2000:]
+
+
+async def is_healthy(address: str) -> bool:
+    """Return whether a health check on a new connection gets 200."""
+    try:
+        async with asyncio.timeout(HEALTH_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(*split_address(address))
+            try:
+                writer.write(_HEALTH_REQUEST)
+                return b" 200 " in await reader.readline()
+            finally:
+                writer.close()
+    except (OSError, TimeoutError):
+        return False
--- /dev/null
+++ b/fleetlab/soak/site.py
@@ -0,0 +1,97 @@
+"""The settings that a soak plays, which differ from run to run."""
+
+from __future__ import annotations
+
+import copy
+import json
+from dataclasses import dataclass
+
+from fleetlab.site import config_text
+from fleetlab.soak.records import Effect
+from fleetlab.versioned_list import JsonObject
+
+GRACE_S = 0.7  # of the rule on SIGKILL
+MAX_COUNTED_DEADLINE_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakClass:
+    """A class of requests that the soak's clients use."""
+
+    name: str
+    effect: Effect
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSite:
+    """The settings of one run.
+
+    Attributes:
+        classes: the classes of requests.
+        ingresses: how many there are.
+        connect_timeout_s: how long connecting to a backend may take.
+        drain_grace_s: how long a draining backend may be sent to.
+        dedup_window_s: for how long backends know the idempotency keys.
+        slow_start_s: after which a started backend has its full capacity.
+        initial_capacity: the part of it at the start.
+        overload_factor: the overload that makes a starting backend fall.
+        overload_window_s: for how long.
+    """
+
+    classes: tuple[SoakClass, ...]
+    ingresses: int = 1
+    connect_timeout_s: float = 0.25
+    drain_grace_s: float = 0.5
+    dedup_window_s: float = 3.0
+    slow_start_s: float = 15.0
+    initial_capacity: float = 0.2
+    overload_factor: float = 2.0
+    overload_window_s: float = 3.0
+
+    @property
+    def kill_after_s(self) -> float:
+        """The earliest SIGKILL after SIGTERM."""
+        longest = max(request_class.deadline_s for request_class in self.classes)
+        return min(longest, MAX_COUNTED_DEADLINE_S) + GRACE_S
+
+    def config(self, index: int, seed: int, discovery: str, known: list[JsonObject]) -> JsonObject:
+        """Return the configuration of an ingress, as parsed JSON."""
+        config: JsonObject = json.loads(
+            config_text(
+                index=index,
+                gateways=self.ingresses,
+                discovery=discovery,
+                seed=seed,
+                classes=1,
+                burst=100_000.0,
+                known=known,
+            )
+        )
+        settings = copy.deepcopy(config["settings"])
+        assert isinstance(settings, dict)
+        (template,) = settings["categories"]
+        settings["categories"] = [
+            template
+            | {
+                "name": request_class.name,
+                "aim": min(1000.0, request_class.deadline_s * 400),
+                "hard_limit": request_class.deadline_s * 1000,
+                "idempotency": request_class.effect.value,
+                "dedup_window": self.dedup_window_s * 1000,
+            }
+            for request_class in self.classes
+        ]
+        settings["permissions"] |= {
+            "dial_timeout": self.connect_timeout_s * 1000,
+            "parallel_tries": True,
+            "most_tries": 5,
+        }
+        settings["safety"] |= {
+            "stop_sending_within": self.drain_grace_s * 1000,
+            "cold": self.slow_start_s * 1000,
+            "start_capacity": self.initial_capacity,
+            "fall_multiple": self.overload_factor,
+            "overload_for": self.overload_window_s * 1000,
+        }
+        return config | {"settings": settings}
--- /dev/null
+++ b/tests/soak/support.py
@@ -0,0 +1,96 @@
+"""One real ingress process between a soak's backends and its clients."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from fleetlab.discovery_server import DiscoveryServer
+from fleetlab.site import endpoint_entries
+from fleetlab.soak.addresses import ingress_address
+from fleetlab.soak.backend import BackendState, Behaviour, SoakBackend, always
+from fleetlab.soak.client import ClientConnection, RequestPlan
+from fleetlab.soak.ingress_process import IngressProcess
+from fleetlab.soak.records import Attempt, ClientRequest
+from fleetlab.soak.site import SoakSite
+
+
+@dataclass
+class Scene:
+    """A running ingress and what is around it."""
+
+    site: SoakSite
+    process: IngressProcess
+    backends: list[SoakBackend]
+    attempts: list[Attempt]
+    requests: list[ClientRequest]
+    seconds: float = 0.0
+
+    def plan(self, number: int = 0, class_index: int = 0) -> RequestPlan:
+        """Return a request of a class, with all the time that the class has."""
+        request_class = self.site.classes[class_index]
+        return RequestPlan(
+            f"{number:016x}", request_class.name, request_class.effect, request_class.deadline_s
+        )
+
+    async def connect(self) -> ClientConnection:
+        """Connect a client."""
+        return await ClientConnection.connect(
+            self.process.name, self.process.address, self.requests
+        )
+
+    async def ask(self, number: int = 0, class_index: int = 0) -> ClientRequest:
+        """Send a request on a new connection and read its response."""
+        connection = await self.connect()
+        record = await connection.send(self.plan(number, class_index))
+        await connection.receive(record)
+        connection.close()
+        return record
+
+
+@asynccontextmanager
+async def scene(
+    folder: Path, site: SoakSite, behaviour: Behaviour, backends: int = 4, number: int = 0
+) -> AsyncIterator[Scene]:
+    """Run an ingress before so many backends that all behave alike."""
+    attempts: list[Attempt] = []
+    async with AsyncExitStack() as resources:
+        servers = []
+        for index in range(backends):
+            server = SoakBackend(
+                f"s-{index}", BackendState(always(behaviour)), Random(index), attempts
+            )
+            await server.start()
+            resources.push_async_callback(server.crash)
+            servers.append(server)
+        entries = endpoint_entries(backends, [server.endpoint for server in servers])
+        discovery = DiscoveryServer(entries)
+        await discovery.start()
+        resources.push_async_callback(discovery.stop)
+        config = site.config(0, 7, discovery.address, entries)
+        process = IngressProcess("n0", ingress_address(number), config, folder)
+        resources.push_async_callback(process.kill)
+        await process.start()
+        yield Scene(site, process, servers, attempts, [])
+
+
+async def send_late_in_drain(
+    scene: Scene, connect_after_s: float, send_after_s: float
+) -> ClientRequest:
+    """Send SIGTERM, connect and send a request so long after it; SIGKILL as early as it may come.
+
+    Return the request, with its response if there was one.
+    """
+    ending = asyncio.create_task(scene.process.terminate(scene.site.kill_after_s))
+    await asyncio.sleep(connect_after_s)
+    connection = await scene.connect()
+    await asyncio.sleep(send_after_s - connect_after_s)
+    record = await connection.send(scene.plan())
+    await connection.receive(record)
+    connection.close()
+    await ending
+    return record
