Derive every step of a shutdown from the earliest SIGKILL, and answer before it

Cause: ingress.py bounded a drain by max(3000 ms, longest deadline) + 500 ms. The rule is the longest deadline, counted as 3 s where it is longer, plus 0.7 s: a minimum. With 4 s the drain had 4.5 s where SIGKILL may come after 3.7 s; with 2.3 s it had 3.5 s of 3.0 s. The test of that bound had the same misreading (longest + 700 for 4 s). Related, of the same class (a time of the shutdown that is not derived from SIGKILL): - requests pending at SIGTERM kept their own deadline, past SIGKILL; - the listener's and the connections' times were constants, too long where deadlines are short; - a client that always has a request behind the last kept its connection open to SIGKILL; - an incomplete request was cut off with no response, so one whose last bytes crossed that was lost.

policy/shutdown.py computes the whole schedule in one place; the policy is told of the drain's start (DrainStarted) and brings its deadlines forward; server/drain.py follows the schedule: at respond_within every connection is read no further, what was read is answered, then the sending ends and input is discarded; the process ends before SIGKILL. A connection in whose socket the next request stands is not taken for idle.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -20,6 +20,7 @@
     AddToCounter,
     AttemptEnded,
     Cancel,
+    DrainStarted,
     EndpointListUpdate,
     Event,
     Fail,
@@ -31,6 +32,7 @@
     TimerFired,
 )
 from sumacpost.policy.gateway import Gateway
+from sumacpost.policy.shutdown import ShutdownSchedule, shutdown_schedule
 from sumacpost.server.request import Request
 from sumacpost.upstream.attempt import Attempt
 from sumacpost.upstream.load_report import LoadReportReader, read_billed_units
@@ -46,11 +48,6 @@
 # On the timeout that the settings name: the counter works on every call and replies to it in its
 # turn, so a later reply is as true. Calls of many gateways queue there, for two or three timeouts.
 COUNTER_TIMEOUT_FACTOR = 4.0
-# The platform sends SIGKILL so long after SIGTERM: the longest deadline, taken as at least the
-# minimum, and the grace. A drain responds earlier by the margin, as a response needs its way.
-MIN_KILL_DEADLINE_MS = 3000.0
-KILL_GRACE_MS = 700.0
-KILL_MARGIN_MS = 200.0
 # Of the process: listening, discovery, counter, event loop, standard streams.
 RESERVED_SOCKETS = 48
 FORWARDED_RESPONSE_HEADERS = (b"content-type", b"content-encoding")
@@ -133,9 +130,7 @@
         self._pending: dict[int, PendingRequest] = {}  # those without a final response
         self._pending_ids: set[bytes] = set()
         self._last_number = 0
-        deadlines_ms = [request_class.deadline_ms for request_class in settings.classes]
-        kill_after_ms = max(MIN_KILL_DEADLINE_MS, *deadlines_ms) + KILL_GRACE_MS
-        self._drain_ms = kill_after_ms - KILL_MARGIN_MS
+        self._shutdown_schedule = shutdown_schedule(settings.classes)
         self._drain_deadline = inf  # in milliseconds, by the clock; for requests during a drain
 
     # Events: what has happened on the sockets.
@@ -182,11 +177,16 @@
         )
         self._handle(arrival)
         if pending.number in self._pending:
-            pending.timer = self._loop.call_later(
-                arrival.time_left_ms / 1000 + TIMER_SLACK_S, self._deadline_reached, pending
-            )
+            self._set_deadline_timer(pending, arrival.time_left_ms)
         return pending
 
+    def _set_deadline_timer(self, pending: PendingRequest, time_left_ms: float) -> None:
+        if pending.timer is not None:
+            pending.timer.cancel()
+        pending.timer = self._loop.call_later(
+            time_left_ms / 1000 + TIMER_SLACK_S, self._deadline_reached, pending
+        )
+
     def cancel_request(self, pending: PendingRequest) -> None:
         """Drop a request whose client has gone."""
         if self._remove_pending(pending):
@@ -200,10 +200,11 @@
             self._handle(RequestCancelled(pending.number))
             self._cancel_remaining(pending)
 
-    def drain(self) -> None:
-        """Give requests from now on a deadline before the process is killed."""
+    def drain(self) -> ShutdownSchedule:
+        """Give all requests a deadline before the process is killed; return the schedule."""
+        schedule = self._shutdown_schedule
         now = self._clock.now()
-        self._drain_deadline = now + self._drain_ms
+        self._drain_deadline = now + schedule.respond_within_ms
         self.recorder.logs_live = True
         self.recorder.record(
             EventKind.DRAIN_PHASE,
@@ -211,9 +212,13 @@
             "requests",
             "pending=%d respond_within_ms=%.0f",
             len(self._pending),
-            self._drain_ms,
+            schedule.respond_within_ms,
         )
-        for pending in self._pending.values():
+        self._handle(DrainStarted(schedule.respond_within_ms))
+        for pending in list(self._pending.values()):
+            if pending.deadline > self._drain_deadline:
+                pending.deadline = self._drain_deadline
+                self._set_deadline_timer(pending, schedule.respond_within_ms)
             self.recorder.record(
                 EventKind.DRAIN_PHASE,
                 "request_pending",
@@ -223,6 +228,7 @@
                 pending.deadline - now,
                 len(pending.attempts),
             )
+        return schedule
 
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Forward a good response, and report the outcome."""
--- a/sumacpost/model/events.py
+++ b/sumacpost/model/events.py
@@ -171,6 +171,17 @@
     request: int
 
 
+@dataclass(slots=True)
+class DrainStarted:
+    """The gateway is to end: every request that is pending or still comes has less time.
+
+    Attributes:
+        respond_within_ms: time from now on in which each final response is due.
+    """
+
+    respond_within_ms: float
+
+
 @dataclass(slots=True)
 class TimerFired:
     """A timer is due.
@@ -235,6 +246,7 @@
     | ResponseStarted
     | AttemptEnded
     | RequestCancelled
+    | DrainStarted
     | TimerFired
     | HealthCheckEnded
     | PeerMessage
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -61,8 +61,16 @@
                 self.pending.pop(event.request, None)
             case events.EndpointListUpdate():
                 self.endpoints.update(event)
+            case events.DrainStarted():
+                self._drain_started(now, event)
         return self._actions
 
+    def _drain_started(self, now: float, event: events.DrainStarted) -> None:
+        """Bring the deadlines of pending requests forward; a later one would never be met."""
+        latest = now + event.respond_within_ms
+        for request in self.pending.values():
+            request.deadline = min(request.deadline, latest)
+
     def _request_arrived(self, now: float, event: events.RequestArrived) -> None:
         """Let the bucket decide; ask the counter what it cannot tell; reject the rest."""
         settings = self.settings
--- a/sumacpost/server/close_reason.py
+++ b/sumacpost/server/close_reason.py
@@ -17,3 +17,4 @@
     LINGER_TIMEOUT = "linger_timeout"  # the client has not closed after the last response
     DRAIN_IDLE = "drain_idle"
     DRAIN_NO_REQUEST = "drain_no_request"  # no complete request came in a drain
+    DRAIN_DEADLINE = "drain_deadline"  # the process is about to end
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -31,11 +31,13 @@
     """Whether a connection still takes requests."""
 
     READING = auto()
+    FINISHING = auto()  # nothing more is taken from the socket; what has been read is answered
     CLOSING = auto()  # input is discarded; the connection ends after the pending responses
 
 
 # Up to Python 3.11 each access to a member through its class costs a call.
 _READING = ConnectionState.READING
+_FINISHING = ConnectionState.FINISHING
 _CLOSING = ConnectionState.CLOSING
 
 
@@ -125,12 +127,14 @@
         wrote = self._write_due_responses()
         while (
             self._unread
-            and self._state is _READING
+            and self._state is not _CLOSING
             and not self._writing_paused
             and len(self._pending_responses) < MAX_PIPELINED
         ):
             self._parse_next()
             wrote = self._write_due_responses() or wrote
+        if self._state is _FINISHING and not (self._pending_responses or self._unread):
+            self._end_input(self._close_reason)
         self._update_registry(wrote)
 
     def has_disconnected(self) -> bool:
@@ -151,6 +155,13 @@
             return False  # a system that doesn't tell: it shows once the bytes are read
         return tcp_state == TCP_CLOSE_WAIT
 
+    def has_unread_input(self) -> bool:
+        """Return whether bytes stand in the socket that the loop has not read yet."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def _parse_next(self) -> None:
         received = self._unread.popleft()
         self._received_at = received.received_at
@@ -228,13 +239,29 @@
 
     # ---- ways to end
 
-    def on_request_timeout(self) -> None:
+    def on_request_timeout(self, reason: CloseReason) -> None:
         """Answer a request that has not come whole in its time, or end a silent connection."""
-        if self._reader.has_partial_message and self._state is _READING:
-            self._close_reason = CloseReason.REQUEST_TIMEOUT
+        if self._reader.has_partial_message and self._state is not _CLOSING:
+            self._close_reason = reason
             self._reject(408)
         else:
-            self.close(CloseReason.REQUEST_TIMEOUT)
+            self.close(reason)
+
+    def finish(self, reason: CloseReason) -> None:
+        """Read no more from the socket, answer what has been read, and close then."""
+        if self._state is not _READING:
+            return
+        self._state = _FINISHING
+        self._close_reason = reason
+        self._transport.pause_reading()
+        self.advance()
+
+    def _end_input(self, reason: CloseReason) -> None:
+        """End a connection that owes no response: reject what is left of a request."""
+        if self._reader.has_partial_message:
+            self.on_request_timeout(reason)
+        else:
+            self._finish_sending()
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection between requests, once its last response is written."""
@@ -270,9 +297,13 @@
         """
         if self._close_reason is CloseReason.CLIENT_LEFT:
             self._close_reason = CloseReason.RESPONSE_WAS_LAST
+        finishing = self._state is _FINISHING
         self._stop_reading()
         self._registry.mark_closing(self)
-        if self._reader.incomplete_bytes or self._unread_dropped:
+        if finishing and not self._transport.is_closing():
+            self._transport.resume_reading()
+        more_may_come = self._handler.draining or self._unread_dropped
+        if more_may_come or self._reader.incomplete_bytes:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
         else:
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -143,22 +143,38 @@
         while (late := self.waiting.oldest(now - REQUEST_TIMEOUT_S)) is not None:
             self.waiting.discard(late)
             self.closing.add(late)
-            late.on_request_timeout()
+            late.on_request_timeout(CloseReason.REQUEST_TIMEOUT)
         self.close_idle(now - IDLE_TIMEOUT_S, CloseReason.IDLE)
         while (late := self.closing.oldest(now - LINGER_TIMEOUT_S)) is not None:
             self.closing.discard(late)
             late.abort(CloseReason.LINGER_TIMEOUT)
 
     def close_idle(self, before: float, reason: CloseReason) -> None:
-        """Close the connections that have been idle since before that time."""
+        """Close the connections that have been idle since before that time.
+
+        One whose next request has come, though the loop has not read it, is not idle: its client
+        would have to send that again, on a connection that it may not get.
+        """
         while (late := self.idle.oldest(before)) is not None:
-            self._close_idle_connection(late, reason)
+            if late.has_unread_input():
+                self.idle.add(late)
+            else:
+                self._close_idle_connection(late, reason)
 
-    def abort_waiting(self, before: float) -> None:
-        """Abort the connections that have waited for a request since before that time."""
+    def end_waiting(self, before: float) -> None:
+        """End the connections that have waited for a request since before that time, in a drain."""
         while (late := self.waiting.oldest(before)) is not None:
-            late.abort(CloseReason.DRAIN_NO_REQUEST)
-            self.connection_closed(late)
+            if late.has_unread_input():
+                self.waiting.add(late)  # perhaps the rest of the request
+                continue
+            self.waiting.discard(late)
+            self.closing.add(late)
+            late.on_request_timeout(CloseReason.DRAIN_NO_REQUEST)
+
+    def close_all(self, reason: CloseReason) -> None:
+        """Read no more requests on any connection, and end each as its state allows."""
+        for connection in list(self.open):
+            connection.finish(reason)
 
     def _close_idle_connection(self, connection: ClientConnection, reason: CloseReason) -> None:
         self.idle.discard(connection)
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -1,72 +1,94 @@
-"""Graceful shutdown: accept what still comes, finish what was accepted, then end."""
+"""Graceful shutdown of the clients' side: accept what still comes, answer it, close in time."""
 
 from __future__ import annotations
 
 import asyncio
 import time
+from dataclasses import dataclass
 
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
+from sumacpost.policy.shutdown import ShutdownSchedule
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.listener import LISTEN_BACKLOG, Listener
 
-# The listener accepts for at least this long: clients learn late that the service ends.
-DRAIN_MIN_ACCEPT_S = 0.4
-# No connection for this long means that clients have learnt it; an idle one is closed after it.
-DRAIN_QUIET_S = 0.2
-# The listener accepts no longer than this, though connections keep coming ...
-DRAIN_MAX_ACCEPT_S = 1.0
-# ... unless some can't be accepted yet, as all places are taken: they would be reset.
-DRAIN_MAX_BACKLOG_S = 2.0
-# For a request that is still coming when the listener is closed.
-DRAIN_REQUEST_TIMEOUT_S = 1.0
-# Between two looks at the connections.
-DRAIN_POLL_S = 0.02
+DRAIN_POLL_S = 0.02  # between two looks at the connections
 
 
-async def drain_connections(
-    listener: Listener, registry: ConnectionRegistry, recorder: EventRecorder
-) -> None:
-    """Close the listener once clients have stopped coming; return when all connections ended."""
-    started_at = time.monotonic()
-    _record_phase(recorder, "accepting", registry)
-    registry.close_idle(started_at, CloseReason.DRAIN_IDLE)
-    await _accept_until_quiet(listener, started_at)
-    listener.close()
-    _record_phase(recorder, "listener_closed", registry)
-    await _finish_connections(registry)
-    _record_phase(recorder, "connections_ended", registry)
+@dataclass
+class Drain:
+    """One shutdown in progress.
 
+    Attributes:
+        listener: accepts connections for a while yet.
+        registry: the connections.
+        schedule: when what is due.
+        started_at: when SIGTERM was seen, in monotonic seconds.
+        recorder: is told of each phase.
+    """
 
-def _record_phase(recorder: EventRecorder, phase: str, registry: ConnectionRegistry) -> None:
-    recorder.record(
-        EventKind.DRAIN_PHASE,
-        phase,
-        "connections",
-        "open=%d waiting=%d idle=%d closing=%d",
-        len(registry.open),
-        len(registry.waiting),
-        len(registry.idle),
-        len(registry.closing),
-    )
+    listener: Listener
+    registry: ConnectionRegistry
+    schedule: ShutdownSchedule
+    started_at: float
+    recorder: EventRecorder
 
+    async def run(self) -> None:
+        """Return when all connections have ended, or when the process has to end."""
+        self._record_phase("accepting")
+        self.registry.close_idle(self.started_at, CloseReason.DRAIN_IDLE)
+        await self._accept_until_quiet()
+        self.listener.close()
+        self._record_phase("listener_closed")
+        await self._serve_until_closed()
+        self.registry.close_all(CloseReason.DRAIN_DEADLINE)
+        self._record_phase("closing")
+        await self._wait_for_ends()
+        self._record_phase("connections_ended")
 
-async def _accept_until_quiet(listener: Listener, started_at: float) -> None:
-    while True:
-        await asyncio.sleep(DRAIN_POLL_S)
-        now = time.monotonic()
-        quiet = now - listener.last_accept_at > DRAIN_QUIET_S
-        accept_s = DRAIN_MIN_ACCEPT_S if quiet else DRAIN_MAX_ACCEPT_S
-        if now - started_at <= accept_s:
-            continue
-        if listener.accept(LISTEN_BACKLOG) or now - started_at > DRAIN_MAX_BACKLOG_S:
-            return
+    async def _accept_until_quiet(self) -> None:
+        schedule = self.schedule
+        while True:
+            await asyncio.sleep(DRAIN_POLL_S)
+            quiet_ms = (time.monotonic() - self.listener.last_accept_at) * 1000
+            quiet = quiet_ms > schedule.quiet_ms
+            accept_ms = schedule.min_accept_ms if quiet else schedule.max_accept_ms
+            elapsed_ms = self._elapsed_ms()
+            if elapsed_ms <= accept_ms:
+                continue
+            if self.listener.accept(LISTEN_BACKLOG) or elapsed_ms > schedule.max_backlog_ms:
+                return
 
+    async def _serve_until_closed(self) -> None:
+        """Serve the connections there are, until all have ended or none may be read any more."""
+        schedule = self.schedule
+        while not self.registry.is_empty and self._elapsed_ms() < schedule.respond_within_ms:
+            await asyncio.sleep(DRAIN_POLL_S)
+            now = time.monotonic()
+            self.registry.end_waiting(now - schedule.request_timeout_ms / 1000)
+            self.registry.close_idle(now - schedule.quiet_ms / 1000, CloseReason.DRAIN_IDLE)
+            self.registry.enforce_timeouts()
 
-async def _finish_connections(registry: ConnectionRegistry) -> None:
-    while not registry.is_empty:
-        await asyncio.sleep(DRAIN_POLL_S)
-        now = time.monotonic()
-        registry.abort_waiting(now - DRAIN_REQUEST_TIMEOUT_S)
-        registry.close_idle(now - DRAIN_QUIET_S, CloseReason.DRAIN_IDLE)
-        registry.enforce_timeouts()
+    async def _wait_for_ends(self) -> None:
+        """Wait for connections whose clients still read their last response."""
+        while not self.registry.is_empty and self._elapsed_ms() < self.schedule.end_within_ms:
+            await asyncio.sleep(DRAIN_POLL_S)
+            self.registry.close_all(CloseReason.DRAIN_DEADLINE)  # also those opened meanwhile
+            self.registry.enforce_timeouts()
+
+    def _elapsed_ms(self) -> float:
+        return (time.monotonic() - self.started_at) * 1000
+
+    def _record_phase(self, phase: str) -> None:
+        registry = self.registry
+        self.recorder.record(
+            EventKind.DRAIN_PHASE,
+            phase,
+            "connections",
+            "elapsed_ms=%.0f open=%d waiting=%d idle=%d closing=%d",
+            self._elapsed_ms(),
+            len(registry.open),
+            len(registry.waiting),
+            len(registry.idle),
+            len(registry.closing),
+        )
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -5,6 +5,7 @@
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
 from sumacpost.ingress import Ingress
+from sumacpost.policy.shutdown import ShutdownSchedule
 from sumacpost.server.request import RequestParser
 from sumacpost.server.request_reader import RequestMessage
 from sumacpost.server.response import PendingResponse
@@ -42,7 +43,10 @@
         if response.head is None and response.request is not None:
             self._ingress.cancel_request(response.request)
 
-    def drain(self) -> None:
-        """Report as not ready from now on, and let no request outlast the drain."""
+    def drain(self) -> ShutdownSchedule:
+        """Report as not ready from now on, and let no request outlast the drain.
+
+        Return when the steps of the drain are due.
+        """
         self.draining = True
-        self._ingress.drain()
+        return self._ingress.drain()
--- a/sumacpost/server/server.py
+++ b/sumacpost/server/server.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import socket
+import time
 
 from sumacpost.address import Address
 from sumacpost.ingress import Ingress
 from sumacpost.server.connection import ClientConnection
 from sumacpost.server.connection_registry import ConnectionRegistry
-from sumacpost.server.drain import drain_connections
+from sumacpost.server.drain import Drain
 from sumacpost.server.listener import Listener
 from sumacpost.server.request import RequestParser
 from sumacpost.server.request_handler import RequestHandler
@@ -32,8 +33,10 @@
 
     async def drain(self) -> None:
         """Accept what still comes, finish all requests, and return when all connections ended."""
-        self.handler.drain()
-        await drain_connections(self.listener, self.connections, self.handler.recorder)
+        started_at = time.monotonic()
+        schedule = self.handler.drain()
+        recorder = self.handler.recorder
+        await Drain(self.listener, self.connections, schedule, started_at, recorder).run()
 
     def _new_connection(self, sock: socket.socket) -> ClientConnection:
         return ClientConnection(sock, self.connections, self.handler)
--- /dev/null
+++ b/tests/policy/test_shutdown.py
@@ -0,0 +1,58 @@
+"""The schedule of a shutdown, for any longest deadline, and what the gateway makes of its start."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sumacpost.model import DrainStarted, Idempotency, Outcome, Reject, RequestClass, Send
+from sumacpost.policy.shutdown import shutdown_schedule
+from tests.support.builders import START, ended, gateway, request, the_only
+
+
+def request_class(deadline_ms: float) -> RequestClass:
+    return RequestClass(deadline_ms / 2, deadline_ms, 1.0, Idempotency.NOT_IDEMPOTENT)
+
+
+@pytest.mark.parametrize(
+    ("deadlines_ms", "kill_after_ms"),
+    [((4000.0,), 3700.0), ((2300.0,), 3000.0), ((600.0, 900.0), 1600.0), ((200.0, 9000.0), 3700.0)],
+)
+def test_sigkill_follows_the_longest_deadline_counted_as_three_seconds_at_most(
+    deadlines_ms: tuple[float, ...], kill_after_ms: float
+) -> None:
+    assert shutdown_schedule([request_class(ms) for ms in deadlines_ms]).kill_after_ms == (
+        kill_after_ms
+    )
+
+
+@given(st.lists(st.floats(1.0, 60_000.0), min_size=1, max_size=5))
+def test_every_step_of_a_shutdown_comes_in_order_and_before_sigkill(
+    deadlines_ms: list[float],
+) -> None:
+    schedule = shutdown_schedule([request_class(ms) for ms in deadlines_ms])
+    steps = [
+        schedule.min_accept_ms,
+        schedule.max_accept_ms,
+        schedule.max_backlog_ms,
+        schedule.respond_within_ms,
+        schedule.end_within_ms,
+        schedule.kill_after_ms,
+    ]
+    assert steps == sorted(steps)
+    assert schedule.kill_after_ms - schedule.respond_within_ms >= 2 * 150
+    assert schedule.min_accept_ms >= 400  # new connections keep coming for so long
+
+
+@pytest.mark.parametrize("drained", [True, False])
+def test_a_pending_request_is_concluded_and_not_retried_at_the_end_of_a_drain(
+    drained: bool,
+) -> None:
+    """Its own deadline is later; a retry would be lost with the process."""
+    subject = gateway()
+    sent = the_only(Send, subject.handle(START, request(1, time_left_ms=4000.0)))
+    if drained:
+        subject.handle(START + 100, DrainStarted(1000.0))
+    end = ended(1, sent.backend, Outcome.TIMEOUT)
+    the_only(Reject if drained else Send, subject.handle(START + 1100, end))
--- a/tests/server/test_drain.py
+++ b/tests/server/test_drain.py
@@ -50,8 +50,12 @@
             client.write(request()[:50])
             await asyncio.sleep(0.05)
             ingress.stop.set()
-            await ingress.task
+            response = await client.read_response()
+            assert response.status == 408
+            assert b"Connection: close" in response.head
             assert await client.read_to_end() == b""
+            client.writer.close()
+            await ingress.task
 
     run(test())
 
@@ -78,7 +82,7 @@
 
 
 def test_request_late_in_a_drain_is_answered_before_the_process_is_killed() -> None:
-    """SIGKILL follows SIGTERM by the longest deadline and 0.7 s, the request by up to a second."""
+    """SIGKILL follows SIGTERM by the longest deadline, 3 s at most, and 0.7 s."""
 
     async def test() -> None:
         async with running_ingress(never_respond) as ingress:
@@ -89,10 +93,11 @@
             await ingress.wait_for_requests(1)
             (call,) = ingress.bridge._pending.values()
             longest = max(c["hard_limit"] for c in SETTINGS["categories"])
+            assert longest > 3000
             assert (
                 call.deadline
                 <= ingress.bridge._drain_deadline
-                < ingress.bridge._clock.now() + longest + 700
+                < ingress.bridge._clock.now() + 3000 + 700
             )
             timeout_s = float(
                 ingress.backends[0]
@@ -101,7 +106,7 @@
                 .split(b"request-timeout: ")[1]
                 .split(b"\r\n")[0]
             )
-            assert timeout_s < (longest + 700) / 1000
+            assert timeout_s < (3000 + 700) / 1000
             ingress.backends[0].writers[0].write(OK_RESPONSE)
             assert (await late.read_response()).status == 200
             await ingress.task
@@ -113,9 +118,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """All eight places are taken. The listener was closed, which reset the ninth connection."""
-    for name in ("DRAIN_MIN_ACCEPT_S", "DRAIN_QUIET_S", "DRAIN_MAX_ACCEPT_S"):
-        monkeypatch.setattr(f"sumacpost.server.drain.{name}", 0.05)
-    monkeypatch.setattr("sumacpost.server.drain.DRAIN_MAX_BACKLOG_S", 1000.0)
+    for name in ("MIN_ACCEPT_MS", "QUIET_MS", "MAX_ACCEPT_MS"):
+        monkeypatch.setattr(f"sumacpost.policy.shutdown.{name}", 50.0)
+    monkeypatch.setattr("sumacpost.policy.shutdown.MAX_BACKLOG_MS", 1_000_000.0)
 
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
