Forward responses without a length that an orderly end of the connection completes

ResponseReader takes the body up to the bound, and feed_eof completes it; BackendConnection.eof_received, which uvloop calls for a FIN alone, ends the attempt with it. A half response that is reset, truncated or stalls is still a reset.

--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -212,6 +212,8 @@
                 complete_by += len(data) / MIN_TRANSFER_BYTES_PER_S
                 timeout.reschedule(min(complete_by, _now() + self._response_timeout_s))
                 await asyncio.sleep(0)
+        if (response := response_reader.feed_eof()) is not None:
+            return response
         raise ConnectionResetError(
             f"closed after {self._received_bytes} bytes of an incomplete response"
         )
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -137,6 +137,15 @@
         reusable = response.keep_alive and self._state is ConnectionState.WRITTEN
         self._end_attempt(outcome_of(response), response, reusable)
 
+    def eof_received(self) -> None:
+        """End the attempt with its response, if the end of the backend's sending completes that.
+
+        After a reset this is not called: it cuts a response short.
+        """
+        response = self._reader.feed_eof()
+        if response is not None and self.attempt is not None:
+            self._end_attempt(outcome_of(response), response, reusable=False)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt in flight, if there is one."""
         del exc  # a connection that the peer closed and one that it reset count alike
@@ -194,6 +203,9 @@
 
     def _end_attempt(self, outcome: Outcome, response: Response | None, reusable: bool) -> None:
         """Free or close the connection, then report the outcome of the attempt that it carried."""
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
         attempt = self.attempt
         self.attempt = None
         if reusable:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -54,6 +54,43 @@
         reader.feed(response)
 
 
+UNBOUNDED = b"HTTP/1.1 200 OK\r\nX-Part: a\r\n\r\n"
+
+
+def test_a_response_without_a_length_ends_with_its_connection(reader: ResponseReader) -> None:
+    for piece in (UNBOUNDED, b"do", b"ne"):
+        assert reader.feed(piece) is None
+    assert reader.response_begun
+    expected = Response(200, {b"x-part": b"a"}, b"done", keep_alive=False)
+    assert reader.feed_eof() == expected
+    assert not reader.response_begun
+    assert reader.feed_eof() is None
+
+
+@pytest.mark.parametrize(
+    "incomplete",
+    [
+        b"",
+        UNBOUNDED[:-2],
+        RESPONSE[:-1],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        RESPONSE,
+    ],
+)
+def test_the_end_of_the_connection_completes_no_other_response(
+    reader: ResponseReader, incomplete: bytes
+) -> None:
+    reader.feed(incomplete)
+    assert reader.feed_eof() is None
+
+
+def test_a_body_without_a_length_is_bounded(reader: ResponseReader) -> None:
+    reader.feed(UNBOUNDED + b"x" * 16)
+    with pytest.raises(ResponseError, match="a body of"):
+        reader.feed(b"x")
+
+
 def test_the_pieces_of_a_good_body_go_to_the_callback() -> None:
     pieces: list[bytes] = []
     reader = ResponseReader(max_body=16, on_body=pieces.append)
