--- a/sumacpost/diagnostics/event_recorder.py
+++ b/sumacpost/diagnostics/event_recorder.py
@@ -27,6 +27,7 @@
     REQUEST_CANCELLED = "request cancelled"
     REQUEST_CONCLUDED = "request concluded"  # its final response is written
     ATTEMPT_STARTED = "attempt started"
+    ATTEMPT_SKIPPED = "attempt skipped"  # chosen, and not written
     ATTEMPT_ENDED = "attempt ended"
     CLIENT_CONNECTION_CLOSED = "client connection closed"
     BACKEND_CONNECTION_CLOSED = "backend connection closed"
@@ -84,6 +85,18 @@
         if self.logs_live:
             log.info("%s", event)
 
+    def violation(self, rule: str, subject: object, detail: str = "", *values: object) -> None:
+        """Record that a rule has been broken, or would have been, by a fault of the program."""
+        self.record(EventKind.VIOLATION, rule, subject, detail, *values)
+        log.error("rule violated: subject=%s rule=%s " + detail, subject, rule, *values)
+        self.log_history(subject)
+
+    @property
+    def violations(self) -> int:
+        """How many violations there have been."""
+        counts = self.counts.items()
+        return sum(count for (kind, _), count in counts if kind is EventKind.VIOLATION)
+
     def log_history(self, subject: object) -> None:
         """Log the kept events of one subject, as a request has ended that should not have."""
         for event in self._latest:
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -5,10 +5,11 @@
 import asyncio
 import logging
 import time
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
+from functools import partial
 from math import inf
-from typing import Protocol
 
+from sumacpost.clock import Clock
 from sumacpost.config import Config
 from sumacpost.counter.client import CounterClient
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
@@ -24,6 +25,7 @@
     EndpointListUpdate,
     Event,
     Fail,
+    Obstacle,
     Outcome,
     Reject,
     RequestCancelled,
@@ -31,8 +33,11 @@
     SetTimer,
     TimerFired,
 )
+from sumacpost.pending_request import Headers, PendingRequest, PendingResponse
 from sumacpost.policy.gateway import Gateway
 from sumacpost.policy.shutdown import ShutdownSchedule, shutdown_schedule
+from sumacpost.request_recorder import RequestRecorder
+from sumacpost.response_headers import forwarded_headers, retry_after_header
 from sumacpost.server.request import Request
 from sumacpost.upstream.attempt import Attempt
 from sumacpost.upstream.load_report import LoadReportReader, read_billed_units
@@ -50,9 +55,6 @@
 COUNTER_TIMEOUT_FACTOR = 4.0
 # Of the process: listening, discovery, counter, event loop, standard streams.
 RESERVED_SOCKETS = 48
-FORWARDED_RESPONSE_HEADERS = (b"content-type", b"content-encoding")
-
-Headers = tuple[tuple[bytes, bytes], ...]
 
 
 def max_connections_per_side(config: Config) -> int:
@@ -60,45 +62,6 @@
     return (config.max_sockets - RESERVED_SOCKETS) // 2
 
 
-class Clock:
-    """Monotonic milliseconds on the scale of Unix time.
-
-    The gateway names counters after the current minute, and all ingresses must name them alike: so
-    the scale is the one that machines share, fixed at the start so that no later step is felt.
-    """
-
-    def __init__(self) -> None:
-        self._offset_s = time.time() - time.monotonic()
-
-    def now(self) -> float:
-        """Return the time in milliseconds."""
-        return (self._offset_s + time.monotonic()) * 1000
-
-
-class PendingResponse(Protocol):
-    """The client's side of a request."""
-
-    received_at: float  # monotonic seconds: when the last byte of the request was read
-
-    def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
-        """Send the final response."""
-
-    def client_disconnected(self) -> bool:
-        """Return whether the client has gone, even if the loop has not learnt that yet."""
-
-
-@dataclass(slots=True, eq=False)
-class PendingRequest:
-    """A request that has no final response yet, or has attempts in flight."""
-
-    number: int
-    request: Request
-    response: PendingResponse
-    deadline: float  # in milliseconds, by the ingress's clock
-    attempts: list[Attempt] = field(default_factory=list)
-    timer: asyncio.TimerHandle | None = None
-
-
 class Ingress:
     """Drives one gateway with what happens on the sockets."""
 
@@ -115,7 +78,7 @@
             backend_idle_timeout_s=config.backend_idle_timeout_s,
             on_attempt_ended=self._attempt_ended,
             max_body_bytes=config.max_response_bytes,
-            is_wanted=self._is_wanted,
+            may_write=self._may_write,
             recorder=self.recorder,
         )
         self.counter: CounterClient | None = None
@@ -124,6 +87,7 @@
             self.counter = CounterClient(config.counter, timeout_s, self._handle)
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
+        self._requests = RequestRecorder(self.recorder, self._clock)
         self._gateway = Gateway(settings, config.seed)
         self._load_reports = LoadReportReader(settings.report_fields)
         self._max_units = settings.max_units
@@ -166,15 +130,7 @@
             arrival.request, request, response, deadline=now + arrival.time_left_ms
         )
         self._pending[pending.number] = pending
-        self.recorder.record(
-            EventKind.REQUEST_ACCEPTED,
-            "serving" if self._drain_deadline == inf else "draining",
-            request.id,
-            "number=%d class=%d time_left_ms=%.0f",
-            pending.number,
-            arrival.request_class,
-            arrival.time_left_ms,
-        )
+        self._requests.accepted(pending, draining=self._drain_deadline < inf)
         self._handle(arrival)
         if pending.number in self._pending:
             self._set_deadline_timer(pending, arrival.time_left_ms)
@@ -190,21 +146,14 @@
     def cancel_request(self, pending: PendingRequest) -> None:
         """Drop a request whose client has gone."""
         if self._remove_pending(pending):
-            self.recorder.record(
-                EventKind.REQUEST_CANCELLED,
-                "client_left",
-                pending.request.id,
-                "attempts=%d",
-                len(pending.attempts),
-            )
+            self._requests.cancelled(pending)
             self._handle(RequestCancelled(pending.number))
             self._cancel_remaining(pending)
 
     def drain(self) -> ShutdownSchedule:
         """Give all requests a deadline before the process is killed; return the schedule."""
         schedule = self._shutdown_schedule
-        now = self._clock.now()
-        self._drain_deadline = now + schedule.respond_within_ms
+        self._drain_deadline = self._clock.now() + schedule.respond_within_ms
         self.recorder.logs_live = True
         self.recorder.record(
             EventKind.DRAIN_PHASE,
@@ -219,17 +168,14 @@
             if pending.deadline > self._drain_deadline:
                 pending.deadline = self._drain_deadline
                 self._set_deadline_timer(pending, schedule.respond_within_ms)
-            self.recorder.record(
-                EventKind.DRAIN_PHASE,
-                "request_pending",
-                pending.request.id,
-                "number=%d time_left_ms=%.0f attempts=%d",
-                pending.number,
-                pending.deadline - now,
-                len(pending.attempts),
-            )
+            self._requests.pending_in_drain(pending)
         return schedule
 
+    def check_drained(self) -> None:
+        """Record a violation for each request that is left without a response at the end."""
+        for pending in self._pending.values():
+            self.recorder.violation("unanswered_at_end", pending.request.id)
+
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Forward a good response, and report the outcome."""
         assert isinstance(attempt.owner, PendingRequest)
@@ -240,8 +186,8 @@
         if response is not None:
             if served:
                 self._remove_pending(pending)
-                self._record_conclusion(pending, 200, "served")
-                pending.response.send(200, response.body, _forwarded_headers(response))
+                self._requests.concluded(pending, 200, "served")
+                pending.response.send(200, response.body, forwarded_headers(response))
                 billed_units = response.headers.get(b"billed-units", b"")
                 units = read_billed_units(billed_units, self._max_units)
             report = self._load_reports.read(response.headers.get(b"server-load"))
@@ -254,8 +200,7 @@
         for attempt in pending.attempts:
             self._cancel_attempt(pending, attempt, Outcome.TIMEOUT)
         if pending.number in self._pending:
-            log.error("request left without a response: request=%d", pending.number)
-            self.recorder.log_history(pending.request.id)
+            self.recorder.violation("unanswered_at_deadline", pending.request.id)
             self._respond(pending, 504, "unanswered")
 
     def _report_attempt_end(
@@ -266,16 +211,9 @@
         units: float = 0.0,
         report: tuple[float, ...] = (),
     ) -> None:
+        attempt.outcome = outcome
         elapsed_ms = self._clock.now() - attempt.started_at_ms
-        self.recorder.record(
-            EventKind.ATTEMPT_ENDED,
-            outcome.name.lower(),
-            pending.request.id,
-            "attempt=%d backend=%x elapsed_ms=%.0f",
-            attempt.index,
-            attempt.backend,
-            elapsed_ms,
-        )
+        self._requests.attempt_ended(pending, attempt, outcome, elapsed_ms)
         self._handle(
             AttemptEnded(
                 pending.number,
@@ -310,7 +248,7 @@
             case Send():
                 self._start_attempt(action)
             case Reject(number, retry_after_ms, reason):
-                headers = _retry_after_header(retry_after_ms)
+                headers = retry_after_header(retry_after_ms)
                 self._respond(self._pending[number], 429, reason.value, headers)
             case Fail(number, reason):
                 self._respond(self._pending[number], 502, reason.value)
@@ -329,61 +267,61 @@
 
     def _start_attempt(self, action: Send) -> None:
         pending = self._pending[action.request]
-        now = self._clock.now()
         attempt = Attempt(
             pending,
             len(pending.attempts),
             action.backend,
-            pending.request.encode(pending.deadline - now),
-            now,
+            partial(self._encode, pending),
+            self._clock.now(),
             pending.request.retryable,
         )
         pending.attempts.append(attempt)
-        self.recorder.record(
-            EventKind.ATTEMPT_STARTED,
-            action.reason.value,
-            pending.request.id,
-            "attempt=%d backend=%x time_left_ms=%.0f",
-            attempt.index,
-            attempt.backend,
-            pending.deadline - now,
-        )
-        # a request without a timer has just arrived, and its client has been looked at
-        if pending.timer is None or self._is_wanted(attempt):
+        self._requests.attempt_started(pending, attempt, action.reason)
+        if self._may_write(attempt):
             self.backends.start(attempt)
 
-    def _is_wanted(self, attempt: Attempt) -> bool:
-        """Return whether an attempt is still to be written.
+    def _encode(self, pending: PendingRequest) -> bytes:
+        """Return the request as it is written now: it tells the time that is left now."""
+        return pending.request.encode(pending.deadline - self._clock.now())
+
+    def _may_write(self, attempt: Attempt) -> bool:
+        """Return whether an attempt may be written now; end it, or its request, if it may not.
 
-        Cancel its request if the client has gone: in a late turn of the loop a timer may come
-        before the end of the client's connection.
+        Asked as it begins, and again when a connection has come up for it. Its request is cancelled
+        if the client has gone: in a late turn of the loop a timer may come before the end of the
+        client's connection.
         """
         assert isinstance(attempt.owner, PendingRequest)
         pending = attempt.owner
-        if pending.response.client_disconnected():
+        # a request without a timer has just arrived, and its client has been looked at
+        if pending.timer is not None and pending.response.client_disconnected():
             self.cancel_request(pending)
-        return not attempt.ended
+        if attempt.ended:
+            return False
+        obstacle = self._gateway.write_obstacle(self._clock.now(), pending.number, attempt.index)
+        if obstacle is None and not attempt.retryable and pending.has_other_execution(attempt):
+            # not asked of the gateway: a fault in what it knows must not run the request twice
+            obstacle = Obstacle.SECOND_COPY
+            self.recorder.violation("second_execution", pending.request.id)
+        if obstacle is None:
+            return True
+        if obstacle is Obstacle.CONCLUDED and pending.number in self._pending:
+            self.recorder.violation("forgotten_by_policy", pending.request.id)
+            self._respond(pending, 500, "internal_error")
+            return False
+        self._requests.attempt_skipped(pending, attempt, obstacle)
+        self.backends.skip(attempt)
+        return False
 
     def _respond(
         self, pending: PendingRequest, status: int, reason: str, headers: Headers = ()
     ) -> None:
         """Send the final response of the ingress itself, unless there has been one."""
         if self._remove_pending(pending):
-            self._record_conclusion(pending, status, reason)
+            self._requests.concluded(pending, status, reason)
             pending.response.send(status, b"", headers)
             self._cancel_remaining(pending)
 
-    def _record_conclusion(self, pending: PendingRequest, status: int, reason: str) -> None:
-        self.recorder.record(
-            EventKind.REQUEST_CONCLUDED,
-            reason,
-            pending.request.id,
-            "status=%d time_left_ms=%.0f attempts=%d",
-            status,
-            pending.deadline - self._clock.now(),
-            len(pending.attempts),
-        )
-
     def _remove_pending(self, pending: PendingRequest) -> bool:
         """Note that no response is owed any more; return False if none was owed before."""
         if self._pending.pop(pending.number, None) is None:
@@ -403,15 +341,3 @@
         if not attempt.ended:
             self.backends.cancel(attempt)
             self._report_attempt_end(pending, attempt, outcome)
-
-
-def _forwarded_headers(response: Response) -> Headers:
-    headers = response.headers
-    return tuple((name, headers[name]) for name in FORWARDED_RESPONSE_HEADERS if name in headers)
-
-
-def _retry_after_header(retry_after_ms: float) -> Headers:
-    """Return the Retry-After header in seconds; none for 0."""
-    if retry_after_ms <= 0:
-        return ()
-    return ((b"Retry-After", b"%.3f" % (retry_after_ms / 1000)),)
--- a/sumacpost/model/actions.py
+++ b/sumacpost/model/actions.py
@@ -16,8 +16,8 @@
     HEDGE = "hedge"  # the attempt before it is overdue and goes on
 
 
-class ConclusionReason(Enum):
-    """Why a request gets a final response that no backend has made."""
+class Obstacle(Enum):
+    """Why a request is not served, or an attempt of it not sent; the values are for the log."""
 
     UNSTATED = "unstated"
     QUOTA = "quota"  # the customer is over its quota
@@ -28,6 +28,11 @@
     DEADLINE = "deadline"  # too little time is left for another attempt
     RETRY_BUDGET = "retry_budget"  # too many retries are being sent altogether
     NO_BACKEND = "no_backend"  # none is left to send a retry to
+    WINDOW_OVER = "window_over"  # backends may have forgotten its idempotency key
+    OUT_OF_SCOPE = "out_of_scope"  # the backend does not know the key of the attempt before
+    SECOND_COPY = "second_copy"  # another attempt is out, and there may be one only
+    BACKEND_NOT_READY = "backend_not_ready"  # it drains, is gone or has started anew
+    CONCLUDED = "concluded"  # the request has its final response
 
 
 @dataclass(slots=True)
@@ -72,7 +77,7 @@
 
     request: int
     retry_after_ms: float = 0.0
-    reason: ConclusionReason = ConclusionReason.UNSTATED
+    reason: Obstacle = Obstacle.UNSTATED
 
 
 @dataclass(slots=True)
@@ -85,7 +90,7 @@
     """
 
     request: int
-    reason: ConclusionReason = ConclusionReason.UNSTATED
+    reason: Obstacle = Obstacle.UNSTATED
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/sumacpost/pending_request.py
@@ -0,0 +1,40 @@
+"""A request that the ingress owes a final response, with its client's side and its attempts."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from sumacpost.server.request import Request
+from sumacpost.upstream.attempt import Attempt
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class PendingResponse(Protocol):
+    """The client's side of a request."""
+
+    received_at: float  # monotonic seconds: when the last byte of the request was read
+
+    def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
+        """Send the final response."""
+
+    def client_disconnected(self) -> bool:
+        """Return whether the client has gone, even if the loop has not learnt that yet."""
+
+
+@dataclass(slots=True, eq=False)
+class PendingRequest:
+    """A request that has no final response yet, or has attempts in flight."""
+
+    number: int
+    request: Request
+    response: PendingResponse
+    deadline: float  # in milliseconds, by the ingress's clock
+    attempts: list[Attempt] = field(default_factory=list)
+    timer: asyncio.TimerHandle | None = None
+
+    def has_other_execution(self, attempt: Attempt) -> bool:
+        """Return whether another attempt has been written that may have run, or may yet."""
+        return any(other is not attempt and other.may_have_run for other in self.attempts)
--- /dev/null
+++ b/sumacpost/policy/connection_rules.py
@@ -0,0 +1,55 @@
+"""The one place that decides whether a client's connection may be closed, or ends with a response.
+
+A request that was read is owed its response, and one that stands unread in the socket would be cut
+off: its client has to send it again, on a connection that it may not get.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class CloseObstacle(Enum):
+    """Why a connection may not be closed now; the values are for the log."""
+
+    RESPONSE_OWED = "response_owed"
+    REQUEST_READ = "request_read"  # buffered, and not handled yet
+    REQUEST_UNREAD = "request_unread"  # bytes stand in the socket
+    REQUEST_INCOMPLETE = "request_incomplete"  # it is owed an error before the close
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionFacts:
+    """What is known of a client's connection.
+
+    Attributes:
+        responses_owed: requests without their response.
+        buffered_bytes: read from the socket, and not parsed yet.
+        has_partial_message: a request has begun and is not complete.
+        has_unread_input: bytes stand in the socket.
+    """
+
+    responses_owed: int
+    buffered_bytes: int
+    has_partial_message: bool
+    has_unread_input: bool
+
+
+def close_obstacle(facts: ConnectionFacts) -> CloseObstacle | None:
+    """Return why a connection may not simply be closed now; None: it may."""
+    if facts.responses_owed:
+        return CloseObstacle.RESPONSE_OWED
+    if facts.buffered_bytes:
+        return CloseObstacle.REQUEST_READ
+    if facts.has_unread_input:
+        return CloseObstacle.REQUEST_UNREAD
+    if facts.has_partial_message:
+        return CloseObstacle.REQUEST_INCOMPLETE
+    return None
+
+
+def is_last_response(keep_alive: bool, draining: bool, more_requests: bool) -> bool:
+    """Return whether a connection ends with the response that is due on it.
+
+    more_requests: others that were read on it have no response yet.
+    """
+    return not keep_alive or (draining and not more_requests)
--- a/sumacpost/policy/endpoint_table.py
+++ b/sumacpost/policy/endpoint_table.py
@@ -44,6 +44,11 @@
         for endpoint in event.entries:
             self._update_endpoint(endpoint)
 
+    def is_ready(self, backend: Backend) -> bool:
+        """Return whether a backend is listed as ready, in this incarnation."""
+        known = self.backends.get(backend.endpoint.backend)
+        return known is backend and backend.endpoint.state is EndpointStatus.READY
+
     def _repartition(self, partition_count: int) -> Partition:
         settings = self._settings
         partition = Partition(settings.gateways, settings.index, partition_count)
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -8,13 +8,14 @@
     Action,
     Actions,
     Cancel,
-    ConclusionReason,
     Fail,
+    Obstacle,
     Reject,
     Send,
     SendReason,
 )
 from sumacpost.model.settings import Settings
+from sumacpost.policy.attempt_rules import write_obstacle
 from sumacpost.policy.backend import Backend, InFlightAttempt
 from sumacpost.policy.endpoint_table import EndpointTable
 from sumacpost.policy.fleet_estimate import FleetEstimate
@@ -65,6 +66,14 @@
                 self._drain_started(now, event)
         return self._actions
 
+    def write_obstacle(self, now: float, number: int, attempt: int) -> Obstacle | None:
+        """Return why an attempt of a request that was sent may not be written now, if anything."""
+        request = self.pending.get(number)
+        if request is None:
+            return Obstacle.CONCLUDED
+        ready = self.endpoints.is_ready(request.tried[attempt])
+        return write_obstacle(now, request, attempt, ready, self.settings)
+
     def _drain_started(self, now: float, event: events.DrainStarted) -> None:
         """Bring the deadlines of pending requests forward; a later one would never be met."""
         latest = now + event.respond_within_ms
@@ -91,25 +100,25 @@
             return
         customer.exhausted = True
         if not below_ceiling:
-            self._reject(now, request, ConclusionReason.CEILING)
+            self._reject(now, request, Obstacle.CEILING)
         elif plan.over_quota_weight > plan.over_quota_cost:
             too_large = bucket_size < event.units
             self._admit(now, request, Grant.BUCKET if too_large else Grant.BEYOND_QUOTA)
         elif not self.quota_sync.probably_granted(now, customer):
-            self._reject(now, request, ConclusionReason.QUOTA)
+            self._reject(now, request, Obstacle.QUOTA)
         elif self.quota_sync.may_ask(now, request):
             self._ask_counter(now, request)
         elif self.quota_sync.enabled or customer.tokens >= bucket_size:
             # a full bucket does for a larger request, which would never pass otherwise
             self._admit(now, request, Grant.BUCKET)
         else:
-            self._reject(now, request, ConclusionReason.QUOTA)
+            self._reject(now, request, Obstacle.QUOTA)
 
     def _ask_counter(self, now: float, request: PendingRequest) -> None:
         """Hold a request until the counter replies; no call for one that would be rejected."""
         threshold = self.load_balancer.admission_threshold(request.event.request_class)
         if self.load_balancer.choose(now, request, threshold) is None:
-            self._reject(now, request, ConclusionReason.OVERLOAD)
+            self._reject(now, request, Obstacle.OVERLOAD)
             return
         request.customer.unreported_units += request.event.units
         self._actions += self.quota_sync.settle(now, request.customer, request)
@@ -122,7 +131,7 @@
         if call.request is not None and call.grant is not None:
             self._admit(now, call.request, call.grant)
         elif call.request is not None:
-            self._reject(now, call.request, ConclusionReason.QUOTA)
+            self._reject(now, call.request, Obstacle.QUOTA)
         self._actions += self.quota_sync.settle_after_reply(now, call)
 
     def _admit(self, now: float, request: PendingRequest, grant: Grant) -> None:
@@ -138,7 +147,7 @@
         if backend is None:
             if grant is Grant.COUNTER:
                 customer.unreported_units -= units
-            self._reject(now, request, ConclusionReason.OVERLOAD)
+            self._reject(now, request, Obstacle.OVERLOAD)
             return
         if customer.plan.ceiling_rate:
             customer.ceiling_tokens -= units
@@ -148,7 +157,7 @@
             self._actions += self.quota_sync.settle(now, customer)
         self._send(now, request, backend, SendReason.FIRST)
 
-    def _reject(self, now: float, request: PendingRequest, reason: ConclusionReason) -> None:
+    def _reject(self, now: float, request: PendingRequest, reason: Obstacle) -> None:
         """Conclude a request with the time after which its client may come back."""
         no_show_ms = NO_SHOW_MS * self.settings.clients_mark_retries
         wait_ms = request.customer.return_time(now, request.event.units, no_show_ms)
@@ -240,7 +249,7 @@
                 reason = SendReason.HEDGE if request.in_flight else SendReason.RETRY
                 self._send(now, request, backend, reason)
                 return
-            obstacle = ConclusionReason.NO_BACKEND
+            obstacle = Obstacle.NO_BACKEND
         if request.in_flight:
             return  # it may still be answered
         if self.retries.permits_rejection(request):
--- a/sumacpost/policy/retries.py
+++ b/sumacpost/policy/retries.py
@@ -2,17 +2,17 @@
 
 from sumacpost.model import (
     Actions,
-    ConclusionReason,
     DeduplicationScope,
     Idempotency,
+    Obstacle,
     SetTimer,
     Settings,
 )
+from sumacpost.policy.attempt_rules import repeat_obstacle
 from sumacpost.policy.pending_request import PendingRequest
 
 RETRY_RATIO = 0.1  # retries earned by each request
 MAX_RETRY_TOKENS = 10.0  # saved up at most
-REACH_MS = 50.0  # an attempt arrives within this and the time that its connection may take
 
 
 class RetryPolicy:
@@ -20,28 +20,18 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._reach_ms = settings.connect_timeout_ms + REACH_MS
         self.retry_tokens = MAX_RETRY_TOKENS
 
     def earn(self) -> None:
         """Add what one request earns to the retry budget."""
         self.retry_tokens = min(MAX_RETRY_TOKENS, self.retry_tokens + RETRY_RATIO)
 
-    def retry_obstacle(self, now: float, request: PendingRequest) -> ConclusionReason | None:
+    def retry_obstacle(self, now: float, request: PendingRequest) -> Obstacle | None:
         """Return why no other attempt may be sent now, or None if one may."""
-        if not (request.is_repeatable or self._in_window(now, request)):
-            return ConclusionReason.NOT_REPEATABLE
-        if len(request.tried) >= self._settings.max_attempts:
-            return ConclusionReason.ATTEMPTS_USED
-        if now >= request.deadline - self._settings.tick_ms:
-            return ConclusionReason.DEADLINE
-        if self.retry_tokens < 1:
-            return ConclusionReason.RETRY_BUDGET
-        return None
-
-    def _in_window(self, now: float, request: PendingRequest) -> bool:
-        """Return whether an attempt sent now would surely arrive in the deduplication window."""
-        return request.has_key and now < request.pinned_until - self._reach_ms
+        obstacle = repeat_obstacle(now, request, self._settings)
+        if obstacle is None and self.retry_tokens < 1:
+            return Obstacle.RETRY_BUDGET
+        return obstacle
 
     def permits_rejection(self, request: PendingRequest) -> bool:
         """Return whether the client may be told to come back, which it may do at any backend."""
--- /dev/null
+++ b/sumacpost/request_recorder.py
@@ -0,0 +1,107 @@
+"""The events of a request's life, in the form in which the recorder keeps and logs them."""
+
+from __future__ import annotations
+
+from sumacpost.clock import Clock
+from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
+from sumacpost.model import Obstacle, Outcome, SendReason
+from sumacpost.pending_request import PendingRequest
+from sumacpost.upstream.attempt import Attempt
+
+
+class RequestRecorder:
+    """Records what becomes of requests; each method is one event."""
+
+    def __init__(self, events: EventRecorder, clock: Clock) -> None:
+        self._events = events
+        self._clock = clock
+
+    def accepted(self, pending: PendingRequest, draining: bool) -> None:
+        """The ingress has taken a request, and owes it a response."""
+        self._events.record(
+            EventKind.REQUEST_ACCEPTED,
+            "draining" if draining else "serving",
+            pending.request.id,
+            "number=%d class=%d time_left_ms=%.0f",
+            pending.number,
+            pending.request.arrival.request_class,
+            self._time_left_ms(pending),
+        )
+
+    def pending_in_drain(self, pending: PendingRequest) -> None:
+        """A drain has started while a request is pending."""
+        self._events.record(
+            EventKind.DRAIN_PHASE,
+            "request_pending",
+            pending.request.id,
+            "number=%d time_left_ms=%.0f attempts=%d",
+            pending.number,
+            self._time_left_ms(pending),
+            len(pending.attempts),
+        )
+
+    def cancelled(self, pending: PendingRequest) -> None:
+        """The client has left."""
+        self._events.record(
+            EventKind.REQUEST_CANCELLED,
+            "client_left",
+            pending.request.id,
+            "attempts=%d",
+            len(pending.attempts),
+        )
+
+    def concluded(self, pending: PendingRequest, status: int, reason: str) -> None:
+        """The final response has been handed to the client's connection."""
+        self._events.record(
+            EventKind.REQUEST_CONCLUDED,
+            reason,
+            pending.request.id,
+            "status=%d time_left_ms=%.0f attempts=%d",
+            status,
+            self._time_left_ms(pending),
+            len(pending.attempts),
+        )
+
+    def attempt_started(
+        self, pending: PendingRequest, attempt: Attempt, reason: SendReason
+    ) -> None:
+        """An attempt has begun to look for a connection."""
+        self._events.record(
+            EventKind.ATTEMPT_STARTED,
+            reason.value,
+            pending.request.id,
+            "attempt=%d backend=%x time_left_ms=%.0f",
+            attempt.index,
+            attempt.backend,
+            self._time_left_ms(pending),
+        )
+
+    def attempt_skipped(
+        self, pending: PendingRequest, attempt: Attempt, obstacle: Obstacle
+    ) -> None:
+        """An attempt was not written, as something has changed since it was chosen."""
+        self._events.record(
+            EventKind.ATTEMPT_SKIPPED,
+            obstacle.value,
+            pending.request.id,
+            "attempt=%d backend=%x",
+            attempt.index,
+            attempt.backend,
+        )
+
+    def attempt_ended(
+        self, pending: PendingRequest, attempt: Attempt, outcome: Outcome, elapsed_ms: float
+    ) -> None:
+        """An attempt has its outcome."""
+        self._events.record(
+            EventKind.ATTEMPT_ENDED,
+            outcome.name.lower(),
+            pending.request.id,
+            "attempt=%d backend=%x elapsed_ms=%.0f",
+            attempt.index,
+            attempt.backend,
+            elapsed_ms,
+        )
+
+    def _time_left_ms(self, pending: PendingRequest) -> float:
+        return pending.deadline - self._clock.now()
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -13,6 +13,12 @@
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
 from sumacpost.http1 import MAX_BODY, MAX_HEAD
+from sumacpost.policy.connection_rules import (
+    CloseObstacle,
+    ConnectionFacts,
+    close_obstacle,
+    is_last_response,
+)
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.request_handler import RequestHandler
@@ -23,8 +29,9 @@
 MAX_PIPELINED = 8
 # Input buffered so, which is one more request of any size; beyond it the connection ends.
 MAX_UNREAD_BYTES = MAX_HEAD + MAX_BODY
-# The state that TCP_INFO begins with once the peer has ended its sending.
-TCP_CLOSE_WAIT = 8
+# The states that TCP_INFO begins with as long as the peer has not ended its sending: established,
+# and the two after this side has ended its own.
+TCP_PEER_SENDING = frozenset((1, 4, 5))
 
 
 class ConnectionState(Enum):
@@ -36,6 +43,8 @@
 
 
 # Up to Python 3.11 each access to a member through its class costs a call.
+# Why a connection may end with responses owed: there is nobody to read them.
+_CLIENT_GAVE_UP = frozenset((CloseReason.CLIENT_LEFT, CloseReason.INVALID_INPUT))
 _READING = ConnectionState.READING
 _FINISHING = ConnectionState.FINISHING
 _CLOSING = ConnectionState.CLOSING
@@ -61,6 +70,7 @@
         self._reader = RequestReader(self._on_request)
         self._state = _READING
         self._close_reason = CloseReason.CLIENT_LEFT  # until the ingress closes it itself
+        self._finish_reason = CloseReason.DRAIN_DEADLINE
         self._pending_responses: deque[PendingResponse] = deque()
         self._unread: deque[ReceivedData] = deque()
         self._unread_bytes = 0
@@ -109,6 +119,14 @@
         self._pending_responses = deque()
         for response in unsent:
             self._handler.cancel(response)
+        if unsent and self._close_reason not in _CLIENT_GAVE_UP:
+            self._handler.recorder.violation(
+                "closed_with_response_owed",
+                self._transport.get_extra_info("peername"),
+                "reason=%s owed=%d",
+                self._close_reason.value,
+                len(unsent),
+            )
         self._handler.recorder.record(
             EventKind.CLIENT_CONNECTION_CLOSED,
             self._close_reason.value,
@@ -134,7 +152,7 @@
             self._parse_next()
             wrote = self._write_due_responses() or wrote
         if self._state is _FINISHING and not (self._pending_responses or self._unread):
-            self._end_input(self._close_reason)
+            self._end_input(self._finish_reason)
         self._update_registry(wrote)
 
     def has_disconnected(self) -> bool:
@@ -153,9 +171,20 @@
             tcp_state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
         except OSError:
             return False  # a system that doesn't tell: it shows once the bytes are read
-        return tcp_state == TCP_CLOSE_WAIT
+        return tcp_state not in TCP_PEER_SENDING
+
+    def close_obstacle(self) -> CloseObstacle | None:
+        """Return why the connection may not simply be closed now, if anything."""
+        return close_obstacle(
+            ConnectionFacts(
+                responses_owed=len(self._pending_responses),
+                buffered_bytes=self._unread_bytes,
+                has_partial_message=self._reader.has_partial_message,
+                has_unread_input=self._has_unread_input(),
+            )
+        )
 
-    def has_unread_input(self) -> bool:
+    def _has_unread_input(self) -> bool:
         """Return whether bytes stand in the socket that the loop has not read yet."""
         try:
             return bool(self._sock.recv(1, socket.MSG_PEEK))
@@ -209,9 +238,11 @@
                 break
             self._pending_responses.popleft()
             wrote = True
-            # In a drain a response ends the connection if no request has come behind its own.
-            drained = self._handler.draining and not (self._pending_responses or self._unread)
-            is_last = drained or not response.keep_alive
+            is_last = is_last_response(
+                response.keep_alive,
+                self._handler.draining,
+                bool(self._pending_responses or self._unread),
+            )
             self._write(response.head, response.body, is_last)
             if is_last:
                 self._finish_sending()
@@ -249,10 +280,10 @@
 
     def finish(self, reason: CloseReason) -> None:
         """Read no more from the socket, answer what has been read, and close then."""
-        if self._state is not _READING:
+        if self._state is not _READING or self._transport.is_closing():
             return
         self._state = _FINISHING
-        self._close_reason = reason
+        self._finish_reason = reason
         self._transport.pause_reading()
         self.advance()
 
@@ -261,13 +292,14 @@
         if self._reader.has_partial_message:
             self.on_request_timeout(reason)
         else:
+            self._close_reason = reason
             self._finish_sending()
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection between requests, once its last response is written."""
         self._close_reason = reason
         self._state = _CLOSING
-        self._transport.close()
+        self._end_sending()
 
     def evict(self) -> None:
         """Close at once, as the place is needed: a client that reads nothing would keep it."""
@@ -278,9 +310,10 @@
         else:
             self._transport.close()
 
-    def abort(self, reason: CloseReason) -> None:
-        """Close at once: the client never reads its response, or never ends its request."""
-        self._close_reason = reason
+    def abort(self, reason: CloseReason | None = None) -> None:
+        """Close at once: the client has left, or never reads its response or ends its request."""
+        if reason is not None:
+            self._close_reason = reason
         self._state = _CLOSING
         self._transport.abort()
 
@@ -297,14 +330,24 @@
         """
         if self._close_reason is CloseReason.CLIENT_LEFT:
             self._close_reason = CloseReason.RESPONSE_WAS_LAST
-        finishing = self._state is _FINISHING
         self._stop_reading()
         self._registry.mark_closing(self)
-        if finishing and not self._transport.is_closing():
-            self._transport.resume_reading()
-        more_may_come = self._handler.draining or self._unread_dropped
-        if more_may_come or self._reader.incomplete_bytes:
+        if self._reader.incomplete_bytes or self._unread_dropped:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
+        else:
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        """Close the connection; in a drain end the sending alone, until the client has closed.
+
+        A client that has sent more by then would get a reset, and could lose a response that it has
+        not read. What it has sent stays unread: it is told so that it was not taken.
+        """
+        if self._transport.is_closing():
+            return
+        if self._handler.draining and self._transport.can_write_eof():
+            self._transport.write_eof()
+            self._transport.pause_reading()
         else:
             self._transport.close()
--- a/sumacpost/server/connection_queue.py
+++ b/sumacpost/server/connection_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,9 @@
     def __len__(self) -> int:
         return len(self._added_at)
 
+    def __iter__(self) -> Iterator[ClientConnection]:
+        return iter(self._added_at)
+
     def __contains__(self, connection: ClientConnection) -> bool:
         return connection in self._added_at
 
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -7,6 +7,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from sumacpost.policy.connection_rules import CloseObstacle
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_queue import ConnectionQueue
 
@@ -156,15 +157,24 @@
         would have to send that again, on a connection that it may not get.
         """
         while (late := self.idle.oldest(before)) is not None:
-            if late.has_unread_input():
-                self.idle.add(late)
-            else:
+            if late.close_obstacle() is None:
                 self._close_idle_connection(late, reason)
+            else:
+                self.idle.add(late)
+
+    def close_departed(self) -> None:
+        """Close the connections whose clients have closed them after their last response.
+
+        In a drain nothing is read from these, so the event loop does not see it.
+        """
+        for connection in list(self.closing):
+            if connection.has_disconnected():
+                connection.abort()
 
     def end_waiting(self, before: float) -> None:
         """End the connections that have waited for a request since before that time, in a drain."""
         while (late := self.waiting.oldest(before)) is not None:
-            if late.has_unread_input():
+            if late.close_obstacle() is CloseObstacle.REQUEST_UNREAD:
                 self.waiting.add(late)  # perhaps the rest of the request
                 continue
             self.waiting.discard(late)
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -68,6 +68,7 @@
             self.registry.end_waiting(now - schedule.request_timeout_ms / 1000)
             self.registry.close_idle(now - schedule.quiet_ms / 1000, CloseReason.DRAIN_IDLE)
             self.registry.enforce_timeouts()
+            self.registry.close_departed()
 
     async def _wait_for_ends(self) -> None:
         """Wait for connections whose clients still read their last response."""
@@ -75,6 +76,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
             self.registry.close_all(CloseReason.DRAIN_DEADLINE)  # also those opened meanwhile
             self.registry.enforce_timeouts()
+            self.registry.close_departed()
 
     def _elapsed_ms(self) -> float:
         return (time.monotonic() - self.started_at) * 1000
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from sumacpost.ingress import Headers, PendingRequest
+from sumacpost.pending_request import Headers, PendingRequest
 
 if TYPE_CHECKING:
     from sumacpost.server.connection import ClientConnection
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -74,6 +74,7 @@
         log.info("drain started")
         started_at = time.monotonic()
         await self._server.drain()
+        self._ingress.check_drained()
         for task in (self._discovery_task, self._counter_task, maintenance_task):
             if task is not None:
                 task.stop()
--- a/sumacpost/upstream/attempt.py
+++ b/sumacpost/upstream/attempt.py
@@ -43,14 +43,21 @@
     owner: object  # whatever the outcome is for; handed back untouched
     index: int  # among the attempts of its request, from 0
     backend: BackendId
-    payload: bytes  # the whole request, as it is written
+    encode: Callable[[], bytes]  # returns the whole request as it is to be written now
     started_at_ms: float  # by the owner's clock
     retryable: bool = True  # may be followed by another attempt even if the backend ran it
     state: AttemptState = AttemptState.CREATED
+    outcome: Outcome | None = None  # noted by the owner
+    written: bool = False  # bytes of it have been handed to a connection
     pool: AttemptQueue | None = None
     connection: AttemptCarrier | None = None  # only while it is in flight
     connect_task: asyncio.Task[None] | None = None  # only while that may be cancelled
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the backend may have run it, or may yet."""
+        return self.written and (self.outcome is None or not self.outcome.never_ran)
+
     @property
     def ended(self) -> bool:
         """Whether no outcome of it will be reported any more."""
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -88,9 +88,10 @@
         self.attempt = attempt
         attempt.connection = self
         attempt.state = AttemptState.IN_FLIGHT
+        attempt.written = True
         self._request_started_at = asyncio.get_running_loop().time()
         self._state = ConnectionState.WRITING
-        self._transport.write(attempt.payload)
+        self._transport.write(attempt.encode())
         if self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing():
             self._state = ConnectionState.WRITTEN
 
--- a/sumacpost/upstream/pool.py
+++ b/sumacpost/upstream/pool.py
@@ -30,7 +30,7 @@
     reuse_limit: ReuseLimit
     recorder: EventRecorder
     on_attempt_ended: AttemptEndedCallback
-    is_wanted: Callable[[Attempt], bool]
+    may_write: Callable[[Attempt], bool]
 
     def reserve_connection(self) -> bool:
         """Count a new connection; return False if the bound does not allow one."""
@@ -141,7 +141,7 @@
     def _serve_waiting(self) -> None:
         """Write the attempts that wait on the connections that may be reused now."""
         for attempt in list(self.waiting):
-            if not self._owner.is_wanted(attempt):
+            if not self._owner.may_write(attempt):
                 continue
             connection = self._take_reusable()
             if connection is None:
@@ -160,7 +160,7 @@
             return
         # not for whichever attempt has waited longest: this one would be left with no connection
         # on its way
-        if attempt.state is not AttemptState.WAITING or not self._owner.is_wanted(attempt):
+        if attempt.state is not AttemptState.WAITING or not self._owner.may_write(attempt):
             self.park_idle(connection)
         elif connection.usable():
             self.waiting.remove(attempt)
--- a/sumacpost/upstream/pool_manager.py
+++ b/sumacpost/upstream/pool_manager.py
@@ -8,14 +8,20 @@
 from sumacpost.address import Address
 from sumacpost.diagnostics.event_recorder import EventRecorder
 from sumacpost.http1 import MAX_BODY
-from sumacpost.model import BackendId, EndpointListUpdate, EndpointStatus, UpdateKind
-from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback
+from sumacpost.model import (
+    BackendId,
+    EndpointListUpdate,
+    EndpointStatus,
+    Outcome,
+    UpdateKind,
+)
+from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback, AttemptState
 from sumacpost.upstream.connection import CloseReason
 from sumacpost.upstream.pool import ConnectionPool
 from sumacpost.upstream.reuse_limit import ReuseLimit
 
 
-def _always_wanted(_: Attempt) -> bool:
+def _always_permitted(_: Attempt) -> bool:
     return True
 
 
@@ -25,7 +31,8 @@
     max_connections bounds the connections to all backends together, those coming up included.
     backend_idle_timeout_s is after how long backends close idle connections.
     on_attempt_ended gets each attempt with its outcome, and the response if there is one.
-    is_wanted is asked before an attempt that has waited is written; it cancels one that is not.
+    may_write is asked before an attempt that has waited is written; one that may not be is ended,
+    or will be, by the one that was asked.
     """
 
     def __init__(
@@ -35,13 +42,13 @@
         backend_idle_timeout_s: float,
         on_attempt_ended: AttemptEndedCallback,
         max_body_bytes: int = MAX_BODY,
-        is_wanted: Callable[[Attempt], bool] = _always_wanted,
+        may_write: Callable[[Attempt], bool] = _always_permitted,
         recorder: EventRecorder | None = None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.max_body_bytes = max_body_bytes
         self.on_attempt_ended = on_attempt_ended
-        self.is_wanted = is_wanted
+        self.may_write = may_write
         self.recorder = recorder or EventRecorder()
         self.reuse_limit = ReuseLimit(backend_idle_timeout_s)
         self.open_connections = 0  # those coming up included
@@ -88,6 +95,17 @@
             attempt.pool.remove_waiting(attempt)
         attempt.end()
 
+    def skip(self, attempt: Attempt) -> None:
+        """End an attempt that is not to be written; its outcome is reported, though not at once."""
+        if attempt.pool is not None:
+            attempt.pool.remove_waiting(attempt)
+        attempt.state = AttemptState.SKIPPED
+        asyncio.get_running_loop().call_soon(self._report_skipped, attempt)
+
+    def _report_skipped(self, attempt: Attempt) -> None:
+        if attempt.end():
+            self.on_attempt_ended(attempt, Outcome.SKIPPED, None)
+
     def reserve_connection(self) -> bool:
         """Count a new connection; return False if the bound does not allow one."""
         if self.open_connections >= self._max_connections and not self._evict():
--- /dev/null
+++ b/tests/policy/test_attempt_rules.py
@@ -0,0 +1,126 @@
+"""What may be repeated, and what may be written, for each effect of a class."""
+
+from __future__ import annotations
+
+import pytest
+
+from sumacpost.model import Obstacle, RequestClass, Send
+from sumacpost.policy.attempt_rules import REACH_MS, repeat_obstacle, write_obstacle
+from sumacpost.policy.backend import InFlightAttempt
+from sumacpost.policy.gateway import Gateway
+from sumacpost.policy.pending_request import PendingRequest
+from tests.support.builders import (
+    KEYED,
+    KEYED_ALL,
+    SAFE,
+    START,
+    UNSAFE,
+    gateway,
+    request,
+    settings,
+    the_only,
+)
+
+SETTINGS = settings(hedging=True)
+
+
+def sent_request(request_class: RequestClass) -> tuple[Gateway, PendingRequest]:
+    """Return a gateway, and a request of which one attempt is in flight."""
+    subject = gateway(classes=(request_class,), hedging=True)
+    the_only(Send, subject.handle(START, request(1, time_left_ms=6000.0)))
+    (pending,) = subject.pending.values()
+    return subject, pending
+
+
+def add_attempt(subject: Gateway, pending: PendingRequest, same_cell: bool) -> int:
+    """Note a second attempt, at another backend of the same or another cell; return its number."""
+    first = pending.tried[0].endpoint
+    pending.tried.append(
+        next(
+            backend
+            for backend in subject.endpoints.backends.values()
+            if backend.endpoint is not first and (backend.endpoint.cell == first.cell) is same_cell
+        )
+    )
+    pending.in_flight[1] = InFlightAttempt(START, 1.0, 1.0, 0, START + 100)
+    return 1
+
+
+@pytest.mark.parametrize(
+    ("request_class", "obstacle"),
+    [
+        (SAFE, None),
+        (KEYED, None),
+        (KEYED_ALL, None),
+        (UNSAFE, Obstacle.NOT_REPEATABLE),
+    ],
+)
+def test_a_request_that_may_have_run_is_repeated_as_its_class_permits(
+    request_class: RequestClass, obstacle: Obstacle | None
+) -> None:
+    _, pending = sent_request(request_class)
+    assert repeat_obstacle(START + 1, pending, SETTINGS) is None
+    pending.record_possible_execution(0, START)
+    assert repeat_obstacle(START + 1, pending, SETTINGS) is obstacle
+
+
+def test_a_keyed_request_is_repeated_only_where_it_arrives_within_the_window() -> None:
+    _, pending = sent_request(KEYED)
+    pending.record_possible_execution(0, START)
+    reach_ms = SETTINGS.connect_timeout_ms + REACH_MS
+    last = START + KEYED.deduplication_window_ms - reach_ms
+    assert repeat_obstacle(last - 1, pending, SETTINGS) is None
+    assert repeat_obstacle(last, pending, SETTINGS) is Obstacle.WINDOW_OVER
+
+
+@pytest.mark.parametrize(
+    ("request_class", "same_cell", "obstacle"),
+    [
+        (SAFE, False, None),
+        (KEYED, True, None),
+        (KEYED, False, Obstacle.OUT_OF_SCOPE),
+        (KEYED_ALL, False, None),
+        (UNSAFE, True, Obstacle.SECOND_COPY),
+    ],
+)
+def test_a_second_copy_is_written_as_its_class_permits(
+    request_class: RequestClass, same_cell: bool, obstacle: Obstacle | None
+) -> None:
+    subject, pending = sent_request(request_class)
+    pending.record_possible_execution(0, START)
+    number = add_attempt(subject, pending, same_cell)
+    assert write_obstacle(START + 1, pending, number, True, SETTINGS) is obstacle
+
+
+def test_no_second_copy_is_written_without_hedging() -> None:
+    subject, pending = sent_request(SAFE)
+    number = add_attempt(subject, pending, True)
+    unhedged = settings(hedging=False)
+    assert write_obstacle(START + 1, pending, number, True, unhedged) is Obstacle.SECOND_COPY
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_written_again() -> None:
+    subject, pending = sent_request(UNSAFE)
+    pending.record_possible_execution(0, START)
+    number = add_attempt(subject, pending, True)
+    del pending.in_flight[0]
+    found = write_obstacle(START + 1, pending, number, True, SETTINGS)
+    assert found is Obstacle.NOT_REPEATABLE
+
+
+def test_nothing_is_written_past_the_deadline_or_the_window_or_to_a_backend_that_left() -> None:
+    subject, pending = sent_request(KEYED)
+    assert write_obstacle(START + 1, pending, 0, True, SETTINGS) is None
+    assert write_obstacle(START + 1, pending, 0, False, SETTINGS) is Obstacle.BACKEND_NOT_READY
+    assert write_obstacle(pending.deadline, pending, 0, True, SETTINGS) is Obstacle.DEADLINE
+    pending.record_possible_execution(0, START)
+    number = add_attempt(subject, pending, True)
+    late = START + KEYED.deduplication_window_ms - REACH_MS
+    assert write_obstacle(late, pending, number, True, SETTINGS) is Obstacle.WINDOW_OVER
+
+
+def test_a_concluded_request_is_not_written() -> None:
+    subject, _pending = sent_request(SAFE)
+    assert subject.write_obstacle(START + 1, 1, 0) is None
+    subject.pending.clear()
+    assert subject.write_obstacle(START + 1, 1, 0) is Obstacle.CONCLUDED
--- /dev/null
+++ b/tests/policy/test_connection_rules.py
@@ -0,0 +1,43 @@
+"""Whether a client's connection may be closed, and which response is its last."""
+
+from __future__ import annotations
+
+import pytest
+
+from sumacpost.policy.connection_rules import (
+    CloseObstacle,
+    ConnectionFacts,
+    close_obstacle,
+    is_last_response,
+)
+
+
+@pytest.mark.parametrize(
+    ("facts", "obstacle"),
+    [
+        (ConnectionFacts(0, 0, False, False), None),
+        (ConnectionFacts(1, 5, True, True), CloseObstacle.RESPONSE_OWED),
+        (ConnectionFacts(0, 5, True, True), CloseObstacle.REQUEST_READ),
+        (ConnectionFacts(0, 0, True, True), CloseObstacle.REQUEST_UNREAD),
+        (ConnectionFacts(0, 0, True, False), CloseObstacle.REQUEST_INCOMPLETE),
+    ],
+)
+def test_a_connection_is_closed_only_at_rest(
+    facts: ConnectionFacts, obstacle: CloseObstacle | None
+) -> None:
+    assert close_obstacle(facts) is obstacle
+
+
+@pytest.mark.parametrize(
+    ("keep_alive", "draining", "more_requests", "last"),
+    [
+        (True, False, False, False),
+        (False, False, False, True),
+        (True, True, False, True),
+        (True, True, True, False),
+    ],
+)
+def test_the_last_response_is_the_clients_choice_or_the_last_of_a_drain(
+    keep_alive: bool, draining: bool, more_requests: bool, last: bool
+) -> None:
+    assert is_last_response(keep_alive, draining, more_requests) is last
--- a/tests/server/test_drain_deadline.py
+++ b/tests/server/test_drain_deadline.py
@@ -124,7 +124,7 @@
             client = await ingress.client()
             assert (await client.send(HEALTH_REQUEST)).status == 200
             (connection,) = ingress.server.connections.open
-            connection.has_unread_input = lambda: True  # type: ignore[method-assign]
+            connection._has_unread_input = lambda: True  # type: ignore[method-assign]
             ingress.stop.set()
             await until(lambda: ingress.server.handler.draining)
             assert (await client.send(request())).status == 200
--- a/tests/support/attempts.py
+++ b/tests/support/attempts.py
@@ -26,7 +26,7 @@
 
     def start(self, payload: bytes = PAYLOAD) -> Attempt:
         """Begin an attempt; assert that its outcome does not come within the call."""
-        attempt = Attempt(None, 0, 1, payload, 0.0)
+        attempt = Attempt(None, 0, 1, lambda: payload, 0.0)
         self.backends.start(attempt)
         assert not any(a is attempt for a, _, _ in self.ended)
         return attempt
--- /dev/null
+++ b/tests/test_attempt_rules.py
@@ -0,0 +1,92 @@
+"""What is asked right before an attempt is written, on a running ingress."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+import pytest
+
+from sumacpost.diagnostics.event_recorder import EventKind
+from sumacpost.model import Endpoint, EndpointListUpdate, EndpointStatus, Send, UpdateKind
+from tests.support.connection_gate import ConnectionGate
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import RunningIngress, running_ingress
+from tests.support.peers import respond
+
+HELD_S = 0.2
+
+
+def told_timeout_s(data: bytes) -> float:
+    match = re.search(rb"Request-Timeout: ([\d.]+)", data)
+    assert match is not None
+    return float(match[1])
+
+
+def test_the_time_left_is_that_at_the_writing_not_at_the_choice(
+    connection_gate: ConnectionGate,
+) -> None:
+    """A backend was told up to the connect time-out too much; 0.15 s are allowed."""
+
+    async def test() -> None:
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            client.write(request(Request_Timeout="1.000"))
+            await until(lambda: connection_gate.arrived == 1)
+            await asyncio.sleep(HELD_S)
+            connection_gate.open()
+            assert (await client.read_response()).status == 200
+            assert told_timeout_s(ingress.backends[0].requests[0]) <= 1.0 - HELD_S
+
+    run(test())
+
+
+def drain_backend(ingress: RunningIngress, state: EndpointStatus) -> None:
+    """Change the state of the only backend in the policy alone, as if its pool had not heard."""
+    (backend,) = ingress.gateway.endpoints.backends
+    entry = Endpoint(backend, state)
+    ingress.gateway.endpoints.update(EndpointListUpdate(UpdateKind.CHANGES, [entry]))
+
+
+@pytest.mark.parametrize("state", [EndpointStatus.DRAINING, EndpointStatus.GONE])
+def test_an_attempt_is_not_written_to_a_backend_that_is_not_ready_any_more(
+    connection_gate: ConnectionGate, state: EndpointStatus
+) -> None:
+    async def test() -> None:
+        async with running_ingress(respond()) as ingress:
+            client = await ingress.client()
+            client.write(request())
+            await until(lambda: connection_gate.arrived == 1)
+            drain_backend(ingress, state)
+            connection_gate.open()
+            assert (await client.read_response()).status == 429
+            assert not ingress.backends[0].requests
+            counts = ingress.bridge.recorder.counts
+            assert counts[EventKind.ATTEMPT_SKIPPED, "backend_not_ready"] == 1
+
+    run(test())
+
+
+def test_a_second_execution_that_the_policy_would_permit_is_prevented_and_counted(
+    connection_gate: ConnectionGate,
+) -> None:
+    """The network code knows by itself which attempts have been written."""
+
+    async def test() -> None:
+        async with running_ingress(respond(), respond()) as ingress:
+            client = await ingress.client()
+            client.write(request())
+            await until(lambda: connection_gate.arrived == 1)
+            (pending,) = ingress.bridge._pending.values()
+            (attempt,) = pending.attempts
+            attempt.written = True  # as if the first attempt had run, unknown to the policy
+            (known,) = ingress.gateway.pending.values()
+            known.in_flight.clear()
+            known.tried.append(known.tried[0])
+            ingress.bridge._carry_out(Send(pending.number, attempt.backend))
+            assert ingress.bridge.recorder.violations == 1
+            assert ingress.bridge.recorder.counts[EventKind.VIOLATION, "second_execution"] == 1
+            connection_gate.open()
+
+    run(test())
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -87,7 +87,7 @@
         async with Peer(respond()) as peer:
             outcomes = Outcomes(peer.port)
             pool = outcomes.backends._pools[1]
-            first = Attempt(None, 0, 1, PAYLOAD, 0.0)
+            first = Attempt(None, 0, 1, lambda: PAYLOAD, 0.0)
             pool.waiting.append(first)  # its connection has not come up yet
             assert (await outcomes.outcome())[0] is Outcome.OK
             await until(lambda: first.ended)  # after the reuse delay
@@ -166,7 +166,7 @@
         outcomes = Outcomes(peers[0].port, max_connections=2)
         outcomes.backends.update_endpoint(2, ("127.0.0.1", peers[1].port))
         outcomes.start()
-        idle = Attempt(None, 0, 2, PAYLOAD, 0.0)
+        idle = Attempt(None, 0, 2, lambda: PAYLOAD, 0.0)
         outcomes.backends.start(idle)
         await until(lambda: idle.ended)
         outcomes.start()
