--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -19,11 +19,13 @@
     MAX_CHANGES_PER_S,
     MAX_RATE,
     MAX_REPLACEMENTS,
+    MAX_SOAK_INGRESSES,
     OUT,
     POINTS,
     SECONDS,
     SEED,
     make_grid,
+    parse_seeds,
     parse_sizes,
 )
 from fleetlab.discovery_server import ResponseMode
@@ -41,6 +43,7 @@
     this_machine,
 )
 from fleetlab.slopes import Slope, fit
+from fleetlab.soak import runs as soak_runs
 
 TABLE_WIDTH = 200  # where the output is no terminal
 
@@ -202,6 +205,27 @@
     _wide_console().print(table)
 
 
+@cli.command()
+@OUT
+@click.option("--seeds", default="1:3", help="From the first to the last, as FIRST:LAST.")
+@click.option(
+    "--ingresses",
+    default=0,
+    type=click.IntRange(0, MAX_SOAK_INGRESSES),
+    help="Processes of each run; 0: drawn for each seed.",
+)
+@click.option("--seconds", default=12.0, type=SECONDS, help="Of load, in each run.")
+def soak(out: Path, seeds: str, ingresses: int, seconds: float) -> None:
+    """Play randomized faults on real ingresses, and judge each run by the rules."""
+    violations = 0
+    for seed in parse_seeds(seeds):
+        result = run_interruptible(soak_runs.run_seed(out, seed, ingresses, seconds))
+        violations += len(result.violations)
+        Console().print(soak_runs.summary(result), highlight=False, soft_wrap=True)
+    if violations:
+        raise click.ClickException(f"{violations} violations; see {out}")
+
+
 @cli.command()
 @click.argument("folder", type=click.Path(exists=True, path_type=Path))
 def slopes(folder: Path) -> None:
--- a/fleetlab/command_options.py
+++ b/fleetlab/command_options.py
@@ -18,6 +18,8 @@
 MAX_CHANGES_PER_S = 1000
 MAX_REPLACEMENTS = 1000
 MAX_GATEWAYS = 20_000
+MAX_SOAK_INGRESSES = 40
+MAX_SOAK_SEEDS = 1000
 MAX_BACKENDS = 200_000
 
 
@@ -100,3 +102,15 @@
 
 def _is_playable(size: FleetSize) -> bool:
     return 1 <= size.gateways <= MAX_GATEWAYS and 1 <= size.backends <= MAX_BACKENDS
+
+
+def parse_seeds(text: str) -> range:
+    """Return the seeds that FIRST:LAST means."""
+    first, _, last = text.partition(":")
+    try:
+        seeds = range(int(first), int(last or first) + 1)
+    except ValueError:
+        raise click.UsageError(f"--seeds: {text!r} is not FIRST:LAST") from None
+    if not 1 <= len(seeds) <= MAX_SOAK_SEEDS or seeds[0] < 0:
+        raise click.UsageError(f"--seeds: {text!r} is not 1 to {MAX_SOAK_SEEDS} seeds")
+    return seeds
--- a/fleetlab/interrupts.py
+++ b/fleetlab/interrupts.py
@@ -5,11 +5,11 @@
 import asyncio
 import signal
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import uvloop
 
-from fleetlab.results import Figures
+Value = TypeVar("Value")
 
 
 class InterruptedRunError(Exception):
@@ -20,14 +20,14 @@
         self.signum = signum
 
 
-def run_interruptible(work: Coroutine[Any, Any, Figures]) -> Figures:
+def run_interruptible(work: Coroutine[Any, Any, Value]) -> Value:
     """Run work to its end on an event loop of its own.
 
     SIGINT or SIGTERM cancels the work; when it has cleaned up, InterruptedRunError is raised.
     """
     caught: list[int] = []
 
-    async def main() -> Figures:
+    async def main() -> Value:
         loop = asyncio.get_running_loop()
         task = asyncio.current_task()
         assert task is not None
--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -7,6 +7,7 @@
 import struct
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -15,6 +16,7 @@
 from fleetlab.soak.records import Attempt, AttemptResult
 from fleetlab.stand_in import format_address
 
+QUEUE_FILLERS = 4  # connections that fill a listener's queue of none
 MAX_WORK_S = 0.05  # of a request that meets no fault
 PIECE_PAUSE_S = 0.02  # between the pieces of a response in pieces
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends RST
@@ -75,7 +77,9 @@
     incarnation: int = 0
     endpoint: str = ""
     connections: dict[_Connection, None] = field(default_factory=dict)
+    silent: bool = False  # cut off: open connections say nothing, new ones never come up
     _server: asyncio.Server | None = None
+    _full_queue: list[socket.socket] = field(default_factory=list)
     _address: tuple[str, int] = ("127.0.0.1", 0)
 
     async def start(self) -> None:
@@ -95,6 +99,45 @@
         for connection in list(self.connections):
             connection.reset()
 
+    async def vanish(self) -> None:
+        """Fall silent, as a machine that is cut off.
+
+        On loopback no packet gets lost; but a listener whose queue is full drops new connections.
+        """
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.silent = True
+        for connection in self.connections:
+            connection.fall_silent()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._address)
+        listener.listen(0)
+        self._full_queue = [listener]
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with suppress(BlockingIOError):
+                filler.connect(self._address)
+            self._full_queue.append(filler)
+
+    async def reappear(self) -> None:
+        """Come back: connections from before are reset, new ones come up."""
+        self.silent = False
+        for sock in self._full_queue:
+            sock.close()
+        self._full_queue = []
+        for connection in list(self.connections):
+            connection.reset()
+        await self.start()
+
+    async def stop(self) -> None:
+        """End for good."""
+        await self.crash()
+        for sock in self._full_queue:
+            sock.close()
+
     async def restart(self) -> None:
         """Listen again, as a new incarnation that remembers no request."""
         self.incarnation += 1
@@ -181,7 +224,7 @@
         asyncio.get_running_loop().call_later(delay_s, self._respond, self._attempt, behaviour)
 
     def _respond(self, attempt: Attempt, behaviour: Behaviour) -> None:
-        if attempt is not self._attempt or self._transport.is_closing():
+        if attempt is not self._attempt or self._transport.is_closing() or self._backend.silent:
             return
         body = b"%b from %b" % (attempt.request_id.encode(), attempt.backend.encode())
         match behaviour:
@@ -236,7 +279,7 @@
             loop.call_later(PIECE_PAUSE_S, self.reset)
 
     def _write_last(self, attempt: Attempt, data: bytes, close: bool) -> None:
-        if attempt is not self._attempt or self._transport.is_closing():
+        if attempt is not self._attempt or self._transport.is_closing() or self._backend.silent:
             return
         self._transport.write(data)
         self._conclude(attempt, AttemptResult.SERVED)
@@ -249,6 +292,11 @@
         self._attempt = None
         self._rest()
 
+    def fall_silent(self) -> None:
+        """Read and write nothing more."""
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
     def reset(self) -> None:
         """End the connection with a reset."""
         sock: socket.socket | None = self._transport.get_extra_info("socket")
--- /dev/null
+++ b/fleetlab/soak/endpoint_list.py
@@ -0,0 +1,122 @@
+"""The endpoint list of a run, which all agents share, and the agent of one ingress."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+from urllib.parse import parse_qs, urlsplit
+
+from fleetlab.soak.records import ListChange
+from fleetlab.stand_in import StandInServer
+from fleetlab.versioned_list import JsonObject, VersionedList
+
+MOVED_CLOSE_S = 1.5  # after a new configuration, when the old address closes its connections
+MAX_HOLD_S = 60.0
+
+
+class AgentFault(Enum):
+    """What an agent does with a poll, other than to respond."""
+
+    NONE = "none"
+    SILENT = "silent"  # no response until the fault is over
+    RESET = "reset"  # each connection is reset
+    TORN = "torn"  # half of the response, then the end of the connection
+
+
+@dataclass
+class SharedList:
+    """The list, its changes as they were made, and what wakes the agents' open polls."""
+
+    entries: list[JsonObject]
+    changes: list[ListChange] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.list = VersionedList(self.entries)
+        self.changed = asyncio.Event()
+
+    def set_state(self, index: int, state: str, **fields: object) -> None:
+        """Change the state of one backend, and release the polls that wait for a change."""
+        self.list.update([index], {"state": state, **fields})
+        uid = str(self.entries[index]["uid"])
+        self.changes.append(ListChange("", uid, state, time.monotonic()))
+        changed = self.changed
+        self.changed = asyncio.Event()
+        changed.set()
+
+
+class SoakAgent(StandInServer):
+    """The agent of one ingress; it records when the ingress was told of each change."""
+
+    def __init__(self, ingress: str, shared: SharedList) -> None:
+        super().__init__()
+        self.ingress = ingress
+        self.fault = AgentFault.NONE
+        self.unbounded = False  # whether responses have no length
+        self.address = ""
+        self._shared = shared
+        self._told = 0  # of the changes, how many have been written
+        self.told: list[ListChange] = []
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen at a new address."""
+        self.address = await self._listen()
+
+    def begin_fault(self, fault: AgentFault) -> None:
+        """Meet all polls with a fault; a reset is applied to the open connections at once."""
+        self.fault = fault
+        if fault is AgentFault.RESET:
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    def close_soon(self) -> None:
+        """Close the port and all connections in the next turns of the loop."""
+        self._closing = asyncio.ensure_future(self.stop())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            keep_alive = True
+            while keep_alive:
+                head = await reader.readuntil(b"\r\n\r\n")
+                keep_alive = await self._respond(head, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _respond(self, head: bytes, writer: asyncio.StreamWriter) -> bool:
+        query = parse_qs(urlsplit(head.split(b" ", 2)[1].decode()).query)
+        known = int(query["from"][0]) if "from" in query else None
+        hold_s = float(query.get("hold_ms", ["0"])[0]) / 1000
+        if known == self._shared.list.version and self.fault is AgentFault.NONE:
+            try:
+                async with asyncio.timeout(min(hold_s, MAX_HOLD_S)):
+                    await self._shared.changed.wait()
+            except TimeoutError:
+                pass
+        match self.fault:
+            case AgentFault.SILENT:
+                await asyncio.Event().wait()
+            case AgentFault.RESET:
+                writer.transport.abort()
+                return False
+        changes = None if known is None else self._shared.list.encode_changes(known)
+        body = changes if changes is not None else self._shared.list.encode_full()
+        if self.fault is AgentFault.TORN:
+            writer.write(_bounded(body)[: -len(body) // 2])
+            return False
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body if self.unbounded else _bounded(body))
+        await writer.drain()
+        self._record_told()
+        return not self.unbounded
+
+    def _record_told(self) -> None:
+        now = time.monotonic()
+        for change in self._shared.changes[self._told :]:
+            self.told.append(ListChange(self.ingress, change.backend, change.state, now))
+        self._told = len(self._shared.changes)
+
+
+def _bounded(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
--- /dev/null
+++ b/fleetlab/soak/faults.py
@@ -0,0 +1,214 @@
+"""Carries out the faults of a plan on the processes, backends and agents of a run."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+from fleetlab.soak.backend import Behaviour, Chooser, SoakBackend, always, weighted
+from fleetlab.soak.endpoint_list import AgentFault, SharedList, SoakAgent
+from fleetlab.soak.ingress_process import IngressProcess
+from fleetlab.soak.population import Population
+from fleetlab.soak.records import BackendStart, RunRecord
+from fleetlab.soak.schedule import FaultKind, PlannedFault
+from fleetlab.soak.site import SoakSite
+
+OLD_AGENT_CLOSES_S = 1.5  # after SIGHUP
+CROWD_SIZE = 60
+FORGET_IDLE_S = 0.1  # after which idle connections are forgotten
+
+NORMAL_WEIGHTS = {
+    Behaviour.SERVE: 0.86,
+    Behaviour.SLOW: 0.02,
+    Behaviour.IN_PIECES: 0.03,
+    Behaviour.SERVE_AND_CLOSE: 0.03,
+    Behaviour.UNBOUNDED: 0.02,
+    Behaviour.NOT_STARTED: 0.02,
+    Behaviour.ERROR: 0.01,
+    Behaviour.RESET: 0.01,
+}
+FAILING_WEIGHTS = {
+    Behaviour.SERVE: 0.3,
+    Behaviour.ERROR: 0.2,
+    Behaviour.RESET: 0.15,
+    Behaviour.NOISE: 0.1,
+    Behaviour.TRUNCATED: 0.1,
+    Behaviour.NOT_STARTED: 0.15,
+}
+UNBOUNDED_WEIGHTS = {
+    Behaviour.UNBOUNDED: 0.4,
+    Behaviour.UNBOUNDED_IN_PIECES: 0.4,
+    Behaviour.UNBOUNDED_RESET: 0.2,
+}
+_LIST_FAULTS = {
+    FaultKind.LIST_SILENT: AgentFault.SILENT,
+    FaultKind.LIST_RESET: AgentFault.RESET,
+    FaultKind.LIST_TORN: AgentFault.TORN,
+}
+
+
+@dataclass
+class Node:
+    """An ingress with what is its own: its agent, its clients, and who may restart it."""
+
+    process: IngressProcess
+    agent: SoakAgent
+    population: Population
+    agents: list[SoakAgent] = field(default_factory=list)  # all so far
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+@dataclass
+class FaultInjector:
+    """Carries out faults, each as a task of its own."""
+
+    site: SoakSite
+    nodes: list[Node]
+    backends: list[SoakBackend]
+    shared: SharedList
+    record: RunRecord
+    random: Random
+    busy_backends: set[int] = field(default_factory=set)  # that are away, or about to be
+
+    async def run(self, faults: tuple[PlannedFault, ...], started_at: float) -> None:
+        """Carry out all faults, each at its time; return when the last one is over."""
+        async with asyncio.TaskGroup() as tasks:
+            for fault in faults:
+                tasks.create_task(self._at_its_time(fault, started_at))
+
+    async def _at_its_time(self, fault: PlannedFault, started_at: float) -> None:
+        await asyncio.sleep(max(0.0, started_at + fault.at_s - time.monotonic()))
+        name = fault.kind.value
+        self.record.faults[name] = self.record.faults.get(name, 0) + 1
+        if name.startswith("backend_"):
+            await self._backend_fault(fault)
+        elif name.startswith("list_"):
+            await self._list_fault(self.nodes[fault.target].agent, fault)
+        else:
+            await self._ingress_fault(self.nodes[fault.target], fault)
+
+    # ---- ingresses
+
+    async def _ingress_fault(self, node: Node, fault: PlannedFault) -> None:
+        match fault.kind:
+            case FaultKind.PAUSE:
+                await node.process.pause(fault.seconds)
+            case FaultKind.CROWD:
+                await node.population.run_crowd(CROWD_SIZE, fault.seconds)
+            case FaultKind.RESTART:
+                async with node.lock:
+                    await self._signal(node.process, fault)
+                    await self._start(node.process)
+            case FaultKind.KILL:
+                async with node.lock:
+                    await node.process.kill()
+                    await self._start(node.process)
+            case FaultKind.RELOAD:
+                async with node.lock:
+                    await self._reload(node, fault)
+
+    async def _signal(self, process: IngressProcess, fault: PlannedFault) -> None:
+        """Send a series of signals, and SIGKILL as early after SIGTERM as it may come."""
+        terminated_at = None
+        for name in fault.signals:
+            process.send_signal(signal.Signals[name])
+            if name == "SIGTERM" and terminated_at is None:
+                terminated_at = time.monotonic()
+            await asyncio.sleep(fault.gap_s)
+        if terminated_at is not None:
+            left_s = terminated_at + self.site.kill_after_s - time.monotonic()
+            if not await process.wait(max(0.0, left_s)):
+                await process.kill()
+
+    async def _start(self, process: IngressProcess) -> None:
+        await asyncio.sleep(self.random.uniform(0.0, 0.3))
+        try:
+            await process.start()
+        except (TimeoutError, RuntimeError):
+            await process.kill()  # its life has no time at which it was ready
+
+    async def _reload(self, node: Node, fault: PlannedFault) -> None:
+        """Move the agent, each time anew for each of the signals."""
+        for name in fault.signals:
+            old = node.agent
+            node.agent = SoakAgent(node.process.name, self.shared)
+            node.agents.append(node.agent)
+            await node.agent.start()
+            node.process.config["discovery"] = node.agent.address
+            node.process.write_config()
+            node.process.send_signal(signal.Signals[name])
+            asyncio.get_running_loop().call_later(OLD_AGENT_CLOSES_S, old.close_soon)
+            await asyncio.sleep(fault.gap_s)
+
+    # ---- discovery
+
+    async def _list_fault(self, agent: SoakAgent, fault: PlannedFault) -> None:
+        if fault.kind is FaultKind.LIST_UNBOUNDED:
+            agent.unbounded = True
+            await asyncio.sleep(fault.seconds)
+            agent.unbounded = False
+            return
+        agent.begin_fault(_LIST_FAULTS[fault.kind])
+        await asyncio.sleep(fault.seconds)
+        agent.begin_fault(AgentFault.NONE)
+
+    # ---- backends
+
+    async def _backend_fault(self, fault: PlannedFault) -> None:
+        backend = self.backends[fault.target]
+        match fault.kind:
+            case FaultKind.BACKEND_HANGS:
+                await self._behave(backend, always(Behaviour.HANG), fault.seconds)
+            case FaultKind.BACKEND_FAILS:
+                chooser = weighted(self.random, FAILING_WEIGHTS)
+                await self._behave(backend, chooser, fault.seconds)
+            case FaultKind.BACKEND_UNBOUNDED:
+                chooser = weighted(self.random, UNBOUNDED_WEIGHTS)
+                await self._behave(backend, chooser, fault.seconds)
+            case FaultKind.BACKEND_FORGETS:
+                backend.state.idle_close_s, before = FORGET_IDLE_S, backend.state.idle_close_s
+                backend.state.forget_idle = True
+                await asyncio.sleep(fault.seconds)
+                backend.state.idle_close_s = before
+                backend.state.forget_idle = False
+            case _:
+                await self._take_away(backend, fault)
+
+    async def _behave(self, backend: SoakBackend, chooser: Chooser, seconds: float) -> None:
+        backend.state.choose = chooser
+        await asyncio.sleep(seconds)
+        backend.state.choose = weighted(self.random, NORMAL_WEIGHTS)
+
+    async def _take_away(self, backend: SoakBackend, fault: PlannedFault) -> None:
+        """Let a backend crash, vanish or drain, unless it is away already."""
+        if fault.target in self.busy_backends:
+            return
+        self.busy_backends.add(fault.target)
+        match fault.kind:
+            case FaultKind.BACKEND_CRASHES:
+                await backend.crash()
+                await asyncio.sleep(fault.seconds / 2)
+                await backend.restart()
+            case FaultKind.BACKEND_UNREACHABLE:
+                await backend.vanish()
+                await asyncio.sleep(fault.seconds)
+                await backend.reappear()
+            case FaultKind.BACKEND_DRAINS:
+                await self._replace(backend, fault)
+        self.busy_backends.discard(fault.target)
+
+    async def _replace(self, backend: SoakBackend, fault: PlannedFault) -> None:
+        """Drain a backend, remove it, and start it anew."""
+        self.shared.set_state(fault.target, "leaving")
+        await asyncio.sleep(self.site.drain_grace_s + fault.seconds / 2)
+        self.shared.set_state(fault.target, "left")
+        await backend.crash()
+        await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        await backend.restart()
+        self.shared.set_state(fault.target, "active", boot_ms=round(time.time() * 1000))
+        self.record.backend_starts.append(
+            BackendStart(backend.uid, backend.incarnation, time.monotonic())
+        )
--- a/fleetlab/soak/ingress_process.py
+++ b/fleetlab/soak/ingress_process.py
@@ -80,8 +80,17 @@
                 if not self.running:
                     raise RuntimeError(f"{self.name} ended before it was ready: {self.log_tail()}")
                 await asyncio.sleep(READY_POLL_S)
+        await self._log_events()
         life.ready_at = time.monotonic()
 
+    async def _log_events(self) -> None:
+        """Let the process log each event as it comes: the oracles read which requests it took."""
+        began = len(self.log_text())
+        self.send_signal(signal.SIGUSR2)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while self.running and "event log: live=True" not in self.log_text()[began:]:
+                await asyncio.sleep(READY_POLL_S)
+
     def send_signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process if it still runs, and record it."""
         if self._process is not None and self.running:
--- /dev/null
+++ b/fleetlab/soak/population.py
@@ -0,0 +1,207 @@
+"""The clients of one ingress: how each of them behaves is drawn at random."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, replace
+from random import Random
+
+from fleetlab.soak.client import ClientConnection, RequestPlan
+from fleetlab.soak.ingress_process import IngressProcess
+from fleetlab.soak.records import BadClient, ClientRequest, RunRecord
+from fleetlab.soak.site import SoakClass, SoakSite
+from fleetlab.stand_in import split_address
+
+LATE_CONNECT_S = 0.3  # after SIGTERM new connections keep coming for so long
+RETRY_PAUSE_S = 0.1  # of a client that finds no ingress
+MAX_THINK_S = 0.25
+MAX_REST_S = 2.5
+MAX_PIPELINED = 4
+BAD_CLIENT_DEADLINE_S = 3.0
+BAD_CLIENT_WATCH_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """How often clients do what; chances of one request."""
+
+    leave: float = 0.08
+    reset: float = 0.5  # of those that leave: by a reset
+    slow_writer: float = 0.08
+    rest: float = 0.1
+    pipeline: float = 0.08
+    own_timeout: float = 0.3  # the client waits less than its class's deadline
+
+
+class Population:
+    """The clients of one ingress."""
+
+    def __init__(
+        self, site: SoakSite, process: IngressProcess, random: Random, record: RunRecord, mix: Mix
+    ) -> None:
+        self._site = site
+        self._process = process
+        self._random = random
+        self._record = record
+        self._mix = mix
+
+    async def run_client(self, stop: asyncio.Event) -> None:
+        """Send requests one after another, on connections that are kept, until stopped."""
+        connection: ClientConnection | None = None
+        while not stop.is_set():
+            await asyncio.sleep(self._random.uniform(0.0, MAX_THINK_S))
+            if connection is not None and connection.has_ended():
+                connection.close()
+                connection = None
+            if connection is None:
+                connection = await self._connect()
+            if connection is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            await self._use(connection)
+        if connection is not None:
+            connection.close()
+
+    async def _connect(self) -> ClientConnection | None:
+        """Connect if the front would still lead clients to the ingress."""
+        life = self._process.life
+        told_to_end = life.signalled_at("SIGTERM")
+        since_s = 0.0 if told_to_end is None else time.monotonic() - told_to_end
+        if not self._process.running or life.ready_at is None or since_s > LATE_CONNECT_S:
+            return None
+        try:
+            return await ClientConnection.connect(
+                self._process.name, self._process.address, self._record.requests
+            )
+        except (OSError, TimeoutError):
+            return None
+
+    async def _use(self, connection: ClientConnection) -> None:
+        """Send one request, or several behind another, in one of the ways of the mix."""
+        draw = self._random.random()
+        mix = self._mix
+        if draw < mix.leave:
+            record = await connection.send(self._plan())
+            if record.sent_at is not None:
+                reset = self._random.random() < mix.reset
+                await connection.leave(record, self._random.uniform(0.0, 0.6), reset)
+        elif draw < mix.leave + mix.slow_writer:
+            await self._exchange(connection, pieces=4, pause_s=0.05)
+        elif draw < mix.leave + mix.slow_writer + mix.rest:
+            await asyncio.sleep(self._random.uniform(0.2, MAX_REST_S))
+            if not connection.has_ended():
+                await self._exchange(connection)
+        elif draw < mix.leave + mix.slow_writer + mix.rest + mix.pipeline:
+            await self._pipeline(connection)
+        else:
+            await self._exchange(connection)
+
+    async def _exchange(
+        self, connection: ClientConnection, pieces: int = 1, pause_s: float = 0.0
+    ) -> None:
+        record = await connection.send(self._plan(), pieces, pause_s)
+        if record.sent_at is not None:
+            await connection.receive(record)
+
+    async def _pipeline(self, connection: ClientConnection) -> None:
+        """Send several requests at once.
+
+        All have the same time: a response can't come before that to the request ahead.
+        """
+        records: list[ClientRequest] = []
+        timeout_s = self._plan().timeout_s
+        for _ in range(self._random.randint(2, MAX_PIPELINED)):
+            if connection.has_ended():
+                break
+            plan = replace(self._plan(), timeout_s=timeout_s)
+            records.append(await connection.send(plan))
+        for record in records:
+            if record.sent_at is None or not connection.open:
+                record.ended_at = record.ended_at or time.monotonic()
+                continue
+            await connection.receive(record)
+
+    def _plan(self) -> RequestPlan:
+        request_class = self._draw_class()
+        timeout_s = request_class.deadline_s
+        if self._random.random() < self._mix.own_timeout:
+            timeout_s *= self._random.uniform(0.1, 1.0)
+        return RequestPlan(
+            f"{self._random.getrandbits(64):016x}",
+            request_class.name,
+            request_class.effect,
+            round(timeout_s, 3),
+            account=self._random.randrange(1, 50),
+        )
+
+    def _draw_class(self) -> SoakClass:
+        return self._random.choice(self._site.classes)
+
+    # ---- bad clients
+
+    async def run_bad_clients(self, stop: asyncio.Event) -> None:
+        """Now and then a client sends half a request, or what is none, and stays."""
+        while not stop.is_set():
+            await asyncio.sleep(self._random.uniform(0.5, 2.0))
+            kind, data = self._bad_input()
+            await self._run_bad_client(kind, data)
+
+    def _bad_input(self) -> tuple[str, bytes]:
+        whole = self._plan().encode()
+        kinds = {
+            "half a head": whole[: len(whole) // 3],
+            "no HTTP": b"\x16\x03\x01 what is this\r\n\r\n",
+            "no id": whole.replace(b"Request-Id", b"X-Request-Id"),
+            "two lengths": whole.replace(
+                b"Host:", b"Content-Length: 0\r\nTransfer-Encoding: chunked\r\nHost:"
+            ),
+            "unknown class": whole.replace(b" /", b" /nowhere"),
+        }
+        kind = self._random.choice(list(kinds))
+        return kind, kinds[kind]
+
+    async def _run_bad_client(self, kind: str, data: bytes) -> None:
+        if await self._connect_allowed() is False:
+            return
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(
+                    *split_address(self._process.address)
+                )
+        except (OSError, TimeoutError):
+            return
+        record = BadClient(self._process.name, kind, time.monotonic())
+        self._record.bad_clients.append(record)
+        try:
+            writer.write(data)
+            async with asyncio.timeout(BAD_CLIENT_WATCH_S):
+                await reader.read(64)
+            record.concluded_at = time.monotonic()
+        except ConnectionError:
+            record.concluded_at = time.monotonic()
+        except TimeoutError:
+            pass
+        finally:
+            writer.close()
+
+    async def _connect_allowed(self) -> bool:
+        return self._process.running and self._process.life.signalled_at("SIGTERM") is None
+
+    async def run_crowd(self, size: int, seconds: float) -> None:
+        """Open so many connections that say nothing, and close them after a time."""
+        writers = []
+        try:
+            for _ in range(size):
+                try:
+                    async with asyncio.timeout(0.5):
+                        _, writer = await asyncio.open_connection(
+                            *split_address(self._process.address)
+                        )
+                except (OSError, TimeoutError):
+                    continue
+                writers.append(writer)
+            await asyncio.sleep(seconds)
+        finally:
+            for writer in writers:
+                writer.close()
--- a/fleetlab/soak/records.py
+++ b/fleetlab/soak/records.py
@@ -151,6 +151,20 @@
     at: float
 
 
+class BackendStart(msgspec.Struct):
+    """A backend has started anew, and the list says so.
+
+    Attributes:
+        backend: its uid.
+        incarnation: how often it has started anew before.
+        at: when it was listed as ready.
+    """
+
+    backend: str
+    incarnation: int
+    at: float
+
+
 class RunRecord(msgspec.Struct):
     """All that was seen in one run."""
 
@@ -159,4 +173,5 @@
     attempts: list[Attempt] = []
     lives: list[Life] = []
     list_changes: list[ListChange] = []
+    backend_starts: list[BackendStart] = []
     faults: dict[str, int] = {}
--- /dev/null
+++ b/fleetlab/soak/run.py
@@ -0,0 +1,183 @@
+"""One run of the soak: from the plan of a seed to its violations."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from fleetlab.counter_server import CounterServer
+from fleetlab.monitors import LoopLagMonitor
+from fleetlab.site import endpoint_entries
+from fleetlab.soak.addresses import ingress_address
+from fleetlab.soak.backend import BackendState, SoakBackend, weighted
+from fleetlab.soak.endpoint_list import SharedList, SoakAgent
+from fleetlab.soak.faults import NORMAL_WEIGHTS, FaultInjector, Node
+from fleetlab.soak.ingress_process import IngressProcess
+from fleetlab.soak.oracles import Evidence, Violation, judge
+from fleetlab.soak.population import Mix, Population
+from fleetlab.soak.records import RunRecord
+from fleetlab.soak.schedule import SoakPlan
+
+STARTS_AT_ONCE = 8  # processes that start side by side
+LAST_REQUESTS_S = 1.0  # clients may go on for so long after the last process has been told to end
+CROWDED_SOCKETS = 96  # of an ingress that idle clients are to crowd
+
+
+class SoakResult(msgspec.Struct, frozen=True):
+    """What one run gave.
+
+    Attributes:
+        seed: of the run.
+        ingresses: how many processes at a time.
+        lives: how many processes in all.
+        seconds: of load.
+        requests: how many were sent.
+        statuses: how many got which status; 0: none.
+        attempts: how many the backends received.
+        faults: how many began, by kind.
+        lag_ms: by how much this process was late at worst.
+        violations: of the rules.
+    """
+
+    seed: int
+    ingresses: int
+    lives: int
+    seconds: float
+    requests: int
+    statuses: dict[str, int]
+    attempts: int
+    faults: dict[str, int]
+    lag_ms: float
+    violations: list[Violation]
+
+
+class SoakRun:
+    """The processes, backends, agents and clients of one plan."""
+
+    def __init__(self, plan: SoakPlan, folder: Path) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._random = Random(plan.seed)
+        self._record = RunRecord()
+        self._lag = LoopLagMonitor()
+        self._site = replace(plan.site, sockets=CROWDED_SOCKETS) if plan.crowd else plan.site
+        self._backends: list[SoakBackend] = []
+        self._nodes: list[Node] = []
+        self._shared: SharedList
+
+    async def play(self) -> Evidence:
+        """Play the plan; everything that was started has ended afterwards."""
+        async with AsyncExitStack() as resources:
+            await self._start_backends(resources)
+            counter = await self._start_counter(resources)
+            await self._start_ingresses(resources, counter)
+            await self._load()
+        for node in self._nodes:
+            self._record.lives += node.process.lives
+            self._record.list_changes += [told for agent in node.agents for told in agent.told]
+        logs = {node.process.name: node.process.log_text() for node in self._nodes}
+        lag_s = self._lag.worst_ms / 1000
+        return Evidence(self._record, self._site, logs, lag_s, self._plan.crowd)
+
+    async def _start_backends(self, resources: AsyncExitStack) -> None:
+        for _ in range(self._plan.backends):
+            state = BackendState(weighted(self._random, NORMAL_WEIGHTS))
+            backend = SoakBackend("", state, self._random, self._record.attempts)
+            await backend.start()
+            resources.push_async_callback(backend.stop)
+            self._backends.append(backend)
+        entries = endpoint_entries(
+            len(self._backends), [b.endpoint for b in self._backends], self._plan.seed
+        )
+        for backend, entry in zip(self._backends, entries, strict=True):
+            backend.uid = str(entry["uid"])
+        self._shared = SharedList(entries)
+
+    async def _start_counter(self, resources: AsyncExitStack) -> str:
+        if not self._plan.counter:
+            return ""
+        counter = CounterServer()
+        await counter.start()
+        resources.push_async_callback(counter.stop)
+        return counter.address
+
+    async def _start_ingresses(self, resources: AsyncExitStack, counter: str) -> None:
+        turns = asyncio.Semaphore(STARTS_AT_ONCE)
+
+        async def start(process: IngressProcess) -> None:
+            async with turns:
+                await process.start()
+
+        for number in range(self._plan.ingresses):
+            name = f"n{number}"
+            agent = SoakAgent(name, self._shared)
+            await agent.start()
+            config = self._site.config(
+                number, self._plan.seed, agent.address, self._shared.entries, counter
+            )
+            process = IngressProcess(name, ingress_address(number), config, self._folder)
+            population = Population(self._site, process, self._random, self._record, Mix())
+            node = Node(process, agent, population, [agent])
+            resources.push_async_callback(self._stop_node, node)
+            self._nodes.append(node)
+        await asyncio.gather(*(start(node.process) for node in self._nodes))
+
+    async def _stop_node(self, node: Node) -> None:
+        await node.process.kill()
+        for agent in node.agents:
+            await agent.stop()
+
+    async def _load(self) -> None:
+        """Run clients and faults, then end all processes while the clients go on."""
+        stop = asyncio.Event()
+        lag = asyncio.create_task(self._lag.run())
+        clients = [
+            asyncio.create_task(work)
+            for node in self._nodes
+            for work in (
+                *(node.population.run_client(stop) for _ in range(self._plan.clients)),
+                node.population.run_bad_clients(stop),
+            )
+        ]
+        injector = FaultInjector(
+            self._site, self._nodes, self._backends, self._shared, self._record, self._random
+        )
+        started_at = time.monotonic()
+        try:
+            await injector.run(self._plan.faults, started_at)
+            await asyncio.sleep(max(0.0, started_at + self._plan.seconds - time.monotonic()))
+            await asyncio.gather(
+                *(node.process.terminate(self._site.kill_after_s) for node in self._nodes)
+            )
+        finally:
+            stop.set()
+            await asyncio.gather(*clients, return_exceptions=False)
+            lag.cancel()
+
+
+async def play(plan: SoakPlan, folder: Path) -> tuple[SoakResult, Evidence]:
+    """Play a plan and judge it; logs and configurations are left in the folder."""
+    evidence = await SoakRun(plan, folder).play()
+    record = evidence.record
+    statuses: dict[str, int] = {}
+    for request in record.requests:
+        statuses[str(request.status)] = statuses.get(str(request.status), 0) + 1
+    result = SoakResult(
+        plan.seed,
+        plan.ingresses,
+        len(record.lives),
+        plan.seconds,
+        len(record.requests),
+        statuses,
+        len(record.attempts),
+        record.faults,
+        round(evidence.lag_s * 1000, 1),
+        judge(evidence),
+    )
+    return result, evidence
--- /dev/null
+++ b/fleetlab/soak/runs.py
@@ -0,0 +1,70 @@
+"""Runs of the soak by seed, and what is kept of them."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from fleetlab.soak.oracles import Evidence
+from fleetlab.soak.run import SoakResult, play
+from fleetlab.soak.schedule import make_plan
+
+MIN_INGRESSES = 10
+MAX_INGRESSES = 40
+FEW_INGRESSES_BIAS = 3  # power of the draw: most runs have few ingresses, some have all
+SHOWN_VIOLATIONS = 3
+
+
+async def run_seed(out: Path, seed: int, ingresses: int, seconds: float) -> SoakResult:
+    """Play the run of a seed, and append its result to soak.jsonl in the folder.
+
+    ingresses: how many; 0: drawn from the seed. Of a run with violations the logs, configurations
+    and all records are kept in a folder of their own.
+    """
+    out.mkdir(parents=True, exist_ok=True)
+    plan = make_plan(seed, ingresses or draw_ingresses(seed), seconds)
+    with tempfile.TemporaryDirectory(prefix="soak-") as name:
+        folder = Path(name)
+        result, evidence = await play(plan, folder)
+        if result.violations:
+            _keep(out / f"seed-{seed}", folder, result, evidence)
+    with (out / "soak.jsonl").open("ab") as file:
+        file.write(msgspec.json.encode(result) + b"\n")
+    return result
+
+
+def draw_ingresses(seed: int) -> int:
+    """Return how many ingresses the run of a seed has."""
+    share = Random(seed).random() ** FEW_INGRESSES_BIAS
+    return MIN_INGRESSES + round((MAX_INGRESSES - MIN_INGRESSES) * share)
+
+
+def _keep(target: Path, folder: Path, result: SoakResult, evidence: Evidence) -> None:
+    shutil.copytree(folder, target, dirs_exist_ok=True)
+    (target / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    (target / "record.json").write_bytes(msgspec.json.encode(evidence.record))
+
+
+def summary(result: SoakResult) -> str:
+    """Return one line about a run, and more for the first violations."""
+    rules = Counter(violation.rule for violation in result.violations)
+    lines = [
+        f"seed {result.seed}: {result.ingresses} ingresses, {result.lives} lives, "
+        f"{result.requests} requests, {result.attempts} attempts, {sum(result.faults.values())} "
+        f"faults, lag {result.lag_ms:.0f} ms: {dict(rules) or 'no violation'}"
+    ]
+    lines += [
+        f"  {violation.rule} {violation.subject}: {violation.detail}"
+        for violation in result.violations[:SHOWN_VIOLATIONS]
+    ]
+    if result.violations:
+        lines.append(
+            f"  again: python -m fleetlab soak --out again --seeds {result.seed} "
+            f"--ingresses {result.ingresses} --seconds {result.seconds:g}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/fleetlab/soak/schedule.py
@@ -0,0 +1,202 @@
+"""The faults of a run: a seeded list of what happens when, which may overlap as it will."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from fleetlab.soak.records import Effect
+from fleetlab.soak.site import SoakClass, SoakSite
+
+QUIET_S = 1.5  # at the begin, for every process to serve
+MAX_PAUSE_S = 0.15  # for which a machine may be held up
+
+CROWD_CHANCE = 0.3  # of a run
+CROWDED_CHANCE = 0.5  # of an ingress in such a run
+COUNTER_CHANCE = 0.3  # of a run
+HEDGING_CHANCE = 0.7  # of a run
+LIST_FAULT_CHANCE = 0.4  # of an ingress
+DEADLINES_S = (0.6, 0.9, 1.5, 2.3, 4.0)
+SIGNAL_SERIES = (
+    ("SIGTERM",),
+    ("SIGTERM", "SIGTERM"),
+    ("SIGHUP", "SIGTERM"),
+    ("SIGHUP", "SIGHUP", "SIGTERM"),
+    ("SIGTERM", "SIGHUP", "SIGINT"),
+    ("SIGINT", "SIGTERM"),
+)
+
+
+class FaultKind(Enum):
+    """What may happen; the values are for reports."""
+
+    RESTART = "restart"  # a series of signals, SIGKILL as early as it may come, a new process
+    KILL = "kill"  # SIGKILL at once, then a new process
+    RELOAD = "reload"  # the agent moves, SIGHUP once or several times
+    PAUSE = "pause"  # SIGSTOP for up to 0.15 s
+    CROWD = "crowd"  # idle connections fill the descriptors
+    BACKEND_HANGS = "backend_hangs"
+    BACKEND_FAILS = "backend_fails"  # errors, resets, noise, half responses
+    BACKEND_UNBOUNDED = "backend_unbounded"  # responses without a length, some of them reset
+    BACKEND_CRASHES = "backend_crashes"  # refuses and resets, and comes back
+    BACKEND_UNREACHABLE = "backend_unreachable"  # connections never come up, open ones are silent
+    BACKEND_DRAINS = "backend_drains"  # draining, gone, then ready again as a new incarnation
+    BACKEND_FORGETS = "backend_forgets"  # idle connections are reset at their next request
+    LIST_SILENT = "list_silent"
+    LIST_RESET = "list_reset"
+    LIST_TORN = "list_torn"
+    LIST_UNBOUNDED = "list_unbounded"
+
+
+_INGRESS_FAULTS = (
+    (FaultKind.RESTART, 0.8),
+    (FaultKind.KILL, 0.1),
+    (FaultKind.RELOAD, 0.3),
+    (FaultKind.PAUSE, 0.8),
+)
+_LIST_FAULTS = (
+    FaultKind.LIST_SILENT,
+    FaultKind.LIST_RESET,
+    FaultKind.LIST_TORN,
+    FaultKind.LIST_UNBOUNDED,
+)
+_BACKEND_FAULTS = (
+    FaultKind.BACKEND_HANGS,
+    FaultKind.BACKEND_FAILS,
+    FaultKind.BACKEND_UNBOUNDED,
+    FaultKind.BACKEND_CRASHES,
+    FaultKind.BACKEND_UNREACHABLE,
+    FaultKind.BACKEND_DRAINS,
+    FaultKind.BACKEND_FORGETS,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """One fault.
+
+    Attributes:
+        at_s: when it begins, in seconds after the start of the load.
+        kind: what happens.
+        target: the number of the ingress or the backend.
+        seconds: how long it lasts, where that can be said.
+        signals: in order, for a restart or reload.
+        gap_s: between two signals.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    seconds: float = 0.0
+    signals: tuple[str, ...] = ()
+    gap_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """One run, all drawn from its seed.
+
+    Attributes:
+        seed: of the run.
+        site: the settings.
+        ingresses: how many processes.
+        backends: how many.
+        seconds: of load.
+        clients: of each ingress.
+        crowd: whether idle clients fill the descriptors of some ingresses.
+        counter: whether there is a shared counter.
+        faults: by the time at which they begin.
+    """
+
+    seed: int
+    site: SoakSite
+    ingresses: int
+    backends: int
+    seconds: float
+    clients: int
+    crowd: bool
+    counter: bool
+    faults: tuple[PlannedFault, ...]
+
+
+def make_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return the run of a seed, with so many ingresses and seconds of load."""
+    random = Random(seed)
+    site = _draw_site(random, ingresses)
+    backends = random.randint(6, 12)
+    crowd = random.random() < CROWD_CHANCE
+    faults = [
+        *_ingress_faults(random, ingresses, seconds, crowd),
+        *_backend_faults(random, backends, seconds),
+    ]
+    return SoakPlan(
+        seed,
+        site,
+        ingresses,
+        backends,
+        seconds,
+        clients=random.randint(3, 5),
+        crowd=crowd,
+        counter=random.random() < COUNTER_CHANCE,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+    )
+
+
+def _draw_site(random: Random, ingresses: int) -> SoakSite:
+    longest_s = random.choice(DEADLINES_S)
+    return SoakSite(
+        (
+            SoakClass("search", random.choice(list(Effect)), longest_s),
+            SoakClass("order", Effect.KEYED, longest_s * random.uniform(0.4, 1.0)),
+            SoakClass("pay", Effect.NOT_IDEMPOTENT, longest_s * random.uniform(0.4, 1.0)),
+            SoakClass("read", Effect.IDEMPOTENT, longest_s * random.uniform(0.4, 1.0)),
+        ),
+        ingresses=ingresses,
+        connect_timeout_s=random.choice((0.1, 0.25, 0.5)),
+        drain_grace_s=random.choice((0.3, 0.5, 1.0)),
+        dedup_window_s=random.choice((0.8, 3.0)),
+        slow_start_s=random.choice((4.0, 15.0)),
+        hedging=random.random() < HEDGING_CHANCE,
+    )
+
+
+def _ingress_faults(
+    random: Random, ingresses: int, seconds: float, crowd: bool
+) -> list[PlannedFault]:
+    faults = []
+    for target in range(ingresses):
+        for kind, chance in _INGRESS_FAULTS:
+            if random.random() < chance:
+                at_s = random.uniform(QUIET_S, seconds)
+                faults.append(_ingress_fault(random, kind, target, at_s))
+        if random.random() < LIST_FAULT_CHANCE:
+            kind = random.choice(_LIST_FAULTS)
+            at_s = random.uniform(QUIET_S, seconds)
+            faults.append(PlannedFault(at_s, kind, target, random.uniform(0.5, 4.0)))
+        if crowd and random.random() < CROWDED_CHANCE:
+            at_s = random.uniform(QUIET_S, seconds)
+            faults.append(PlannedFault(at_s, FaultKind.CROWD, target, random.uniform(1.0, 4.0)))
+    return faults
+
+
+def _ingress_fault(random: Random, kind: FaultKind, target: int, at_s: float) -> PlannedFault:
+    gap_s = random.uniform(0.0, 0.4)
+    match kind:
+        case FaultKind.RESTART:
+            return PlannedFault(at_s, kind, target, 0.0, random.choice(SIGNAL_SERIES), gap_s)
+        case FaultKind.RELOAD:
+            return PlannedFault(at_s, kind, target, 0.0, ("SIGHUP",) * random.randint(1, 3), gap_s)
+        case _:
+            return PlannedFault(at_s, kind, target, random.uniform(0.05, MAX_PAUSE_S))
+
+
+def _backend_faults(random: Random, backends: int, seconds: float) -> list[PlannedFault]:
+    """Return one to three faults of each of half of the backends, and none of the others."""
+    faults = []
+    for target in random.sample(range(backends), backends // 2):
+        for _ in range(random.randint(1, 3)):
+            at_s = random.uniform(QUIET_S, seconds)
+            kind = random.choice(_BACKEND_FAULTS)
+            faults.append(PlannedFault(at_s, kind, target, random.uniform(1.0, 5.0)))
+    return faults
--- a/fleetlab/soak/site.py
+++ b/fleetlab/soak/site.py
@@ -37,6 +37,8 @@
         initial_capacity: the part of it at the start.
         overload_factor: the overload that makes a starting backend fall.
         overload_window_s: for how long.
+        hedging: whether a request may have two attempts in flight.
+        sockets: descriptors of an ingress.
     """
 
     classes: tuple[SoakClass, ...]
@@ -48,6 +50,8 @@
     initial_capacity: float = 0.2
     overload_factor: float = 2.0
     overload_window_s: float = 3.0
+    hedging: bool = True
+    sockets: int = 1024
 
     @property
     def kill_after_s(self) -> float:
@@ -55,13 +59,16 @@
         longest = max(request_class.deadline_s for request_class in self.classes)
         return min(longest, MAX_COUNTED_DEADLINE_S) + GRACE_S
 
-    def config(self, index: int, seed: int, discovery: str, known: list[JsonObject]) -> JsonObject:
+    def config(
+        self, index: int, seed: int, discovery: str, known: list[JsonObject], counter: str = ""
+    ) -> JsonObject:
         """Return the configuration of an ingress, as parsed JSON."""
         config: JsonObject = json.loads(
             config_text(
                 index=index,
                 gateways=self.ingresses,
                 discovery=discovery,
+                counter=counter,
                 seed=seed,
                 classes=1,
                 burst=100_000.0,
@@ -84,7 +91,7 @@
         ]
         settings["permissions"] |= {
             "dial_timeout": self.connect_timeout_s * 1000,
-            "parallel_tries": True,
+            "parallel_tries": self.hedging,
             "most_tries": 5,
         }
         settings["safety"] |= {
@@ -94,4 +101,7 @@
             "fall_multiple": self.overload_factor,
             "overload_for": self.overload_window_s * 1000,
         }
-        return config | {"settings": settings}
+        return config | {
+            "settings": settings,
+            "limits": {"sockets": self.sockets, "memory_mb": 64},
+        }
--- a/sumacpost/policy/connection_rules.py
+++ b/sumacpost/policy/connection_rules.py
@@ -13,8 +13,8 @@
 
     RESPONSE_OWED = "response_owed"
     REQUEST_READ = "request_read"  # buffered, and not handled yet
-    REQUEST_UNREAD = "request_unread"  # bytes stand in the socket
     REQUEST_INCOMPLETE = "request_incomplete"  # it is owed an error before the close
+    REQUEST_UNREAD = "request_unread"  # bytes stand in the socket
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,10 +40,10 @@
         return CloseObstacle.RESPONSE_OWED
     if facts.buffered_bytes:
         return CloseObstacle.REQUEST_READ
-    if facts.has_unread_input:
-        return CloseObstacle.REQUEST_UNREAD
     if facts.has_partial_message:
         return CloseObstacle.REQUEST_INCOMPLETE
+    if facts.has_unread_input:
+        return CloseObstacle.REQUEST_UNREAD
     return None
 
 
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -141,10 +141,7 @@
     def enforce_timeouts(self) -> None:
         """End the requests and connections whose time is over."""
         now = time.monotonic()
-        while (late := self.waiting.oldest(now - REQUEST_TIMEOUT_S)) is not None:
-            self.waiting.discard(late)
-            self.closing.add(late)
-            late.on_request_timeout(CloseReason.REQUEST_TIMEOUT)
+        self.end_waiting(now - REQUEST_TIMEOUT_S, CloseReason.REQUEST_TIMEOUT)
         self.close_idle(now - IDLE_TIMEOUT_S, CloseReason.IDLE)
         while (late := self.closing.oldest(now - LINGER_TIMEOUT_S)) is not None:
             self.closing.discard(late)
@@ -171,15 +168,18 @@
             if connection.has_disconnected():
                 connection.abort()
 
-    def end_waiting(self, before: float) -> None:
-        """End the connections that have waited for a request since before that time, in a drain."""
+    def end_waiting(self, before: float, reason: CloseReason) -> None:
+        """End the connections that have waited for a request since before that time.
+
+        One whose first request has come, though the loop has not read it, is given time for it.
+        """
         while (late := self.waiting.oldest(before)) is not None:
             if late.close_obstacle() is CloseObstacle.REQUEST_UNREAD:
-                self.waiting.add(late)  # perhaps the rest of the request
+                self.waiting.add(late)
                 continue
             self.waiting.discard(late)
             self.closing.add(late)
-            late.on_request_timeout(CloseReason.DRAIN_NO_REQUEST)
+            late.on_request_timeout(reason)
 
     def close_all(self, reason: CloseReason) -> None:
         """Read no more requests on any connection, and end each as its state allows."""
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -65,7 +65,9 @@
         while not self.registry.is_empty and self._elapsed_ms() < schedule.respond_within_ms:
             await asyncio.sleep(DRAIN_POLL_S)
             now = time.monotonic()
-            self.registry.end_waiting(now - schedule.request_timeout_ms / 1000)
+            self.registry.end_waiting(
+                now - schedule.request_timeout_ms / 1000, CloseReason.DRAIN_NO_REQUEST
+            )
             self.registry.close_idle(now - schedule.quiet_ms / 1000, CloseReason.DRAIN_IDLE)
             self.registry.enforce_timeouts()
             self.registry.close_departed()
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -86,6 +86,12 @@
         """Log the latest events and the counts of all, for a look at a running ingress."""
         self._ingress.recorder.log_latest()
 
+    def toggle_event_log(self) -> None:
+        """Begin or end to log each event as it comes, outside a drain too."""
+        recorder = self._ingress.recorder
+        recorder.logs_live = not recorder.logs_live
+        log.info("event log: live=%s", recorder.logs_live)
+
     def reload(self, config: Config) -> None:
         """Use the addresses of another configuration; anything else in it needs a restart."""
         log.info("configuration reloaded: discovery=%s:%d", *config.discovery)
@@ -190,6 +196,7 @@
     def attach(service: Service) -> None:
         reloader.attach(service, path)
         loop.add_signal_handler(signal.SIGUSR1, service.log_state)
+        loop.add_signal_handler(signal.SIGUSR2, service.toggle_event_log)
 
     await serve(config, stop, attach)
 
--- a/tests/policy/test_connection_rules.py
+++ b/tests/policy/test_connection_rules.py
@@ -18,8 +18,8 @@
         (ConnectionFacts(0, 0, False, False), None),
         (ConnectionFacts(1, 5, True, True), CloseObstacle.RESPONSE_OWED),
         (ConnectionFacts(0, 5, True, True), CloseObstacle.REQUEST_READ),
-        (ConnectionFacts(0, 0, True, True), CloseObstacle.REQUEST_UNREAD),
-        (ConnectionFacts(0, 0, True, False), CloseObstacle.REQUEST_INCOMPLETE),
+        (ConnectionFacts(0, 0, True, True), CloseObstacle.REQUEST_INCOMPLETE),
+        (ConnectionFacts(0, 0, False, True), CloseObstacle.REQUEST_UNREAD),
     ],
 )
 def test_a_connection_is_closed_only_at_rest(
--- /dev/null
+++ b/tests/soak/test_oracles.py
@@ -0,0 +1,245 @@
+"""Each oracle finds the violation of its rule, and lets pass what the rule allows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from fleetlab.soak.oracles import Evidence, judge
+from fleetlab.soak.records import (
+    Attempt,
+    AttemptResult,
+    BackendStart,
+    BadClient,
+    ClientRequest,
+    Effect,
+    Life,
+    ListChange,
+    RunRecord,
+)
+from fleetlab.soak.site import SoakClass, SoakSite
+
+SITE = SoakSite((SoakClass("search", Effect.IDEMPOTENT, 2.0),), drain_grace_s=0.5)
+ID = "00000000000000a1"
+ACCEPTED = f"INFO request accepted: subject={ID} reason=serving number=1"
+
+
+def sent(effect: Effect = Effect.IDEMPOTENT, **changes: Any) -> ClientRequest:
+    """Return a request that was sent at 10 s and served at 10.1 s."""
+    usual: dict[str, Any] = {
+        "first_on_connection": False,
+        "sent_at": 10.0,
+        "answered_at": 10.1,
+        "status": 200,
+        "body": b"made",
+    }
+    return ClientRequest(ID, "n0", effect, 2.0, began_at=10.0, **(usual | changes))
+
+
+def unanswered(effect: Effect = Effect.IDEMPOTENT, **changes: Any) -> ClientRequest:
+    """Return a request whose connection has ended at 11 s, without a response."""
+    usual = {"answered_at": None, "status": 0, "body": b"", "ended_at": 11.0}
+    return sent(effect, **(usual | changes))
+
+
+def attempt(at: float = 10.01, backend: str = "s-1", **changes: Any) -> Attempt:
+    """Return an attempt that was served 50 ms after its arrival."""
+    usual: dict[str, Any] = {
+        "result": AttemptResult.SERVED,
+        "ended_at": at + 0.05,
+        "body": b"made",
+    }
+    told_timeout_s = changes.pop("told_timeout_s", 0.0)
+    return Attempt(ID, backend, 0, "", told_timeout_s, at, at, **(usual | changes))
+
+
+def life(**changes: Any) -> Life:
+    """Return a process that has served from 1 s on."""
+    return Life("n0", 7, 0.5, **({"ready_at": 1.0} | changes))
+
+
+def evidence(*requests: ClientRequest, **changes: Any) -> Evidence:
+    """Return what was seen: of these requests, with other parts of the record by name."""
+    logs = {"n0": changes.pop("log", "")}
+    site = changes.pop("site", SITE)
+    crowd = changes.pop("crowd", False)
+    record = RunRecord(list(requests), **({"lives": [life()]} | changes))
+    return Evidence(record, site, logs, crowd=crowd)
+
+
+DRAINED = life(signals=[("SIGTERM", 10.5), ("SIGKILL", 13.2)], ended_at=13.2, exit_code=-9)
+KILLED = life(signals=[("SIGKILL", 11.0)], ended_at=11.0, exit_code=-9)
+HELD_UP = life(
+    signals=[("SIGTERM", 10.5), ("SIGSTOP", 13.1), ("SIGKILL", 13.2)], ended_at=13.2, exit_code=-9
+)
+SERVED = attempt()
+HANGING = attempt(result=AttemptResult.ABANDONED, ended_at=11.0)
+
+
+def starting(count: int) -> list[Attempt]:
+    """Return so many attempts at a backend within one window after its start."""
+    return [attempt(10.0 + number / 1000) for number in range(count)]
+
+
+FOUND: dict[str, tuple[str, Callable[[], Evidence]]] = {
+    "a taken request is never answered": (
+        "lost",
+        lambda: evidence(unanswered(), log=ACCEPTED, attempts=[HANGING]),
+    ),
+    "a forwarded request is never answered, whatever the log says": (
+        "lost",
+        lambda: evidence(unanswered(), attempts=[HANGING]),
+    ),
+    "a request is neither answered nor closed": (
+        "lost",
+        lambda: evidence(unanswered(ended_at=None)),
+    ),
+    "a response is late": ("lost", lambda: evidence(sent(answered_at=12.7), attempts=[SERVED])),
+    "a new connection is closed with no response": (
+        "lost",
+        lambda: evidence(unanswered(first_on_connection=True)),
+    ),
+    "SIGKILL finds a late request": (
+        "lost",
+        lambda: evidence(
+            unanswered(sent_at=12.0, ended_at=13.2), lives=[HELD_UP], attempts=[HANGING]
+        ),
+    ),
+    "SIGKILL finds an unread request on an open connection": (
+        "lost",
+        lambda: evidence(unanswered(sent_at=12.0, ended_at=13.2), lives=[HELD_UP]),
+    ),
+    "a body is no backend's": (
+        "served_unmade",
+        lambda: evidence(sent(body=b"x"), attempts=[SERVED]),
+    ),
+    "a spoilt body is forwarded": (
+        "served_unmade",
+        lambda: evidence(sent(), attempts=[attempt(result=AttemptResult.SPOILT)]),
+    ),
+    "a rejected request may have run": (
+        "rejected_after_run",
+        lambda: evidence(sent(Effect.NOT_IDEMPOTENT, status=429), attempts=[HANGING]),
+    ),
+    "an unsafe request runs twice": (
+        "run_twice",
+        lambda: evidence(sent(Effect.NOT_IDEMPOTENT), attempts=[SERVED, attempt(10.5)]),
+    ),
+    "an unsafe request is out twice": (
+        "two_out",
+        lambda: evidence(
+            sent(Effect.NOT_IDEMPOTENT),
+            attempts=[attempt(result=AttemptResult.NOT_STARTED, ended_at=10.9), attempt(10.5)],
+        ),
+    ),
+    "a request is out twice without hedging": (
+        "two_out",
+        lambda: evidence(
+            sent(), attempts=[HANGING, attempt(10.5)], site=replace(SITE, hedging=False)
+        ),
+    ),
+    "a backend gets an id that no client has sent": (
+        "unknown_id",
+        lambda: evidence(attempts=[SERVED]),
+    ),
+    "a keyed request is repeated after the window": (
+        "window_over",
+        lambda: evidence(sent(Effect.KEYED), attempts=[HANGING, attempt(13.2)]),
+    ),
+    "an attempt begins after its client has left": (
+        "sent_after_leave",
+        lambda: evidence(unanswered(left_at=10.05), attempts=[attempt(10.5)]),
+    ),
+    "a backend is told too much time": (
+        "told_too_much",
+        lambda: evidence(sent(), attempts=[attempt(10.4, told_timeout_s=1.9)]),
+    ),
+    "a draining backend is sent to": (
+        "sent_to_draining",
+        lambda: evidence(
+            sent(),
+            attempts=[attempt(10.01)],
+            list_changes=[ListChange("n0", "s-1", "leaving", 9.0)],
+        ),
+    ),
+    "a starting backend is overloaded": (
+        "slow_start",
+        lambda: evidence(
+            sent(),
+            attempts=starting(400),
+            backend_starts=[BackendStart("s-1", 0, 10.0)],
+        ),
+    ),
+    "a bad client is left waiting": (
+        "bad_client_waits",
+        lambda: evidence(bad_clients=[BadClient("n0", "half a head", 10.0)]),
+    ),
+    "a bad client waits for too long": (
+        "bad_client_waits",
+        lambda: evidence(bad_clients=[BadClient("n0", "half a head", 10.0, 13.5)]),
+    ),
+    "a complete response without a length is kept back": (
+        "unbounded_kept",
+        lambda: evidence(sent(status=502, body=b""), attempts=[attempt(unbounded=True)]),
+    ),
+    "a process ends by itself": (
+        "crashed",
+        lambda: evidence(lives=[life(ended_at=9.0, exit_code=0)]),
+    ),
+    "a drain ends with an error": (
+        "crashed",
+        lambda: evidence(lives=[life(signals=[("SIGTERM", 9.0)], ended_at=10.0, exit_code=1)]),
+    ),
+    "a process outlives its drain": ("killed_in_drain", lambda: evidence(lives=[DRAINED])),
+    "a process is never ready": ("not_ready", lambda: evidence(lives=[life(ready_at=None)])),
+    "the program counts a violation": (
+        "logged_fault",
+        lambda: evidence(log="ERROR rule violated: subject=x rule=second_execution"),
+    ),
+}
+
+ALLOWED: dict[str, Callable[[], Evidence]] = {
+    "a served request": lambda: evidence(sent(), log=ACCEPTED, attempts=[SERVED]),
+    "a client that left": lambda: evidence(unanswered(left_at=10.2), attempts=[HANGING]),
+    "a process killed without a warning": lambda: evidence(
+        unanswered(), lives=[KILLED], attempts=[HANGING], log=ACCEPTED
+    ),
+    "a request that crossed the close of a resting connection": lambda: evidence(unanswered()),
+    "a new connection closed unread in a crowd": lambda: evidence(
+        unanswered(first_on_connection=True), crowd=True
+    ),
+    "an idempotent request that ran twice": lambda: evidence(
+        sent(answered_at=10.6), attempts=[HANGING, attempt(10.2)]
+    ),
+    "an unsafe request sent again after a refusal": lambda: evidence(
+        sent(Effect.NOT_IDEMPOTENT),
+        attempts=[attempt(result=AttemptResult.NOT_STARTED), attempt(10.2)],
+    ),
+    "a keyed request repeated in its window": lambda: evidence(
+        sent(Effect.KEYED, answered_at=11.5), attempts=[HANGING, attempt(11.4, told_timeout_s=0.5)]
+    ),
+    "an attempt just before the end of a drain's grace": lambda: evidence(
+        sent(), attempts=[SERVED], list_changes=[ListChange("n0", "s-1", "leaving", 9.6)]
+    ),
+    "a starting backend within its budget": lambda: evidence(
+        sent(), attempts=starting(40), backend_starts=[BackendStart("s-1", 0, 10.0)]
+    ),
+    "a bad client that got its error": lambda: evidence(
+        bad_clients=[BadClient("n0", "half a head", 10.0, 12.1)]
+    ),
+    "a process held up as it was to end": lambda: evidence(lives=[HELD_UP]),
+}
+
+
+@pytest.mark.parametrize("case", FOUND)
+def test_a_violation_is_found(case: str) -> None:
+    rule, build = FOUND[case]
+    assert {violation.rule for violation in judge(build())} == {rule}
+
+
+@pytest.mark.parametrize("case", ALLOWED)
+def test_what_a_rule_allows_is_no_violation(case: str) -> None:
+    assert judge(ALLOWED[case]()) == []
