Conclude a request that still waits at its deadline by a decision of the policy

A request held for the counter keeps within its deadline by the counter's time-out, but a drain brings that deadline forward. It then got 504, was logged as a fault of the program, and the policy still had it: a later reply of the counter ended in a KeyError (logged as event failed). Shown by the new test, which failed so.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -21,6 +21,7 @@
     AddToCounter,
     AttemptEnded,
     Cancel,
+    DeadlineReached,
     DrainStarted,
     EndpointListUpdate,
     Event,
@@ -199,6 +200,8 @@
         """Report attempts in flight as timed out; the gateway then decides on the response."""
         for attempt in pending.attempts:
             self._cancel_attempt(pending, attempt, Outcome.TIMEOUT)
+        if pending.number in self._pending:
+            self._handle(DeadlineReached(pending.number))
         if pending.number in self._pending:
             self.recorder.violation("unanswered_at_deadline", pending.request.id)
             self._respond(pending, 504, "unanswered")
--- a/sumacpost/model/events.py
+++ b/sumacpost/model/events.py
@@ -171,6 +171,17 @@
     request: int
 
 
+@dataclass(slots=True)
+class DeadlineReached:
+    """A request's time is over, and none of its attempts is in flight any more.
+
+    Attributes:
+        request: the number of the request.
+    """
+
+    request: int
+
+
 @dataclass(slots=True)
 class DrainStarted:
     """The gateway is to end: every request that is pending or still comes has less time.
@@ -246,6 +257,7 @@
     | ResponseStarted
     | AttemptEnded
     | RequestCancelled
+    | DeadlineReached
     | DrainStarted
     | TimerFired
     | HealthCheckEnded
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -62,6 +62,8 @@
                 self.pending.pop(event.request, None)
             case events.EndpointListUpdate():
                 self.endpoints.update(event)
+            case events.DeadlineReached():
+                self._deadline_reached(now, event)
             case events.DrainStarted():
                 self._drain_started(now, event)
         return self._actions
@@ -74,6 +76,12 @@
         ready = self.endpoints.is_ready(request.tried[attempt])
         return write_obstacle(now, request, attempt, ready, self.settings)
 
+    def _deadline_reached(self, now: float, event: events.DeadlineReached) -> None:
+        """Conclude a request that still waits, as one that is held for the counter does."""
+        request = self.pending.get(event.request)
+        if request is not None:
+            self._reject_or_fail(now, request, Obstacle.DEADLINE)
+
     def _drain_started(self, now: float, event: events.DrainStarted) -> None:
         """Bring the deadlines of pending requests forward; a later one would never be met."""
         latest = now + event.respond_within_ms
@@ -252,7 +260,11 @@
             obstacle = Obstacle.NO_BACKEND
         if request.in_flight:
             return  # it may still be answered
+        self._reject_or_fail(now, request, obstacle)
+
+    def _reject_or_fail(self, now: float, request: PendingRequest, reason: Obstacle) -> None:
+        """Conclude a request that is not served; its client may come back where that is safe."""
         if self.retries.permits_rejection(request):
-            self._reject(now, request, obstacle)
+            self._reject(now, request, reason)
         else:
-            self._conclude(request, Fail(request.event.request, obstacle))
+            self._conclude(request, Fail(request.event.request, reason))
--- a/tests/server/test_drain_deadline.py
+++ b/tests/server/test_drain_deadline.py
@@ -132,3 +132,33 @@
             await ingress.task
 
     run(test())
+
+
+def test_request_that_waits_for_a_silent_counter_is_rejected_at_the_end_of_a_drain() -> None:
+    """Its deadline was later than the counter's time-out before the drain brought it forward."""
+    settings = SHORT_DEADLINES | {"extra": SETTINGS["extra"] | {"count_wait": 10_000.0}}
+    units = "units=4,spread=2,first=0"
+
+    async def test() -> None:
+        async with running_ingress(respond(), counter=never_respond, settings=settings) as ingress:
+            client = await ingress.client()
+            count = 0
+            while not ingress.counter.requests or not ingress.bridge._pending:
+                count += 1
+                client.write(
+                    request(
+                        "ledger-read",
+                        count,
+                        Plan="basis",
+                        Quota_Info=units,
+                        Request_Timeout=LONG_TIMEOUT,
+                    )
+                )
+                await asyncio.sleep(0.05)
+            await stop(ingress)
+            statuses = await read_statuses(client)
+            assert statuses[-1] == b"429"
+            await ingress.task
+            assert ingress.bridge.recorder.violations == 0
+
+    run(test())
