Count a request's time from when it came, also where it stood in the listen queue

With all places taken, a client's request stands in the listen queue for as long as it takes until one becomes free; it was counted from when it was read, so the backend was told too much and the response could come after its client's time. The test failed with 59.979 s told of 60, 0.2 s after it was sent.

While accepting is paused the listener notes since when; of a connection accepted then, the system is asked how long its unread bytes have stood there (TCP_INFO), bounded by that time.

--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -24,14 +24,12 @@
 from sumacpost.server.request_handler import RequestHandler
 from sumacpost.server.request_reader import RequestMessage, RequestReader
 from sumacpost.server.response import PendingResponse
+from sumacpost.server.socket_state import has_unread_input, peer_has_ended
 
 # Responses pending on one connection, before further input is buffered unread.
 MAX_PIPELINED = 8
 # Input buffered so, which is one more request of any size; beyond it the connection ends.
 MAX_UNREAD_BYTES = MAX_HEAD + MAX_BODY
-# The states that TCP_INFO begins with as long as the peer has not ended its sending: established,
-# and the two after this side has ended its own.
-TCP_PEER_SENDING = frozenset((1, 4, 5))
 
 
 class ConnectionState(Enum):
@@ -62,8 +60,13 @@
     """A connection of a client; requests may come in pieces, pipelined, or chunked."""
 
     def __init__(
-        self, sock: socket.socket, registry: ConnectionRegistry, handler: RequestHandler
+        self,
+        sock: socket.socket,
+        registry: ConnectionRegistry,
+        handler: RequestHandler,
+        unread_for_s: float = 0.0,
     ) -> None:
+        """Take a socket whose first bytes have stood in it for so long."""
         self._sock = sock
         self._registry = registry
         self._handler = handler
@@ -75,6 +78,7 @@
         self._unread: deque[ReceivedData] = deque()
         self._unread_bytes = 0
         self._unread_dropped = False  # unread input has gone beyond its bound
+        self._unread_for_s = unread_for_s
         self._received_at = 0.0  # monotonic seconds: when the bytes being parsed were received
         self._parsing = False
         self._writing_paused = False  # the client does not take its responses
@@ -94,7 +98,8 @@
         """
         if self._state is _CLOSING:
             return
-        self._unread.append(ReceivedData(time.monotonic(), data))
+        self._unread.append(ReceivedData(time.monotonic() - self._unread_for_s, data))
+        self._unread_for_s = 0.0
         self._unread_bytes += len(data)
         self.advance()
         if self._unread_bytes > MAX_UNREAD_BYTES:
@@ -156,22 +161,8 @@
         self._update_registry(wrote)
 
     def has_disconnected(self) -> bool:
-        """Return whether the client has gone, even if the loop has not learnt that yet.
-
-        Behind unread bytes a peek shows just these; there the state of the connection tells it.
-        """
-        try:
-            if not self._sock.recv(1, socket.MSG_PEEK):
-                return True
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        try:
-            tcp_state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        except OSError:
-            return False  # a system that doesn't tell: it shows once the bytes are read
-        return tcp_state not in TCP_PEER_SENDING
+        """Return whether the client has gone, even if the loop has not learnt that yet."""
+        return peer_has_ended(self._sock)
 
     def close_obstacle(self) -> CloseObstacle | None:
         """Return why the connection may not simply be closed now, if anything."""
@@ -180,17 +171,10 @@
                 responses_owed=len(self._pending_responses),
                 buffered_bytes=self._unread_bytes,
                 has_partial_message=self._reader.has_partial_message,
-                has_unread_input=self._has_unread_input(),
+                has_unread_input=has_unread_input(self._sock),
             )
         )
 
-    def _has_unread_input(self) -> bool:
-        """Return whether bytes stand in the socket that the loop has not read yet."""
-        try:
-            return bool(self._sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
-
     def _parse_next(self) -> None:
         received = self._unread.popleft()
         self._received_at = received.received_at
--- a/sumacpost/server/listener.py
+++ b/sumacpost/server/listener.py
@@ -11,6 +11,7 @@
 from sumacpost.address import Address
 from sumacpost.server.connection import ClientConnection
 from sumacpost.server.connection_registry import ConnectionRegistry
+from sumacpost.server.socket_state import unread_for_s
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +32,7 @@
     def __init__(
         self,
         registry: ConnectionRegistry,
-        new_connection: Callable[[socket.socket], ClientConnection],
+        new_connection: Callable[[socket.socket, float], ClientConnection],
     ) -> None:
         self._registry = registry
         self._new_connection = new_connection
@@ -40,6 +41,8 @@
         self._socket: socket.socket
         self.accepting = False
         self.last_accept_at = 0.0  # monotonic seconds
+        # since when connections may have stood in the kernel's queue; None: it has been emptied
+        self._backlog_since: float | None = None
         registry.on_capacity = self.resume
 
     def open(self, address: Address) -> Address:
@@ -65,6 +68,7 @@
         """Leave further connections in the kernel's queue."""
         if self.accepting:
             self.accepting = False
+            self._backlog_since = self._backlog_since or time.monotonic()
             self._loop.remove_reader(self._socket.fileno())
 
     def accept(self, limit: int = MAX_ACCEPTS_PER_TURN) -> bool:
@@ -79,6 +83,7 @@
             try:
                 sock, _ = self._socket.accept()
             except BlockingIOError:
+                self._backlog_since = None
                 return True
             except (InterruptedError, ConnectionAbortedError):
                 continue  # that client has left; others may stand behind it
@@ -97,15 +102,20 @@
 
     def _open_connection(self, sock: socket.socket) -> None:
         sock.setblocking(False)
-        self.last_accept_at = time.monotonic()
+        now = time.monotonic()
+        self.last_accept_at = now
+        queued_s = 0.0 if self._backlog_since is None else now - self._backlog_since
+        unread_s = unread_for_s(sock, queued_s)
         self._registry.connection_accepted()
-        task = self._loop.create_task(self._connect_transport(sock))
+        task = self._loop.create_task(self._connect_transport(sock, unread_s))
         self._opening_tasks.add(task)
         task.add_done_callback(self._opening_tasks.discard)
 
-    async def _connect_transport(self, sock: socket.socket) -> None:
+    async def _connect_transport(self, sock: socket.socket, unread_s: float) -> None:
         try:
-            await self._loop.connect_accepted_socket(lambda: self._new_connection(sock), sock)
+            await self._loop.connect_accepted_socket(
+                lambda: self._new_connection(sock, unread_s), sock
+            )
         except OSError:
             sock.close()
             self._registry.connection_failed()
--- /dev/null
+++ b/sumacpost/server/socket_state.py
@@ -0,0 +1,55 @@
+"""What the system knows of a client's socket, which the event loop may not have learnt yet."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+# The states that TCP_INFO begins with as long as the peer has not ended its sending: established,
+# and the two after this side has ended its own.
+_TCP_PEER_SENDING = frozenset((1, 4, 5))
+# Of TCP_INFO: where the milliseconds since the last data came stand, and up to where it is read.
+_LAST_DATA_RECEIVED = struct.Struct("=52xI")
+
+
+def has_unread_input(sock: socket.socket) -> bool:
+    """Return whether bytes stand in the socket."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def peer_has_ended(sock: socket.socket) -> bool:
+    """Return whether the peer has closed or reset the connection, or ended its sending.
+
+    Behind unread bytes a peek shows just these; there the state of the connection tells it.
+    """
+    try:
+        if not sock.recv(1, socket.MSG_PEEK):
+            return True
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    try:
+        tcp_state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return False  # a system that doesn't tell: it shows once the bytes are read
+    return tcp_state not in _TCP_PEER_SENDING
+
+
+def unread_for_s(sock: socket.socket, at_most_s: float) -> float:
+    """Return for how many seconds the last of the unread bytes have stood in the socket.
+
+    0 where there are none. at_most_s bounds what the system says, and is returned where it does
+    not say: it is for how long nobody has looked.
+    """
+    if at_most_s <= 0 or not has_unread_input(sock):
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED.size)
+        (age_ms,) = _LAST_DATA_RECEIVED.unpack(info)
+    except (OSError, struct.error):
+        return at_most_s
+    return min(at_most_s, float(age_ms) / 1000)
--- a/tests/server/test_drain_deadline.py
+++ b/tests/server/test_drain_deadline.py
@@ -116,15 +116,16 @@
     run(test())
 
 
-def test_idle_connection_whose_next_request_has_come_is_not_closed() -> None:
+def test_idle_connection_whose_next_request_has_come_is_not_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The loop has not read it when the drain starts."""
 
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
             client = await ingress.client()
             assert (await client.send(HEALTH_REQUEST)).status == 200
-            (connection,) = ingress.server.connections.open
-            connection._has_unread_input = lambda: True  # type: ignore[method-assign]
+            monkeypatch.setattr("sumacpost.server.connection.has_unread_input", lambda _: True)
             ingress.stop.set()
             await until(lambda: ingress.server.handler.draining)
             assert (await client.send(request())).status == 200
--- a/tests/test_attempt_rules.py
+++ b/tests/test_attempt_rules.py
@@ -12,8 +12,8 @@
 from tests.support.connection_gate import ConnectionGate
 from tests.support.event_loop import run, until
 from tests.support.http_client import request
-from tests.support.ingress import RunningIngress, running_ingress
-from tests.support.peers import respond
+from tests.support.ingress import RunningIngress, connect_beyond_bound, running_ingress
+from tests.support.peers import OK_RESPONSE, never_respond, respond
 
 HELD_S = 0.2
 
@@ -90,3 +90,25 @@
             connection_gate.open()
 
     run(test())
+
+
+def test_the_time_that_a_request_stood_in_the_listen_queue_is_taken_off() -> None:
+    """No place is free for its client; it is read long after it has come."""
+
+    async def test() -> None:
+        async with running_ingress(*[never_respond] * 8, sockets=64) as ingress:
+            late = await connect_beyond_bound(ingress)
+            await asyncio.sleep(HELD_S)
+            for backend in ingress.backends:
+                backend.script = respond()
+            ingress.backends[0].writers[0].write(OK_RESPONSE)
+            assert (await late.read_response()).status == 200
+            (data,) = [
+                request
+                for backend in ingress.backends
+                for request in backend.requests
+                if b"%016x" % 50 in request
+            ]
+            assert told_timeout_s(data) <= 60.0 - HELD_S
+
+    run(test())
