--- a/fleetlab/soak/population.py
+++ b/fleetlab/soak/population.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import deque
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -18,6 +19,7 @@
 MAX_THINK_S = 0.25
 MAX_REST_S = 2.5
 MAX_PIPELINED = 4
+BEHIND = 2  # requests under way on the connection of a client that pipelines all the time
 BAD_CLIENT_DEADLINE_S = 3.0
 BAD_CLIENT_WATCH_S = 4.0
 
@@ -122,6 +124,31 @@
                 continue
             await connection.receive(record)
 
+    async def run_pipelining_client(self, stop: asyncio.Event) -> None:
+        """Keep a request behind the last one on each connection, for as long as it is open."""
+        while not stop.is_set():
+            connection = await self._connect()
+            if connection is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            await self._keep_busy(connection, stop)
+            connection.close()
+
+    async def _keep_busy(self, connection: ClientConnection, stop: asyncio.Event) -> None:
+        timeout_s = min(request_class.deadline_s for request_class in self._site.classes)
+        waiting: deque[ClientRequest] = deque()
+        while not stop.is_set():
+            while len(waiting) < BEHIND and not connection.has_ended():
+                plan = replace(self._plan(), timeout_s=timeout_s)
+                waiting.append(await connection.send(plan))
+            if not waiting:
+                return
+            record = waiting.popleft()
+            if connection.open:
+                await connection.receive(record)
+            else:
+                record.ended_at = time.monotonic()
+
     def _plan(self) -> RequestPlan:
         request_class = self._draw_class()
         timeout_s = request_class.deadline_s
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -143,6 +143,7 @@
             for work in (
                 *(node.population.run_client(stop) for _ in range(self._plan.clients)),
                 node.population.run_bad_clients(stop),
+                node.population.run_pipelining_client(stop),
             )
         ]
         injector = FaultInjector(
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -157,6 +157,8 @@
         drain_grace_s=random.choice((0.3, 0.5, 1.0)),
         dedup_window_s=random.choice((0.8, 3.0)),
         slow_start_s=random.choice((4.0, 15.0)),
+        initial_capacity=random.choice((0.05, 0.2)),
+        overload_factor=random.choice((1.3, 2.0)),
         hedging=random.random() < HEDGING_CHANCE,
     )
 
--- a/sumacpost/server/connection_queue.py
+++ b/sumacpost/server/connection_queue.py
@@ -35,6 +35,10 @@
         """Remove the connection if it is in the queue."""
         self._added_at.pop(connection, None)
 
+    def added_before(self, connection: ClientConnection, before: float) -> bool:
+        """Return whether a connection in the queue was added before that time."""
+        return self._added_at[connection] < before
+
     def oldest(self, before: float = inf) -> ClientConnection | None:
         """Return the connection added first, or None if none was added before that time."""
         for connection, added_at in self._added_at.items():
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable
+from itertools import islice
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -28,6 +30,14 @@
 WAITING_DIVISOR = 4
 
 
+# Connections of a queue that are examined for one to evict.
+MAX_EXAMINED = 8
+# Their place is given to another: at rest, or with a request that has not come whole.
+_EVICTABLE = frozenset((None, CloseObstacle.REQUEST_INCOMPLETE))
+
+log = logging.getLogger(__name__)
+
+
 class ConnectionRegistry:
     """The open client connections; each without a pending response is in one of the queues.
 
@@ -128,9 +138,10 @@
         opened_before = inf if many_waiting else time.monotonic() - NEW_CONNECTION_GRACE_S
         return (
             self.closing.oldest()
-            or self.waiting.oldest(opened_before)
-            or self.idle.oldest()
+            or _first_at_rest(self.waiting, opened_before)
+            or _first_at_rest(self.idle)
             or self.waiting.oldest()
+            or self.idle.oldest()
         )
 
     def evict(self, connection: ClientConnection) -> None:
@@ -184,9 +195,24 @@
     def close_all(self, reason: CloseReason) -> None:
         """Read no more requests on any connection, and end each as its state allows."""
         for connection in list(self.open):
-            connection.finish(reason)
+            try:
+                connection.finish(reason)
+            except Exception:
+                # the others are to end as they should
+                log.exception("connection not ended: aborting")
+                connection.abort(reason)
 
     def _close_idle_connection(self, connection: ClientConnection, reason: CloseReason) -> None:
         self.idle.discard(connection)
         self.closing.add(connection)
         connection.close(reason)
+
+
+def _first_at_rest(queue: ConnectionQueue, before: float = inf) -> ClientConnection | None:
+    """Return the first of the oldest connections of a queue on which no whole request may stand."""
+    for connection in islice(queue, MAX_EXAMINED):
+        if not queue.added_before(connection, before):
+            return None
+        if connection.close_obstacle() in _EVICTABLE:
+            return connection
+    return None
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -56,7 +56,7 @@
             elapsed_ms = self._elapsed_ms()
             if elapsed_ms <= accept_ms:
                 continue
-            if self.listener.accept(LISTEN_BACKLOG) or elapsed_ms > schedule.max_backlog_ms:
+            if self.listener.accept(LISTEN_BACKLOG) or elapsed_ms > schedule.respond_within_ms:
                 return
 
     async def _serve_until_closed(self) -> None:
--- a/sumacpost/server/socket_state.py
+++ b/sumacpost/server/socket_state.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import struct
 
 # The states that TCP_INFO begins with as long as the peer has not ended its sending: established,
 # and the two after this side has ended its own.
 _TCP_PEER_SENDING = frozenset((1, 4, 5))
+# Errors of a look at a socket that say nothing of its peer: there is nothing to read, or the system
+# is short of memory for the moment.
+_NOT_THE_PEER = frozenset(
+    (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOMEM, errno.ENOBUFS)
+)
 # Of TCP_INFO: where the milliseconds since the last data came stand, and up to where it is read.
 _LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
@@ -28,10 +34,8 @@
     try:
         if not sock.recv(1, socket.MSG_PEEK):
             return True
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
+    except OSError as error:
+        return error.errno not in _NOT_THE_PEER
     try:
         tcp_state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from sumacpost.config import Config, load_config, load_config_in_steps
+from sumacpost.diagnostics.log_stream import log_to_standard_error
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
 from sumacpost.ingress import Ingress, max_connections_per_side
@@ -165,17 +166,25 @@
         self._reading = asyncio.get_running_loop().create_task(self._reload(self._service))
 
     async def _reload(self, service: Service) -> None:
-        """Read in steps, as a file with a long endpoint list would hold up the loop."""
-        steps = load_config_in_steps(self._path)
         try:
-            while True:
-                next(steps)
-                await asyncio.sleep(0)
-        except StopIteration as finished:
-            service.reload(finished.value)
+            service.reload(await self._read())
         except ConfigError as error:
             # the operator's error: its message says all, and a traceback would say nothing of it
             log.error("configuration rejected: error=%s", error)  # noqa: TRY400
+        except Exception:
+            # nobody awaits this task: without a line here the failure would show nowhere
+            log.exception("configuration reload failed")
+
+    async def _read(self) -> Config:
+        """Read in steps, as a file with a long endpoint list would hold up the loop."""
+        steps = load_config_in_steps(self._path)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as finished:
+                config: Config = finished.value
+                return config
+            await asyncio.sleep(0)
 
 
 async def serve(
@@ -208,9 +217,7 @@
     can't be used, and EXIT_CANNOT_SERVE if the address can't be listened on.
     """
     reloader = ConfigReloader()
-    logging.basicConfig(
-        level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr
-    )
+    log_to_standard_error()
     path = os.environ.get("RELAY_CONFIG")
     if path is None:
         return _exit_with("RELAY_CONFIG is not set", EXIT_BAD_CONFIG)
--- /dev/null
+++ b/tests/diagnostics/test_log_stream.py
@@ -0,0 +1,71 @@
+"""The log never holds up the program, whatever its stream does."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+from collections.abc import Generator
+
+import pytest
+
+from sumacpost.diagnostics.log_stream import DroppingLogHandler
+
+RECORD = logging.LogRecord("x", logging.INFO, "", 0, "line %d", (7,), None)
+
+
+@pytest.fixture
+def pipe() -> Generator[tuple[int, int], None, None]:
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        with contextlib.suppress(OSError):
+            os.close(descriptor)
+
+
+def fill(writer: int) -> None:
+    """Fill the pipe to the last byte."""
+    size = 4096
+    while size:
+        try:
+            os.write(writer, b"x" * size)
+        except BlockingIOError:
+            size //= 2
+
+
+def empty(reader: int) -> None:
+    """Read all that stands in the pipe."""
+    os.set_blocking(reader, False)
+    with contextlib.suppress(BlockingIOError):
+        while os.read(reader, 4096):
+            pass
+
+
+def test_a_line_goes_to_the_stream_at_once(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    DroppingLogHandler(writer).emit(RECORD)
+    assert os.read(reader, 100).endswith(b" INFO line 7\n")
+
+
+def test_lines_that_a_full_pipe_does_not_take_are_dropped_and_counted(
+    pipe: tuple[int, int],
+) -> None:
+    reader, writer = pipe
+    handler = DroppingLogHandler(writer)
+    fill(writer)
+    for _ in range(3):
+        handler.emit(RECORD)
+    assert handler.dropped == 3
+    empty(reader)
+    handler.emit(RECORD)
+    assert os.read(reader, 200).endswith(b"line 7\nlog lines dropped: count=3\n")
+    assert handler.dropped == 0
+
+
+@pytest.mark.parametrize("closed", ["reader", "writer"])
+def test_a_stream_that_is_closed_ends_nothing(pipe: tuple[int, int], closed: str) -> None:
+    reader, writer = pipe
+    handler = DroppingLogHandler(writer)
+    os.close(reader if closed == "reader" else writer)
+    handler.emit(RECORD)
+    assert handler.dropped == 1
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -243,3 +243,28 @@
             await until(discovery_task._task.done)
 
     run(test())
+
+
+def test_a_reload_that_fails_by_a_fault_of_the_program_is_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, tmp_path: Path
+) -> None:
+    config_file = tmp_path / "config.json"
+
+    def fail(*_: Any) -> None:
+        raise RuntimeError("a fault")
+
+    async def test() -> None:
+        async with running_ingress(respond()) as ingress:
+            config_file.write_text(json.dumps(ingress.config))
+            monkeypatch.setattr(ingress.service, "reload", fail)
+            reloader = ConfigReloader()
+            reloader.attach(ingress.service, str(config_file))
+            reloader.request()
+            await until(lambda: "configuration reload failed" in caplog.text)
+            assert (await ingress.send(request())).status == 200
+
+    handler = signal.getsignal(signal.SIGHUP)
+    try:
+        run(test())
+    finally:
+        signal.signal(signal.SIGHUP, handler)
