--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -294,6 +294,8 @@
 
     def fall_silent(self) -> None:
         """Read and write nothing more."""
+        if self._attempt is not None:
+            self._attempt.unobserved = True
         if not self._transport.is_closing():
             self._transport.pause_reading()
 
--- a/fleetlab/soak/client.py
+++ b/fleetlab/soak/client.py
@@ -64,6 +64,7 @@
         self._writer = writer
         self._records = records
         self._used = False
+        self._rests_since = time.monotonic()
 
     @classmethod
     async def connect(
@@ -90,6 +91,7 @@
             plan.timeout_s,
             not self._used,
             time.monotonic(),
+            time.monotonic() - self._rests_since,
         )
         self._used = True
         self._records.append(record)
@@ -123,6 +125,7 @@
             self.close()
         else:
             record.answered_at = time.monotonic()
+            self._rests_since = record.answered_at
             record.status = int(head.split(b" ", 2)[1])
             record.body = body
             if b"connection: close" in head.lower():
--- a/fleetlab/soak/endpoint_list.py
+++ b/fleetlab/soak/endpoint_list.py
@@ -103,6 +103,8 @@
                 return False
         changes = None if known is None else self._shared.list.encode_changes(known)
         body = changes if changes is not None else self._shared.list.encode_full()
+        if writer.transport.is_closing():
+            return False  # the ingress has left
         if self.fault is AgentFault.TORN:
             writer.write(_bounded(body)[: -len(body) // 2])
             return False
--- a/fleetlab/soak/records.py
+++ b/fleetlab/soak/records.py
@@ -26,6 +26,7 @@
         ingress: the name of the ingress that it was sent to.
         effect: the effect of its class.
         timeout_s: its Request-Timeout.
+        rested_s: for how long its connection had been open, or at rest after a response.
         first_on_connection: whether its connection was new.
         began_at: before its first byte was written.
         sent_at: when its last byte was written; None if it never was.
@@ -43,6 +44,7 @@
     timeout_s: float
     first_on_connection: bool
     began_at: float
+    rested_s: float = 0.0
     sent_at: float | None = None
     left_at: float | None = None
     answered_at: float | None = None
@@ -94,6 +96,7 @@
         result: what became of it.
         ended_at: when the response was written, or the connection had ended.
         body: the body that was written.
+        unobserved: whether its backend was cut off meanwhile, and so can't tell when it ended.
     """
 
     request_id: str
@@ -107,6 +110,7 @@
     result: AttemptResult = AttemptResult.PENDING
     ended_at: float | None = None
     body: bytes = b""
+    unobserved: bool = False
 
 
 class Life(msgspec.Struct):
