--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -40,9 +40,9 @@
     CLOSING = auto()  # input is discarded; the connection ends after the pending responses
 
 
-# Up to Python 3.11 each access to a member through its class costs a call.
 # Why a connection may end with responses owed: there is nobody to read them.
 _CLIENT_GAVE_UP = frozenset((CloseReason.CLIENT_LEFT, CloseReason.INVALID_INPUT))
+# Up to Python 3.11 each access to a member through its class costs a call.
 _READING = ConnectionState.READING
 _FINISHING = ConnectionState.FINISHING
 _CLOSING = ConnectionState.CLOSING
