Allow in the soak for what the machine kept processes waiting, and begin clients in turn

The wait is measured now (schedstat of each ingress, in intervals of 0.25 s) and allowed on top; clients begin over 1.5 s.

--- a/fleetlab/soak/population.py
+++ b/fleetlab/soak/population.py
@@ -18,6 +18,7 @@
 RETRY_PAUSE_S = 0.1  # of a client that finds no ingress
 MAX_THINK_S = 0.25
 MAX_REST_S = 2.5
+RAMP_S = 1.5  # over which the clients begin
 MAX_PIPELINED = 4
 BEHIND = 2  # requests under way on the connection of a client that pipelines all the time
 BAD_CLIENT_DEADLINE_S = 3.0
@@ -51,6 +52,7 @@
     async def run_client(self, stop: asyncio.Event) -> None:
         """Send requests one after another, on connections that are kept, until stopped."""
         connection: ClientConnection | None = None
+        await asyncio.sleep(self._random.uniform(0.0, RAMP_S))
         while not stop.is_set():
             await asyncio.sleep(self._random.uniform(0.0, MAX_THINK_S))
             if connection is not None and connection.has_ended():
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from fleetlab.counter_server import CounterServer
-from fleetlab.monitors import LoopLagMonitor
+from fleetlab.monitors import LoopLagMonitor, RunQueueMonitor
 from fleetlab.site import endpoint_entries
 from fleetlab.soak.addresses import ingress_address
 from fleetlab.soak.backend import BackendState, SoakBackend, weighted
@@ -41,7 +41,8 @@
         statuses: how many got which status; 0: none.
         attempts: how many the backends received.
         faults: how many began, by kind.
-        lag_ms: by how much this process was late at worst.
+        lag_ms: by how much this process was late at worst, and an ingress had to wait for a
+            processor within a quarter of a second.
         violations: of the rules.
     """
 
@@ -66,6 +67,7 @@
         self._random = Random(plan.seed)
         self._record = RunRecord()
         self._lag = LoopLagMonitor()
+        self._run_queue = RunQueueMonitor(self._pids)
         self._site = replace(plan.site, sockets=CROWDED_SOCKETS) if plan.crowd else plan.site
         self._backends: list[SoakBackend] = []
         self._nodes: list[Node] = []
@@ -82,9 +84,12 @@
             self._record.lives += node.process.lives
             self._record.list_changes += [told for agent in node.agents for told in agent.told]
         logs = {node.process.name: node.process.log_text() for node in self._nodes}
-        lag_s = self._lag.worst_ms / 1000
+        lag_s = (self._lag.worst_ms + self._run_queue.worst_ms) / 1000
         return Evidence(self._record, self._site, logs, lag_s, self._plan.crowd)
 
+    def _pids(self) -> list[int]:
+        return [node.process.life.pid for node in self._nodes if node.process.running]
+
     async def _start_backends(self, resources: AsyncExitStack) -> None:
         for _ in range(self._plan.backends):
             state = BackendState(weighted(self._random, NORMAL_WEIGHTS))
@@ -136,7 +141,7 @@
     async def _load(self) -> None:
         """Run clients and faults, then end all processes while the clients go on."""
         stop = asyncio.Event()
-        lag = asyncio.create_task(self._lag.run())
+        monitors = [asyncio.create_task(monitor.run()) for monitor in (self._lag, self._run_queue)]
         clients = [
             asyncio.create_task(work)
             for node in self._nodes
@@ -159,7 +164,8 @@
         finally:
             stop.set()
             await asyncio.gather(*clients, return_exceptions=False)
-            lag.cancel()
+            for monitor in monitors:
+                monitor.cancel()
 
 
 async def play(plan: SoakPlan, folder: Path) -> tuple[SoakResult, Evidence]:
--- a/sumacpost/diagnostics/event_recorder.py
+++ b/sumacpost/diagnostics/event_recorder.py
@@ -11,8 +11,8 @@
 import logging
 import time
 from collections import Counter, deque
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 log = logging.getLogger(__name__)
 
@@ -35,9 +35,8 @@
     VIOLATION = "rule violated"
 
 
-@dataclass(frozen=True, slots=True)
-class RecordedEvent:
-    """One event.
+class RecordedEvent(NamedTuple):
+    """One event. A named tuple, as one is made for each event of each request.
 
     Attributes:
         at_s: when, in monotonic seconds.
