--- /dev/null
+++ b/fleetlab/soak/attempt_oracles.py
@@ -0,0 +1,140 @@
+"""The rules on what backends receive."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from itertools import pairwise
+from math import sqrt
+
+from fleetlab.soak.evidence import HOLD_UP_S, SLACK_S, Evidence, Violation, may_have_run
+from fleetlab.soak.records import Attempt, Effect
+from fleetlab.soak.site import SoakSite
+
+LEFT_S = 0.1  # from a client's close to the last moment at which an attempt may begin
+TOLD_SLACK_S = 0.15  # by which the time told to a backend may exceed the client's
+FEW_REQUESTS = 30  # below which the rule on slow start allows more
+MEAN_WORK_S = 0.025  # of the soak's backends
+
+
+def requests_run_as_their_class_permits(evidence: Evidence) -> Iterable[Violation]:
+    """What is not idempotent runs once and is out once; a key's repeats stay in its window."""
+    effects = {request.request_id: request.effect for request in evidence.record.requests}
+    for request_id, attempts in evidence.attempts_by_request().items():
+        effect = effects.get(request_id)
+        if effect is None:
+            yield Violation("unknown_id", request_id, f"no client has sent it: {attempts}")
+        elif effect is Effect.NOT_IDEMPOTENT:
+            yield from _run_once(request_id, attempts)
+        elif effect is Effect.KEYED:
+            yield from _repeated_in_window(evidence, request_id, attempts)
+        if not evidence.site.hedging:
+            yield from _out_once(request_id, attempts)
+
+
+def _run_once(request_id: str, attempts: Sequence[Attempt]) -> Iterable[Violation]:
+    for earlier, later in pairwise(attempts):
+        if may_have_run(earlier):
+            yield Violation("run_twice", request_id, f"{earlier} and {later}")
+    yield from _out_once(request_id, attempts)
+
+
+def _out_once(request_id: str, attempts: Sequence[Attempt]) -> Iterable[Violation]:
+    for earlier, later in pairwise(attempts):
+        if earlier.unobserved:
+            continue
+        # the end of an attempt and the next one travel on two connections
+        if earlier.ended_at is None or earlier.ended_at > later.received_at + SLACK_S:
+            yield Violation("two_out", request_id, f"{earlier} and {later}")
+
+
+def _repeated_in_window(
+    evidence: Evidence, request_id: str, attempts: Sequence[Attempt]
+) -> Iterable[Violation]:
+    ran = [attempt for attempt in attempts if may_have_run(attempt)]
+    if not ran:
+        return
+    allowed_s = evidence.site.dedup_window_s + SLACK_S + evidence.lag_s
+    for attempt in attempts:
+        after_s = attempt.received_at - ran[0].received_at
+        if after_s > allowed_s:
+            detail = f"{after_s:.3f} s after the first: {attempts}"
+            yield Violation("window_over", request_id, detail)
+
+
+def nothing_is_sent_for_a_client_that_left(evidence: Evidence) -> Iterable[Violation]:
+    """No attempt begins more than 0.1 s after the client has closed its connection."""
+    allowed_s = LEFT_S + SLACK_S + HOLD_UP_S + evidence.lag_s
+    left = {r.request_id: r.left_at for r in evidence.record.requests if r.left_at is not None}
+    for attempt in evidence.record.attempts:
+        left_at = left.get(attempt.request_id)
+        if left_at is not None and attempt.first_byte_at > left_at + allowed_s:
+            after_s = attempt.first_byte_at - left_at
+            yield Violation("sent_after_leave", attempt.request_id, f"{after_s:.3f} s: {attempt}")
+
+
+def backends_are_told_the_time_left(evidence: Evidence) -> Iterable[Violation]:
+    """The time that a backend is told is at most what its client has left."""
+    allowed_s = TOLD_SLACK_S + SLACK_S + evidence.lag_s
+    requests = {request.request_id: request for request in evidence.record.requests}
+    for attempt in evidence.record.attempts:
+        request = requests.get(attempt.request_id)
+        if request is None or request.sent_at is None:
+            continue
+        left_s = request.timeout_s - (attempt.first_byte_at - request.sent_at)
+        if attempt.told_timeout_s > max(left_s, 0.0) + allowed_s:
+            detail = f"{left_s:.3f} s left: {attempt}"
+            yield Violation("told_too_much", attempt.request_id, detail)
+
+
+def draining_backends_get_nothing(evidence: Evidence) -> Iterable[Violation]:
+    """Nothing is sent to a backend that drains or is gone, once the grace after that is over."""
+    grace_s = evidence.site.drain_grace_s + SLACK_S + HOLD_UP_S + evidence.lag_s
+    ingress_of = {request.request_id: request.ingress for request in evidence.record.requests}
+    states: dict[tuple[str, str], list[tuple[float, str]]] = defaultdict(list)
+    for change in sorted(evidence.record.list_changes, key=lambda change: change.at):
+        states[change.ingress, change.backend].append((change.at, change.state))
+    for attempt in evidence.record.attempts:
+        ingress = ingress_of.get(attempt.request_id, "")
+        told_at, told = _last_state(states[ingress, attempt.backend], attempt.first_byte_at)
+        # the list may have it ready again, and the ingress have heard of it in another life
+        _, listed = _last_state(states["", attempt.backend], attempt.first_byte_at)
+        if "active" not in (told, listed) and attempt.first_byte_at > told_at + grace_s:
+            after_s = attempt.first_byte_at - told_at
+            detail = f"{after_s:.3f} s after {ingress} was told {told}: {attempt}"
+            yield Violation("sent_to_draining", attempt.request_id, detail)
+
+
+def _last_state(states: Sequence[tuple[float, str]], at: float) -> tuple[float, str]:
+    """Return the last state before a time, and since when; active if there has been no change."""
+    return next(
+        ((since, state) for since, state in reversed(states) if since <= at), (0.0, "active")
+    )
+
+
+def starting_backends_are_not_overloaded(evidence: Evidence) -> Iterable[Violation]:
+    """A starting backend gets no more in any window than the settings allow at its end."""
+    site = evidence.site
+    received: dict[tuple[str, int], list[float]] = defaultdict(list)
+    for attempt in evidence.record.attempts:
+        received[attempt.backend, attempt.incarnation].append(attempt.received_at)
+    for start in evidence.record.backend_starts:
+        times = received.get((start.backend, start.incarnation), [])
+        for first, begin in enumerate(times):
+            end = begin + site.overload_window_s
+            if end > start.at + site.slow_start_s:
+                break  # it has its full capacity
+            count = sum(at <= end for at in times[first:])
+            allowed = _window_bound(site, end - start.at)
+            if count > allowed:
+                detail = f"{count} requests in a window, {allowed:.1f} allowed"
+                yield Violation("slow_start", start.backend, f"{start}: {detail}")
+                break
+
+
+def _window_bound(site: SoakSite, age_s: float) -> float:
+    """Return the most requests of mean work in a window that ends at this age of a backend."""
+    part = min(1.0, site.initial_capacity + (1 - site.initial_capacity) * age_s / site.slow_start_s)
+    requests = part / MEAN_WORK_S * site.overload_factor * site.overload_window_s
+    more = 3 * sqrt(requests) + 3 if requests < FEW_REQUESTS else 2 * sqrt(requests) + 2
+    return requests + more
--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -6,13 +6,12 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from enum import Enum
 from random import Random
 from typing import cast
 
+from fleetlab.soak.behaviour import UNBOUNDED, Behaviour, Chooser
 from fleetlab.soak.records import Attempt, AttemptResult
 from fleetlab.stand_in import format_address
 
@@ -22,29 +21,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends RST
 
 
-class Behaviour(Enum):
-    """How a backend treats one attempt."""
-
-    SERVE = "serve"
-    SLOW = "slow"  # served after half a second to a second and a half
-    HANG = "hang"  # no response, the connection stays open
-    ERROR = "error"  # 500
-    NOT_STARTED = "not_started"  # 503 with Not-Started: 1
-    UNBOUNDED = "unbounded"  # served with no length; the connection's end ends the response
-    UNBOUNDED_IN_PIECES = "unbounded_in_pieces"
-    UNBOUNDED_RESET = "unbounded_reset"  # no length, half of the body, then a reset
-    TRUNCATED = "truncated"  # less than the stated length, then the connection ends
-    RESET = "reset"  # a reset with no response
-    NOISE = "noise"  # bytes that are no HTTP
-    IN_PIECES = "in_pieces"
-    SERVE_AND_CLOSE = "serve_and_close"  # Connection: close
-
-
-UNBOUNDED = frozenset({Behaviour.UNBOUNDED, Behaviour.UNBOUNDED_IN_PIECES})
-
-Chooser = Callable[[], Behaviour]
-
-
 @dataclass(slots=True)
 class BackendState:
     """What a schedule may change of a backend while it runs."""
@@ -55,17 +31,6 @@
     forget_idle: bool = False  # whether idle connections are reset at their next request instead
 
 
-def always(behaviour: Behaviour) -> Chooser:
-    """Return a chooser of one behaviour."""
-    return lambda: behaviour
-
-
-def weighted(random: Random, weights: dict[Behaviour, float]) -> Chooser:
-    """Return a chooser that draws behaviours by weight."""
-    kinds = list(weights)
-    return lambda: random.choices(kinds, list(weights.values()))[0]
-
-
 @dataclass
 class SoakBackend:
     """One backend on a loopback address; `attempts` holds all that it has received whole."""
--- /dev/null
+++ b/fleetlab/soak/evidence.py
@@ -0,0 +1,96 @@
+"""What the oracles of a run judge, and what they find.
+
+The protocol's rules have 50 ms of slack of their own, and an ingress may be held up for 150 ms.
+What this process itself was late by, and an ingress was kept from a processor, at worst, is allowed
+on top: times are only as exact as that.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from fleetlab.soak.records import Attempt, AttemptResult, Life, RunRecord
+from fleetlab.soak.site import SoakSite
+
+SLACK_S = 0.05  # of the rules on sockets
+HOLD_UP_S = 0.15  # for which an ingress may be held up
+
+_ACCEPTED = re.compile(r"request accepted: subject=([0-9a-f]{16}) ")
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A rule that was broken.
+
+    Attributes:
+        rule: the name of the oracle.
+        subject: the request, process or backend that it is about.
+        detail: what was seen.
+    """
+
+    rule: str
+    subject: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What the oracles judge.
+
+    Attributes:
+        record: what was seen.
+        site: the settings of the run.
+        logs: the log of each ingress, over all its lives.
+        lag_s: by how much this process was late, and an ingress kept from a processor, at worst.
+        crowd: whether idle clients filled the descriptors: new connections may be closed unread.
+    """
+
+    record: RunRecord
+    site: SoakSite
+    logs: dict[str, str]
+    lag_s: float = 0.0
+    crowd: bool = False
+
+    def accepted_ids(self) -> set[str]:
+        """Return the ids of the requests that the ingresses have read and taken."""
+        return {match for text in self.logs.values() for match in _ACCEPTED.findall(text)}
+
+    def life_at(self, ingress: str, at: float) -> Life | None:
+        """Return the process that an ingress had at a time."""
+        for life in self.record.lives:
+            ended_at = life.ended_at if life.ended_at is not None else float("inf")
+            if life.ingress == ingress and life.started_at <= at <= ended_at:
+                return life
+        return None
+
+    def has_drained(self, life: Life) -> bool:
+        """Return whether a process has logged the end of its drain."""
+        lives = [known for known in self.record.lives if known.ingress == life.ingress]
+        logs = self.logs.get(life.ingress, "").split("serving: name=")[1:]
+        index = lives.index(life)
+        return index < len(logs) and "drain finished" in logs[index]
+
+    def attempts_by_request(self) -> dict[str, list[Attempt]]:
+        """Return the attempts of each request, in the order in which they were received."""
+        grouped: dict[str, list[Attempt]] = defaultdict(list)
+        for attempt in self.record.attempts:
+            grouped[attempt.request_id].append(attempt)
+        return grouped
+
+
+Oracle = Callable[[Evidence], Iterable[Violation]]
+
+
+def first_warning(life: Life) -> float | None:
+    """Return when a process was first told to end."""
+    warnings = (life.signalled_at("SIGTERM"), life.signalled_at("SIGINT"))
+    return min((at for at in warnings if at is not None), default=None)
+
+
+def may_have_run(attempt: Attempt) -> bool:
+    """Return whether an attempt that a backend has received may have run there."""
+    return attempt.result is not AttemptResult.NOT_STARTED
--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -8,7 +8,16 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from fleetlab.soak.backend import Behaviour, Chooser, SoakBackend, always, weighted
+from fleetlab.soak.backend import SoakBackend
+from fleetlab.soak.behaviour import (
+    FAILING_WEIGHTS,
+    NORMAL_WEIGHTS,
+    UNBOUNDED_WEIGHTS,
+    Behaviour,
+    Chooser,
+    always,
+    weighted,
+)
 from fleetlab.soak.endpoint_list import AgentFault, SharedList, SoakAgent
 from fleetlab.soak.ingress_process import IngressProcess
 from fleetlab.soak.population import Population
@@ -20,29 +29,6 @@
 CROWD_SIZE = 60
 FORGET_IDLE_S = 0.1  # after which idle connections are forgotten
 
-NORMAL_WEIGHTS = {
-    Behaviour.SERVE: 0.86,
-    Behaviour.SLOW: 0.02,
-    Behaviour.IN_PIECES: 0.03,
-    Behaviour.SERVE_AND_CLOSE: 0.03,
-    Behaviour.UNBOUNDED: 0.02,
-    Behaviour.NOT_STARTED: 0.02,
-    Behaviour.ERROR: 0.01,
-    Behaviour.RESET: 0.01,
-}
-FAILING_WEIGHTS = {
-    Behaviour.SERVE: 0.3,
-    Behaviour.ERROR: 0.2,
-    Behaviour.RESET: 0.15,
-    Behaviour.NOISE: 0.1,
-    Behaviour.TRUNCATED: 0.1,
-    Behaviour.NOT_STARTED: 0.15,
-}
-UNBOUNDED_WEIGHTS = {
-    Behaviour.UNBOUNDED: 0.4,
-    Behaviour.UNBOUNDED_IN_PIECES: 0.4,
-    Behaviour.UNBOUNDED_RESET: 0.2,
-}
 _LIST_FAULTS = {
     FaultKind.LIST_SILENT: AgentFault.SILENT,
     FaultKind.LIST_RESET: AgentFault.RESET,
--- /dev/null
+++ b/fleetlab/soak/request_oracles.py
@@ -0,0 +1,135 @@
+"""The rules on what clients get."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fleetlab.http_connection import HTTP_OK
+from fleetlab.soak.client import LATE_S
+from fleetlab.soak.evidence import (
+    HOLD_UP_S,
+    SLACK_S,
+    Evidence,
+    Violation,
+    first_warning,
+    may_have_run,
+)
+from fleetlab.soak.population import BAD_CLIENT_DEADLINE_S
+from fleetlab.soak.records import AttemptResult, ClientRequest, Effect, Life
+from fleetlab.soak.site import GRACE_S
+
+MIN_REST_S = 1.0  # after which a silent new connection may be closed
+
+
+def no_request_is_lost(evidence: Evidence) -> Iterable[Violation]:
+    """Each request that an ingress has taken gets a whole response in time.
+
+    Excused: its client left, or its process was killed without a warning, or by a SIGKILL that came
+    up to 0.7 s after the request had been sent to a process told to end. A connection at rest may
+    be closed as a request crosses the close; then the ingress must not have read it.
+    """
+    accepted = evidence.accepted_ids()
+    forwarded = evidence.attempts_by_request()
+    for request in evidence.record.requests:
+        if request.sent_at is None or request.left_at is not None:
+            continue
+        if request.answered_at is not None:
+            late_s = request.answered_at - request.sent_at - request.timeout_s
+            if late_s > LATE_S + SLACK_S + evidence.lag_s:
+                yield _lost(request, f"answered {late_s:.3f} s after its time")
+            continue
+        life = evidence.life_at(request.ingress, request.sent_at)
+        if life is None or _killed_without_warning(life, request):
+            continue
+        taken = request.request_id in accepted or request.request_id in forwarded
+        if taken:
+            yield _lost(request, "taken, and never answered whole")
+        elif request.ended_at is None:
+            yield _lost(request, "neither answered nor closed")
+        elif _open_at_sigkill(life, request):
+            yield _lost(request, "unanswered at SIGKILL, on a connection still open")
+        elif _closed_unused(request) and not (evidence.crowd or _draining(life, request)):
+            yield _lost(request, "a new connection was closed with no response")
+
+
+def _closed_unused(request: ClientRequest) -> bool:
+    """Return whether a connection was closed before it can have been taken for one at rest."""
+    return request.first_on_connection and request.rested_s < MIN_REST_S
+
+
+def _lost(request: ClientRequest, how: str) -> Violation:
+    return Violation("lost", request.request_id, f"to {request.ingress}: {how}: {request}")
+
+
+def _killed_without_warning(life: Life, request: ClientRequest) -> bool:
+    killed_at = life.signalled_at("SIGKILL")
+    warned_at = first_warning(life)
+    if killed_at is None:
+        return False
+    ended_at = request.ended_at if request.ended_at is not None else killed_at
+    return warned_at is None and ended_at >= killed_at - SLACK_S
+
+
+def _open_at_sigkill(life: Life, request: ClientRequest) -> bool:
+    killed_at = life.signalled_at("SIGKILL")
+    if killed_at is None or request.ended_at is None or request.sent_at is None:
+        return False
+    return request.ended_at >= killed_at and request.sent_at > (first_warning(life) or 0) + GRACE_S
+
+
+def _draining(life: Life, request: ClientRequest) -> bool:
+    warned_at = first_warning(life)
+    return warned_at is not None and request.ended_at is not None and request.ended_at > warned_at
+
+
+def responses_are_those_of_a_backend(evidence: Evidence) -> Iterable[Violation]:
+    """A response of 200 has the body that a backend has made for this very request."""
+    forwarded = evidence.attempts_by_request()
+    for request in evidence.record.requests:
+        if request.status != HTTP_OK:
+            continue
+        made = [
+            attempt.body
+            for attempt in forwarded.get(request.request_id, ())
+            if attempt.result is AttemptResult.SERVED
+        ]
+        if request.body not in made:
+            yield Violation("served_unmade", request.request_id, f"{request.body!r}, made: {made}")
+
+
+def refusals_are_harmless(evidence: Evidence) -> Iterable[Violation]:
+    """A request that is not idempotent is rejected only where no attempt of it may have run."""
+    forwarded = evidence.attempts_by_request()
+    for request in evidence.record.requests:
+        if request.effect is not Effect.NOT_IDEMPOTENT or request.status not in (429, 503):
+            continue
+        ran = [a for a in forwarded.get(request.request_id, ()) if may_have_run(a)]
+        if ran:
+            yield Violation("rejected_after_run", request.request_id, f"{request}: {ran}")
+
+
+def bad_clients_get_an_error_or_a_close(evidence: Evidence) -> Iterable[Violation]:
+    """A client that sends no valid request is not left waiting."""
+    allowed_s = BAD_CLIENT_DEADLINE_S + SLACK_S + HOLD_UP_S + evidence.lag_s
+    for client in evidence.record.bad_clients:
+        waited_s = float("inf")
+        if client.concluded_at is not None:
+            waited_s = client.concluded_at - client.sent_at
+        if waited_s > allowed_s:
+            yield Violation("bad_client_waits", client.ingress, f"{waited_s:.3f} s: {client}")
+
+
+def complete_unbounded_responses_are_forwarded(evidence: Evidence) -> Iterable[Violation]:
+    """Of the responses without a length that come whole, half at least reach their clients."""
+    answered = {r.request_id: r for r in evidence.record.requests if r.answered_at is not None}
+    forwarded = kept = 0
+    for attempt in evidence.record.attempts:
+        request = answered.get(attempt.request_id)
+        if not attempt.unbounded or attempt.result is not AttemptResult.SERVED or request is None:
+            continue
+        if attempt.ended_at is not None and attempt.ended_at > (request.answered_at or 0.0):
+            continue  # another attempt or the deadline was first
+        forwarded += request.body == attempt.body
+        kept += request.body != attempt.body
+    if kept > forwarded:
+        yield Violation("unbounded_kept", "all", f"{forwarded} forwarded, {kept} not")
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -15,11 +15,13 @@
 from fleetlab.monitors import LoopLagMonitor, RunQueueMonitor
 from fleetlab.site import endpoint_entries
 from fleetlab.soak.addresses import ingress_address
-from fleetlab.soak.backend import BackendState, SoakBackend, weighted
+from fleetlab.soak.backend import BackendState, SoakBackend
+from fleetlab.soak.behaviour import NORMAL_WEIGHTS, weighted
 from fleetlab.soak.endpoint_list import SharedList, SoakAgent
-from fleetlab.soak.faults import NORMAL_WEIGHTS, FaultInjector, Node
+from fleetlab.soak.evidence import Evidence, Violation
+from fleetlab.soak.faults import FaultInjector, Node
 from fleetlab.soak.ingress_process import IngressProcess
-from fleetlab.soak.oracles import Evidence, Violation, judge
+from fleetlab.soak.oracles import judge
 from fleetlab.soak.population import Mix, Population
 from fleetlab.soak.records import RunRecord
 from fleetlab.soak.schedule import SoakPlan
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from fleetlab.soak.oracles import Evidence
+from fleetlab.soak.evidence import Evidence
 from fleetlab.soak.run import SoakResult, play
 from fleetlab.soak.schedule import make_plan
 
--- a/tests/soak/support.py
+++ b/tests/soak/support.py
@@ -12,7 +12,8 @@
 from fleetlab.discovery_server import DiscoveryServer
 from fleetlab.site import endpoint_entries
 from fleetlab.soak.addresses import ingress_address
-from fleetlab.soak.backend import BackendState, Behaviour, SoakBackend, always
+from fleetlab.soak.backend import BackendState, SoakBackend
+from fleetlab.soak.behaviour import Behaviour, always
 from fleetlab.soak.client import ClientConnection, RequestPlan
 from fleetlab.soak.ingress_process import IngressProcess
 from fleetlab.soak.records import Attempt, ClientRequest
--- a/tests/soak/test_incident_2026_12_02.py
+++ b/tests/soak/test_incident_2026_12_02.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from fleetlab.soak.backend import Behaviour
+from fleetlab.soak.behaviour import Behaviour
 from fleetlab.soak.records import Effect
 from fleetlab.soak.site import SoakClass, SoakSite
 from tests.soak.support import scene, send_late_in_drain
--- a/tests/soak/test_oracles.py
+++ b/tests/soak/test_oracles.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from fleetlab.soak.oracles import Evidence, judge
+from fleetlab.soak.evidence import Evidence
+from fleetlab.soak.oracles import judge
 from fleetlab.soak.records import (
     Attempt,
     AttemptResult,
