--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -194,7 +194,6 @@
         await backend.crash()
         await asyncio.sleep(self.random.uniform(0.2, 1.0))
         await backend.restart()
+        started = BackendStart(backend.uid, backend.incarnation, time.monotonic())
+        self.record.backend_starts.append(started)
         self.shared.set_state(fault.target, "active", boot_ms=round(time.time() * 1000))
-        self.record.backend_starts.append(
-            BackendStart(backend.uid, backend.incarnation, time.monotonic())
-        )
