--- a/fleetlab/soak/population.py
+++ b/fleetlab/soak/population.py
@@ -20,7 +20,7 @@
 MAX_REST_S = 2.5
 RAMP_S = 1.5  # over which the clients begin
 MAX_PIPELINED = 4
-BEHIND = 2  # requests under way on the connection of a client that pipelines all the time
+BEHIND = 6  # requests under way on the connection of a client that pipelines all the time
 BAD_CLIENT_DEADLINE_S = 3.0
 BAD_CLIENT_WATCH_S = 4.0
 
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -82,6 +82,7 @@
             counter = await self._start_counter(resources)
             await self._start_ingresses(resources, counter)
             await self._load()
+        self._record.list_changes += self._shared.changes
         for node in self._nodes:
             self._record.lives += node.process.lives
             self._record.list_changes += [told for agent in node.agents for told in agent.told]
