Judge times in the soak only as closely as the machine's load permits

A run notes the CPU pressure now and allows a second above 0.3; those runs are told apart in the results.

--- a/fleetlab/monitors.py
+++ b/fleetlab/monitors.py
@@ -32,6 +32,18 @@
             self.worst_ms = max(self.worst_ms, (loop.time() - due) * 1000)
 
 
+def cpu_pressure_s() -> float:
+    """Return for how long some process has waited for a processor since the machine's start.
+
+    0 where the system does not tell.
+    """
+    try:
+        first_line = Path("/proc/pressure/cpu").read_text().splitlines()[0]
+        return int(first_line.rpartition("total=")[2]) / 1e6
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
 class RunQueueMonitor:
     """How long processes have waited for a processor: their times are only as exact as that.
 
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from fleetlab.counter_server import CounterServer
-from fleetlab.monitors import LoopLagMonitor, RunQueueMonitor
+from fleetlab.monitors import LoopLagMonitor, RunQueueMonitor, cpu_pressure_s
 from fleetlab.site import endpoint_entries
 from fleetlab.soak.addresses import ingress_address
 from fleetlab.soak.backend import BackendState, SoakBackend
@@ -28,6 +28,10 @@
 
 STARTS_AT_ONCE = 8  # processes that start side by side
 LAST_REQUESTS_S = 1.0  # clients may go on for so long after the last process has been told to end
+# Beyond this share a process may wait for far longer than an ingress may be held up: 0.86 s were
+# seen at 0.6, with three soaks and a bench side by side.
+BUSY_PRESSURE = 0.3
+BUSY_ALLOWANCE_S = 1.0
 CROWDED_SOCKETS = 96  # of an ingress that idle clients are to crowd
 
 
@@ -45,6 +49,8 @@
         faults: how many began, by kind.
         lag_ms: by how much this process was late at worst, and an ingress had to wait for a
             processor within a quarter of a second.
+        cpu_pressure: the share of the time in which some process waited for a processor. Above
+            BUSY_PRESSURE times can't be judged closely, and lag_ms has an allowance for that.
         violations: of the rules.
     """
 
@@ -57,6 +63,7 @@
     attempts: int
     faults: dict[str, int]
     lag_ms: float
+    cpu_pressure: float
     violations: list[Violation]
 
 
@@ -71,6 +78,7 @@
         self._lag = LoopLagMonitor()
         self._run_queue = RunQueueMonitor(self._pids)
         self._site = replace(plan.site, sockets=CROWDED_SOCKETS) if plan.crowd else plan.site
+        self.cpu_pressure = 0.0  # the share of the time in which some process had to wait
         self._backends: list[SoakBackend] = []
         self._nodes: list[Node] = []
         self._shared: SharedList
@@ -88,6 +96,8 @@
             self._record.list_changes += [told for agent in node.agents for told in agent.told]
         logs = {node.process.name: node.process.log_text() for node in self._nodes}
         lag_s = (self._lag.worst_ms + self._run_queue.worst_ms) / 1000
+        if self.cpu_pressure > BUSY_PRESSURE:
+            lag_s += BUSY_ALLOWANCE_S
         return Evidence(self._record, self._site, logs, lag_s, self._plan.crowd)
 
     def _pids(self) -> list[int]:
@@ -158,6 +168,7 @@
             self._site, self._nodes, self._backends, self._shared, self._record, self._random
         )
         started_at = time.monotonic()
+        waited_s = cpu_pressure_s()
         try:
             await injector.run(self._plan.faults, started_at)
             await asyncio.sleep(max(0.0, started_at + self._plan.seconds - time.monotonic()))
@@ -169,11 +180,14 @@
             await asyncio.gather(*clients, return_exceptions=False)
             for monitor in monitors:
                 monitor.cancel()
+            elapsed_s = time.monotonic() - started_at
+            self.cpu_pressure = (cpu_pressure_s() - waited_s) / elapsed_s
 
 
 async def play(plan: SoakPlan, folder: Path) -> tuple[SoakResult, Evidence]:
     """Play a plan and judge it; logs and configurations are left in the folder."""
-    evidence = await SoakRun(plan, folder).play()
+    run = SoakRun(plan, folder)
+    evidence = await run.play()
     record = evidence.record
     statuses: dict[str, int] = {}
     for request in record.requests:
@@ -188,6 +202,7 @@
         len(record.attempts),
         record.faults,
         round(evidence.lag_s * 1000, 1),
+        round(run.cpu_pressure, 2),
         judge(evidence),
     )
     return result, evidence
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -56,7 +56,8 @@
     lines = [
         f"seed {result.seed}: {result.ingresses} ingresses, {result.lives} lives, "
         f"{result.requests} requests, {result.attempts} attempts, {sum(result.faults.values())} "
-        f"faults, lag {result.lag_ms:.0f} ms: {dict(rules) or 'no violation'}"
+        f"faults, lag {result.lag_ms:.0f} ms, "
+        f"cpu pressure {result.cpu_pressure:.2f}: {dict(rules) or 'no violation'}"
     ]
     lines += [
         f"  {violation.rule} {violation.subject}: {violation.detail}"
