--- a/fleetlab/soak/attempt_oracles.py
+++ b/fleetlab/soak/attempt_oracles.py
@@ -97,7 +97,18 @@
         states[change.ingress, change.backend].append((change.at, change.state))
     for attempt in evidence.record.attempts:
         ingress = ingress_of.get(attempt.request_id, "")
-        told_at, told = _last_state(states[ingress, attempt.backend], attempt.first_byte_at)
+        life = evidence.life_at(ingress, attempt.first_byte_at)
+        # what the process before it was told, this one can't know while its agent can't be reached
+        known = (
+            []
+            if life is None
+            else [
+                (at, state)
+                for at, state in states[ingress, attempt.backend]
+                if at >= life.started_at
+            ]
+        )
+        told_at, told = _last_state(known, attempt.first_byte_at)
         # the list may have it ready again, and the ingress have heard of it in another life
         _, listed = _last_state(states["", attempt.backend], attempt.first_byte_at)
         if "active" not in (told, listed) and attempt.first_byte_at > told_at + grace_s:
