--- /dev/null
+++ b/tests/soak/test_seeds_with_violations.py
@@ -0,0 +1,21 @@
+"""Seeds of the soak that have shown a violation which is not mended yet."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import uvloop
+
+from fleetlab.soak.run import play
+from fleetlab.soak.schedule import make_plan
+
+TIMEOUT_S = 90.0
+
+
+def test_seed_139_overloads_no_starting_backend(tmp_path: Path) -> None:
+    """One ingress hears of the start 1.4 s late; the others leave no room for what it sends."""
+    plan = make_plan(139, 10, 10.0)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        result, _ = runner.run(asyncio.wait_for(play(plan, tmp_path), TIMEOUT_S))
+    assert [found for found in result.violations if found.rule == "slow_start"] == []
