Block late signals as the program ends, so that none ends it as a crash

As the event loop closes it gives each signal its default action back, and the interpreter takes some 50 ms to end: a signal then ends the process by itself. They are blocked once the drain is over. The new test sends SIGHUP every 2 ms until the end; it fails without the line.

--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -26,6 +26,14 @@
 
 MAINTENANCE_INTERVAL_S = 0.25  # between the closings of connections that have been idle too long
 
+HANDLED_SIGNALS = (
+    signal.SIGTERM,
+    signal.SIGINT,
+    signal.SIGHUP,
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+)
+
 # Exit statuses of the process.
 EXIT_OK = 0
 EXIT_CANNOT_SERVE = 1
@@ -208,6 +216,9 @@
         loop.add_signal_handler(signal.SIGUSR2, service.toggle_event_log)
 
     await serve(config, stop, attach)
+    # The loop gives each signal its default action back as it closes, and a late one would end the
+    # process as if it had crashed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def main() -> int:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -268,3 +268,20 @@
         run(test())
     finally:
         signal.signal(signal.SIGHUP, handler)
+
+
+def test_signals_that_come_as_the_program_ends_do_not_end_it_otherwise(tmp_path: Path) -> None:
+    """The event loop gives SIGHUP its default action back before the interpreter has ended."""
+    config_file = tmp_path / "config.json"
+    config_file.write_text(json.dumps(MINIMAL_CONFIG))
+
+    async def test() -> None:
+        async with logging_program(config_file) as program:
+            await program.read_log_until(b"serving: name=")
+            program.process.send_signal(signal.SIGTERM)
+            while program.process.returncode is None:
+                program.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.002)
+            assert program.process.returncode == 0
+
+    run(test())
