--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,16 +21,16 @@
 
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(item: pytest.Item) -> Generator[None, Any, None]:
-    """Report the failure of a test on the list of known failures as an expected one."""
+    """Report a failure that the list of known failures describes as an expected one."""
     outcome = yield
     report: pytest.TestReport = outcome.get_result()
     known = KNOWN_FAILURES.get(item.nodeid.partition("[")[0])
-    if known is not None and report.failed:
+    if known is not None and report.failed and known.describes(report.longreprtext):
         report.outcome = "skipped"
-        report.wasxfail = f"{known.cause} ({known.issue})"
+        report.wasxfail = f"{known.seen} ({known.issue})"
 
 
 def pytest_terminal_summary(terminalreporter: Any) -> None:
     """Name the known failures, whether they have failed in this run or not."""
     for known in KNOWN_FAILURES.values():
-        terminalreporter.write_line(f"known red: {known.test}: {known.cause} ({known.issue})")
+        terminalreporter.write_line(f"known red: {known.test}: {known.seen} ({known.issue})")
