Heed a signal that comes as a run of the lab ends, or between two runs

The soak was once seen to go on after SIGTERM. Cause: the handlers were those of the event loop, which hears of a signal in its next turn. A run is judged after its last await, so there is none; and uvloop leaves its handlers installed when it is closed, so between two runs a closed loop swallowed the signal.

The handlers are the interpreter's now: they note the signal at once, and are taken back at the end.

--- a/fleetlab/interrupts.py
+++ b/fleetlab/interrupts.py
@@ -5,12 +5,15 @@
 import asyncio
 import signal
 from collections.abc import Coroutine
+from types import FrameType
 from typing import Any, TypeVar
 
 import uvloop
 
 Value = TypeVar("Value")
 
+_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+
 
 class InterruptedRunError(Exception):
     """SIGINT or SIGTERM has come, and all that was started has been ended."""
@@ -23,7 +26,12 @@
 def run_interruptible(work: Coroutine[Any, Any, Value]) -> Value:
     """Run work to its end on an event loop of its own.
 
-    SIGINT or SIGTERM cancels the work; when it has cleaned up, InterruptedRunError is raised.
+    SIGINT or SIGTERM cancels the work; when it has cleaned up, InterruptedRunError is raised. So it
+    is for a signal that comes too late to cancel anything.
+
+    The handlers are the interpreter's, not the loop's: a loop hears of a signal in its next turn,
+    which there is none of once the work has ended, and uvloop's handlers stay behind when it is
+    closed and swallow all later signals.
     """
     caught: list[int] = []
 
@@ -32,18 +40,26 @@
         task = asyncio.current_task()
         assert task is not None
 
-        def interrupt(signum: int) -> None:
+        def interrupt(signum: int, _frame: FrameType | None) -> None:
             # A second signal must not cut the ending of processes short.
             if not caught:
                 caught.append(signum)
-                task.cancel()
+                if not loop.is_closed():
+                    loop.call_soon_threadsafe(task.cancel)
 
-        for signum in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(signum, interrupt, signum)
+        for signum in _SIGNALS:
+            signal.signal(signum, interrupt)
         return await work
 
+    before = {signum: signal.getsignal(signum) for signum in _SIGNALS}
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            return runner.run(main())
+            value = runner.run(main())
     except asyncio.CancelledError:
         raise InterruptedRunError(caught[0] if caught else signal.SIGINT) from None
+    finally:
+        for signum, handler in before.items():
+            signal.signal(signum, handler)
+    if caught:
+        raise InterruptedRunError(caught[0])
+    return value
