Don't count as told in the soak what an agent writes to an ingress that has moved

Trace: its log has the reload to a new agent 0.31 s before; the old agent wrote the change to the connection that the ingress had closed. Its own end was still open, and only that was looked at. The agent now looks for the end of the connection too.

--- a/fleetlab/soak/endpoint_list.py
+++ b/fleetlab/soak/endpoint_list.py
@@ -81,11 +81,13 @@
             keep_alive = True
             while keep_alive:
                 head = await reader.readuntil(b"\r\n\r\n")
-                keep_alive = await self._respond(head, writer)
+                keep_alive = await self._respond(head, reader, writer)
         finally:
             self._writers.discard(writer)
 
-    async def _respond(self, head: bytes, writer: asyncio.StreamWriter) -> bool:
+    async def _respond(
+        self, head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
         query = parse_qs(urlsplit(head.split(b" ", 2)[1].decode()).query)
         known = int(query["from"][0]) if "from" in query else None
         hold_s = float(query.get("hold_ms", ["0"])[0]) / 1000
@@ -103,8 +105,9 @@
                 return False
         changes = None if known is None else self._shared.list.encode_changes(known)
         body = changes if changes is not None else self._shared.list.encode_full()
-        if writer.transport.is_closing():
-            return False  # the ingress has left
+        # an ingress that has moved to a new agent has closed its end: it is told nothing here
+        if writer.transport.is_closing() or reader.at_eof():
+            return False
         if self.fault is AgentFault.TORN:
             writer.write(_bounded(body)[: -len(body) // 2])
             return False
