Break the import circle of the server's connections by protocols

The registry, the queue and a pending response knew ClientConnection, which knows them. They know RegisteredConnection and ResponseOwner now, as the connections to backends do with ConnectionOwner; registry and queue are generic over the kind of connection, so that the server and the tests keep their types.

TIMER_SLACK_S moves to the clock, below both of its users. Two comments that told how a constant was found say what it is for.

--- a/sumacpost/clock.py
+++ b/sumacpost/clock.py
@@ -4,6 +4,9 @@
 
 import time
 
+# The event loop's timers may be early by so much.
+TIMER_SLACK_S = 0.001
+
 
 class Clock:
     """Monotonic milliseconds on the scale of Unix time.
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -9,7 +9,7 @@
 from functools import partial
 from math import inf
 
-from sumacpost.clock import Clock
+from sumacpost.clock import TIMER_SLACK_S, Clock
 from sumacpost.config import Config
 from sumacpost.counter.client import CounterClient
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
@@ -42,14 +42,12 @@
 from sumacpost.server.request import Request
 from sumacpost.upstream.attempt import Attempt
 from sumacpost.upstream.load_report import LoadReportReader, read_billed_units
-from sumacpost.upstream.pool import TIMER_SLACK_S
 from sumacpost.upstream.pool_manager import PoolManager
 
 log = logging.getLogger(__name__)
 
-# Between the gateway's deadline and the client's. Measured: 99 of 100 responses leave within 0.7 ms
-# of the backend's, within 2 ms beside a profiler; the rest is for the way from the client and back
-# to it, and for a busy loop.
+# Between the gateway's deadline and the client's: for the way from the client and back to it, and
+# for a busy event loop.
 CLIENT_DEADLINE_MARGIN_MS = 20.0
 # On the timeout that the settings name: the counter works on every call and replies to it in its
 # turn, so a later reply is as true. Calls of many gateways queue there, for two or three timeouts.
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -62,7 +62,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        registry: ConnectionRegistry,
+        registry: ConnectionRegistry[ClientConnection],
         handler: RequestHandler,
         unread_for_s: float = 0.0,
     ) -> None:
--- a/sumacpost/server/connection_queue.py
+++ b/sumacpost/server/connection_queue.py
@@ -5,41 +5,40 @@
 import time
 from collections.abc import Iterator
 from math import inf
-from typing import TYPE_CHECKING
+from typing import Generic
 
-if TYPE_CHECKING:
-    from sumacpost.server.connection import ClientConnection
+from sumacpost.server.connection_protocols import ConnectionType
 
 
-class ConnectionQueue:
+class ConnectionQueue(Generic[ConnectionType]):
     """A queue of connections, each added, found and removed in constant time."""
 
     def __init__(self) -> None:
-        self._added_at: dict[ClientConnection, float] = {}  # monotonic seconds; oldest first
+        self._added_at: dict[ConnectionType, float] = {}  # monotonic seconds; oldest first
 
     def __len__(self) -> int:
         return len(self._added_at)
 
-    def __iter__(self) -> Iterator[ClientConnection]:
+    def __iter__(self) -> Iterator[ConnectionType]:
         return iter(self._added_at)
 
-    def __contains__(self, connection: ClientConnection) -> bool:
+    def __contains__(self, connection: ConnectionType) -> bool:
         return connection in self._added_at
 
-    def add(self, connection: ClientConnection) -> None:
+    def add(self, connection: ConnectionType) -> None:
         """Append the connection; one that is in the queue already moves to its end."""
         self._added_at.pop(connection, None)  # a dict keeps the place of a key that is set again
         self._added_at[connection] = time.monotonic()
 
-    def discard(self, connection: ClientConnection) -> None:
+    def discard(self, connection: ConnectionType) -> None:
         """Remove the connection if it is in the queue."""
         self._added_at.pop(connection, None)
 
-    def added_before(self, connection: ClientConnection, before: float) -> bool:
+    def added_before(self, connection: ConnectionType, before: float) -> bool:
         """Return whether a connection in the queue was added before that time."""
         return self._added_at[connection] < before
 
-    def oldest(self, before: float = inf) -> ClientConnection | None:
+    def oldest(self, before: float = inf) -> ConnectionType | None:
         """Return the connection added first, or None if none was added before that time."""
         for connection, added_at in self._added_at.items():
             return connection if added_at < before else None
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -7,15 +7,13 @@
 from collections.abc import Callable
 from itertools import islice
 from math import inf
-from typing import TYPE_CHECKING
+from typing import Generic
 
 from sumacpost.policy.connection_rules import CloseObstacle
 from sumacpost.server.close_reason import CloseReason
+from sumacpost.server.connection_protocols import ConnectionType
 from sumacpost.server.connection_queue import ConnectionQueue
 
-if TYPE_CHECKING:
-    from sumacpost.server.connection import ClientConnection
-
 # For a message, from its first byte on; for the first one, from the connection's start on.
 REQUEST_TIMEOUT_S = 2.0
 # For a connection between requests.
@@ -29,7 +27,6 @@
 # With more than one connection in this many waiting for a request, new ones have no grace.
 WAITING_DIVISOR = 4
 
-
 # Connections of a queue that are examined for one to evict.
 MAX_EXAMINED = 8
 # Their place is given to another: at rest, or with a request that has not come whole.
@@ -38,7 +35,7 @@
 log = logging.getLogger(__name__)
 
 
-class ConnectionRegistry:
+class ConnectionRegistry(Generic[ConnectionType]):
     """The open client connections; each without a pending response is in one of the queues.
 
     waiting: no complete request has come yet, or the next has begun.
@@ -50,10 +47,10 @@
         self._max_connections = max_connections
         self._max_idle = max(1, max_connections // IDLE_DIVISOR)
         self._opening = 0  # accepted, and without a transport yet
-        self.open: dict[ClientConnection, None] = {}
-        self.waiting = ConnectionQueue()
-        self.idle = ConnectionQueue()
-        self.closing = ConnectionQueue()
+        self.open: dict[ConnectionType, None] = {}
+        self.waiting: ConnectionQueue[ConnectionType] = ConnectionQueue()
+        self.idle: ConnectionQueue[ConnectionType] = ConnectionQueue()
+        self.closing: ConnectionQueue[ConnectionType] = ConnectionQueue()
         # Called when a connection ends or may be evicted, so that another can be accepted.
         self.on_capacity: Callable[[], None] = lambda: None
 
@@ -78,14 +75,14 @@
         self._opening -= 1
         self.on_capacity()
 
-    def connection_opened(self, connection: ClientConnection) -> None:
+    def connection_opened(self, connection: ConnectionType) -> None:
         """Take in a connection that has its transport."""
         self._opening -= 1
         self.open[connection] = None
         self.waiting.add(connection)
         self.on_capacity()  # only now can it be evicted
 
-    def connection_closed(self, connection: ClientConnection) -> None:
+    def connection_closed(self, connection: ConnectionType) -> None:
         """Forget a connection that has ended."""
         self.open.pop(connection, None)
         self.closing.discard(connection)
@@ -95,17 +92,17 @@
 
     # ---- what a connection waits for
 
-    def mark_busy(self, connection: ClientConnection) -> None:
+    def mark_busy(self, connection: ConnectionType) -> None:
         """Note that responses are pending: the connection neither times out nor can be evicted."""
         self.waiting.discard(connection)
         self.idle.discard(connection)
 
-    def await_request(self, connection: ClientConnection) -> None:
+    def await_request(self, connection: ConnectionType) -> None:
         """Note that a request has begun: it has REQUEST_TIMEOUT_S from now on to come."""
         self.idle.discard(connection)
         self.waiting.add(connection)
 
-    def park_idle(self, connection: ClientConnection) -> None:
+    def park_idle(self, connection: ConnectionType) -> None:
         """Note that all responses are sent; close the connection longest idle if too many are.
 
         The bound guards against clients that send one request and keep their connection: idle
@@ -119,7 +116,7 @@
         if len(self.idle) > self._max_idle and (longest_idle := self.idle.oldest()) is not None:
             self._close_idle_connection(longest_idle, CloseReason.EVICTED)
 
-    def mark_closing(self, connection: ClientConnection) -> None:
+    def mark_closing(self, connection: ConnectionType) -> None:
         """Note that the last response is sent: the connection has LINGER_TIMEOUT_S to end."""
         self.waiting.discard(connection)
         self.idle.discard(connection)
@@ -127,7 +124,7 @@
 
     # ---- eviction and time-outs
 
-    def eviction_candidate(self) -> ClientConnection | None:
+    def eviction_candidate(self) -> ConnectionType | None:
         """Return the connection that is missed least, or None if all have pending responses.
 
         First those that have sent their last response, then those that have brought no request,
@@ -144,7 +141,7 @@
             or self.idle.oldest()
         )
 
-    def evict(self, connection: ClientConnection) -> None:
+    def evict(self, connection: ConnectionType) -> None:
         """Close the connection now and forget it."""
         self.connection_closed(connection)
         connection.evict()
@@ -202,13 +199,15 @@
                 log.exception("connection not ended: aborting")
                 connection.abort(reason)
 
-    def _close_idle_connection(self, connection: ClientConnection, reason: CloseReason) -> None:
+    def _close_idle_connection(self, connection: ConnectionType, reason: CloseReason) -> None:
         self.idle.discard(connection)
         self.closing.add(connection)
         connection.close(reason)
 
 
-def _first_at_rest(queue: ConnectionQueue, before: float = inf) -> ClientConnection | None:
+def _first_at_rest(
+    queue: ConnectionQueue[ConnectionType], before: float = inf
+) -> ConnectionType | None:
     """Return the first of the oldest connections of a queue on which no whole request may stand."""
     for connection in islice(queue, MAX_EXAMINED):
         if not queue.added_before(connection, before):
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -9,6 +9,7 @@
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
 from sumacpost.policy.shutdown import ShutdownSchedule
 from sumacpost.server.close_reason import CloseReason
+from sumacpost.server.connection import ClientConnection
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.listener import LISTEN_BACKLOG, Listener
 
@@ -28,7 +29,7 @@
     """
 
     listener: Listener
-    registry: ConnectionRegistry
+    registry: ConnectionRegistry[ClientConnection]
     schedule: ShutdownSchedule
     started_at: float
     recorder: EventRecorder
--- a/sumacpost/server/listener.py
+++ b/sumacpost/server/listener.py
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        registry: ConnectionRegistry,
+        registry: ConnectionRegistry[ClientConnection],
         new_connection: Callable[[socket.socket, float], ClientConnection],
     ) -> None:
         self._registry = registry
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING
 
 from sumacpost.pending_request import Headers, PendingRequest
-
-if TYPE_CHECKING:
-    from sumacpost.server.connection import ClientConnection
+from sumacpost.server.connection_protocols import ResponseOwner
 
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -18,7 +15,7 @@
 
     __slots__ = ("body", "connection", "head", "keep_alive", "received_at", "request")
 
-    def __init__(self, connection: ClientConnection, keep_alive: bool, received_at: float) -> None:
+    def __init__(self, connection: ResponseOwner, keep_alive: bool, received_at: float) -> None:
         self.connection = connection
         self.keep_alive = keep_alive  # the connection stays open after this response
         self.received_at = received_at  # monotonic seconds: when the request's last byte came
--- a/sumacpost/server/server.py
+++ b/sumacpost/server/server.py
@@ -20,7 +20,7 @@
 
     def __init__(self, ingress: Ingress, parser: RequestParser, max_connections: int) -> None:
         self.handler = RequestHandler(ingress, parser)
-        self.connections = ConnectionRegistry(max_connections)
+        self.connections: ConnectionRegistry[ClientConnection] = ConnectionRegistry(max_connections)
         self.listener = Listener(self.connections, self._new_connection)
 
     def listen(self, address: Address) -> Address:
--- a/sumacpost/upstream/pool.py
+++ b/sumacpost/upstream/pool.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from sumacpost.address import Address
+from sumacpost.clock import TIMER_SLACK_S
 from sumacpost.diagnostics.event_recorder import EventRecorder
 from sumacpost.http1 import Response
 from sumacpost.model import Outcome
@@ -16,10 +17,9 @@
 from sumacpost.upstream.connection import BackendConnection, CloseReason
 from sumacpost.upstream.reuse_limit import ReuseLimit
 
-# From a response to the next request on its connection. A backend may send a second response behind
-# the first; of 42 seen the latest came 4 ms later, by a clock of whole milliseconds.
+# From a response to the next request on its connection: a backend may send a second response behind
+# the first, some milliseconds later.
 REUSE_DELAY_S = 0.01
-TIMER_SLACK_S = 0.001  # the loop's timers may be early by so much
 
 
 class PoolOwner(Protocol):
--- a/tests/server/test_connection_queue.py
+++ b/tests/server/test_connection_queue.py
@@ -27,38 +27,42 @@
 
 
 @pytest.fixture
-def queue(clock: Clock) -> ConnectionQueue:
+def queue(clock: Clock) -> ConnectionQueue[ClientConnection]:
     """A queue with three connections, added a second apart from 100 s on."""
-    queue = ConnectionQueue()
+    queue: ConnectionQueue[ClientConnection] = ConnectionQueue()
     for connection in (FIRST, SECOND, THIRD):
         queue.add(connection)
         clock.now += 1
     return queue
 
 
-def test_oldest_connection_is_the_one_added_first(queue: ConnectionQueue) -> None:
+def test_oldest_connection_is_the_one_added_first(queue: ConnectionQueue[ClientConnection]) -> None:
     assert queue.oldest() == FIRST
 
 
 def test_oldest_connection_is_returned_only_if_added_before_the_limit(
-    queue: ConnectionQueue,
+    queue: ConnectionQueue[ClientConnection],
 ) -> None:
     assert queue.oldest(before=100.0) is None
     assert queue.oldest(before=100.5) == FIRST
 
 
-def test_connection_added_again_moves_to_the_end(queue: ConnectionQueue) -> None:
+def test_connection_added_again_moves_to_the_end(queue: ConnectionQueue[ClientConnection]) -> None:
     queue.add(FIRST)
     assert len(queue) == 3
     assert queue.oldest() == SECOND
 
 
-def test_discarded_connection_is_no_longer_in_the_queue(queue: ConnectionQueue) -> None:
+def test_discarded_connection_is_no_longer_in_the_queue(
+    queue: ConnectionQueue[ClientConnection],
+) -> None:
     queue.discard(FIRST)
     assert FIRST not in queue
     assert queue.oldest() == SECOND
 
 
-def test_discarding_an_absent_connection_does_nothing(queue: ConnectionQueue) -> None:
+def test_discarding_an_absent_connection_does_nothing(
+    queue: ConnectionQueue[ClientConnection],
+) -> None:
     queue.discard(FOURTH)
     assert len(queue) == 3
