Count a start as told in the soak only to the process that was told

Trace: the fault list_reset made its agent reset every connection from the moment of its start, so that it had only the list of its configuration file.

An agent records again what it tells a new process, which it did not: else restarted processes would never count as told. Both ways are cases in test_oracles.py.

--- a/fleetlab/soak/attempt_oracles.py
+++ b/fleetlab/soak/attempt_oracles.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from itertools import accumulate, pairwise
-from math import inf, sqrt
+from math import sqrt
 from typing import NamedTuple
 
 from fleetlab.soak.evidence import HOLD_UP_S, SLACK_S, Evidence, Violation, may_have_run
@@ -192,20 +192,25 @@
 
 
 def _received_after(evidence: Evidence, start: BackendStart) -> list[tuple[float, bool]]:
-    """Return when a started backend got attempts, and whether their ingresses had been told."""
+    """Return when a started backend got attempts, and whether their ingresses had been told.
+
+    What the process before it was told, an ingress can't know while its agent can't be reached.
+    """
     ingress_of = {request.request_id: request.ingress for request in evidence.record.requests}
-    told_at: dict[str, float] = {}
+    told_at: dict[str, list[float]] = defaultdict(list)
     for change in evidence.record.list_changes:
         if change.backend == start.backend and change.state == "active" and change.at >= start.at:
-            told_at[change.ingress] = min(change.at, told_at.get(change.ingress, change.at))
-    return [
-        (
-            attempt.received_at,
-            told_at.get(ingress_of.get(attempt.request_id, ""), inf) <= attempt.first_byte_at,
-        )
-        for attempt in evidence.record.attempts
-        if (attempt.backend, attempt.incarnation) == (start.backend, start.incarnation)
-    ]
+            told_at[change.ingress].append(change.at)
+    received = []
+    for attempt in evidence.record.attempts:
+        if (attempt.backend, attempt.incarnation) != (start.backend, start.incarnation):
+            continue
+        ingress = ingress_of.get(attempt.request_id, "")
+        life = evidence.life_at(ingress, attempt.first_byte_at)
+        since = 0.0 if life is None else life.started_at
+        was_told = any(since <= at <= attempt.first_byte_at for at in told_at[ingress])
+        received.append((attempt.received_at, was_told))
+    return received
 
 
 def _window_bound(site: SoakSite, age_s: float) -> float:
--- a/fleetlab/soak/endpoint_list.py
+++ b/fleetlab/soak/endpoint_list.py
@@ -14,6 +14,7 @@
 
 MOVED_CLOSE_S = 1.5  # after a new configuration, when the old address closes its connections
 MAX_HOLD_S = 60.0
+FIRST_VERSION = 1  # of the list
 
 
 class AgentFault(Enum):
@@ -45,6 +46,10 @@
         self.changed = asyncio.Event()
         changed.set()
 
+    def changes_since(self, version: int | None) -> list[ListChange]:
+        """Return the changes after a version of the list, each of which made one; None: all."""
+        return self.changes[0 if version is None else max(0, version - FIRST_VERSION) :]
+
 
 class SoakAgent(StandInServer):
     """The agent of one ingress; it records when the ingress was told of each change."""
@@ -56,7 +61,6 @@
         self.unbounded = False  # whether responses have no length
         self.address = ""
         self._shared = shared
-        self._told = 0  # of the changes, how many have been written
         self.told: list[ListChange] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -104,6 +108,7 @@
                 writer.transport.abort()
                 return False
         changes = None if known is None else self._shared.list.encode_changes(known)
+        told = self._shared.changes_since(known if changes is not None else None)
         body = changes if changes is not None else self._shared.list.encode_full()
         # an ingress that has moved to a new agent has closed its end: it is told nothing here
         if writer.transport.is_closing() or reader.at_eof():
@@ -113,14 +118,9 @@
             return False
         writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body if self.unbounded else _bounded(body))
         await writer.drain()
-        self._record_told()
-        return not self.unbounded
-
-    def _record_told(self) -> None:
         now = time.monotonic()
-        for change in self._shared.changes[self._told :]:
-            self.told.append(ListChange(self.ingress, change.backend, change.state, now))
-        self._told = len(self._shared.changes)
+        self.told += [ListChange(self.ingress, c.backend, c.state, now) for c in told]
+        return not self.unbounded
 
 
 def _bounded(body: bytes) -> bytes:
--- a/tests/soak/test_oracles.py
+++ b/tests/soak/test_oracles.py
@@ -220,6 +220,19 @@
         "slow_start_room",
         lambda: of_two(told=73, late=0),
     ),
+    "a starting backend is overloaded by a process that was told anew": (
+        "slow_start",
+        lambda: evidence(
+            sent(),
+            attempts=starting(400),
+            lives=[life(started_at=9.97)],
+            backend_starts=[BackendStart("s-1", 0, 9.9)],
+            list_changes=[
+                ListChange("n0", "s-1", "active", 9.95),
+                ListChange("n0", "s-1", "active", 9.98),
+            ],
+        ),
+    ),
     "a bad client is left waiting": (
         "bad_client_waits",
         lambda: evidence(bad_clients=[BadClient("n0", "half a head", 10.0)]),
@@ -312,6 +325,13 @@
         backend_starts=[BackendStart("s-1", 0, 9.9)],
         list_changes=[ListChange("n1", "s-1", "active", 9.95)],
     ),
+    "a burst from a process of which only the one before was told": lambda: evidence(
+        sent(),
+        attempts=starting(400),
+        lives=[life(started_at=9.97)],
+        backend_starts=[BackendStart("s-1", 0, 9.9)],
+        list_changes=[ListChange("n0", "s-1", "active", 9.95)],
+    ),
     "a burst at a backend that is warm": lambda: evidence(
         sent(), attempts=starting(400), backend_starts=[BackendStart("s-1", 0, -10.0)]
     ),
