--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import cast
 
-from fleetlab.soak.behaviour import UNBOUNDED, Behaviour, Chooser
+from fleetlab.soak.behaviour import LATE, UNBOUNDED, Behaviour, Chooser
 from fleetlab.soak.records import Attempt, AttemptResult
 from fleetlab.stand_in import format_address
 
@@ -184,8 +184,7 @@
         if behaviour is Behaviour.HANG:
             return
         random = self._backend.random
-        slow = behaviour is Behaviour.SLOW
-        delay_s = random.uniform(0.5, 1.5) if slow else random.uniform(0.0, MAX_WORK_S)
+        delay_s = random.uniform(0.5, 1.5) if behaviour in LATE else random.uniform(0.0, MAX_WORK_S)
         asyncio.get_running_loop().call_later(delay_s, self._respond, self._attempt, behaviour)
 
     def _respond(self, attempt: Attempt, behaviour: Behaviour) -> None:
@@ -193,7 +192,7 @@
             return
         body = b"%b from %b" % (attempt.request_id.encode(), attempt.backend.encode())
         match behaviour:
-            case Behaviour.RESET:
+            case Behaviour.RESET | Behaviour.LATE_RESET:
                 self._conclude(attempt, AttemptResult.SPOILT)
                 self.reset()
             case Behaviour.NOISE:
--- a/fleetlab/soak/behaviour.py
+++ b/fleetlab/soak/behaviour.py
@@ -20,12 +20,14 @@
     UNBOUNDED_RESET = "unbounded_reset"  # no length, half of the body, then a reset
     TRUNCATED = "truncated"  # less than the stated length, then the connection ends
     RESET = "reset"  # a reset with no response
+    LATE_RESET = "late_reset"  # the same after half a second to a second and a half
     NOISE = "noise"  # bytes that are no HTTP
     IN_PIECES = "in_pieces"
     SERVE_AND_CLOSE = "serve_and_close"  # Connection: close
 
 
 UNBOUNDED = frozenset({Behaviour.UNBOUNDED, Behaviour.UNBOUNDED_IN_PIECES})
+LATE = frozenset({Behaviour.SLOW, Behaviour.LATE_RESET})
 
 NORMAL_WEIGHTS = {
     Behaviour.SERVE: 0.86,
@@ -45,6 +47,10 @@
     Behaviour.TRUNCATED: 0.1,
     Behaviour.NOT_STARTED: 0.15,
 }
+LATE_RESET_WEIGHTS = {
+    Behaviour.SERVE: 0.3,
+    Behaviour.LATE_RESET: 0.7,
+}
 UNBOUNDED_WEIGHTS = {
     Behaviour.UNBOUNDED: 0.4,
     Behaviour.UNBOUNDED_IN_PIECES: 0.4,
--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -11,6 +11,7 @@
 from fleetlab.soak.backend import SoakBackend
 from fleetlab.soak.behaviour import (
     FAILING_WEIGHTS,
+    LATE_RESET_WEIGHTS,
     NORMAL_WEIGHTS,
     UNBOUNDED_WEIGHTS,
     Behaviour,
@@ -151,6 +152,9 @@
             case FaultKind.BACKEND_FAILS:
                 chooser = weighted(self.random, FAILING_WEIGHTS)
                 await self._behave(backend, chooser, fault.seconds)
+            case FaultKind.BACKEND_RESETS_LATE:
+                chooser = weighted(self.random, LATE_RESET_WEIGHTS)
+                await self._behave(backend, chooser, fault.seconds)
             case FaultKind.BACKEND_UNBOUNDED:
                 chooser = weighted(self.random, UNBOUNDED_WEIGHTS)
                 await self._behave(backend, chooser, fault.seconds)
--- a/fleetlab/soak/pressure.py
+++ b/fleetlab/soak/pressure.py
@@ -1,29 +1,34 @@
-"""Runs that press on slow start: short windows, many clients, series of starts, late ingresses."""
+"""Runs that press on one rule each: the budget of starting backends, and the end of a shutdown."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 from random import Random
 
+from fleetlab.soak.records import Effect
 from fleetlab.soak.schedule import (
     QUIET_S,
+    SIGNAL_SERIES,
     FaultKind,
     PlannedFault,
     SoakPlan,
     draw_ingress_faults,
     draw_site,
 )
+from fleetlab.soak.site import SoakClass
 
 CLIENTS = 60  # of all ingresses together, two of each at least
 STARTS_WITHIN_S = 7.0  # all replaced backends are
 SILENCE_BEFORE_S = 0.3  # an agent falls silent so long before a backend begins to drain
 LATE_CHANCE = 0.7  # that some agents are silent during a replacement
 LATE_INGRESSES = 0.2  # of all
+WAVES = 2  # of hanging backends, each with restarts of half of the ingresses
+WAVE_S = 5.0
 DISTURBED_INGRESSES = 0.25  # of all: the others are not restarted, paused or reloaded
 
 
-def make_pressure_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
-    """Return the run of a seed, with so many ingresses and seconds of load."""
+def make_slow_start_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return a run with short windows, many clients, series of starts and late ingresses."""
     random = Random(f"pressure {seed}")
     site = replace(
         draw_site(random, ingresses),
@@ -77,3 +82,58 @@
 
 def _part(count: int, part: float) -> int:
     return max(1, round(count * part))
+
+
+def make_shutdown_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return a run whose ingresses are told to end while most backends hang or reset late.
+
+    Requests have long deadlines, and the window of their keys ends long before these.
+    """
+    random = Random(f"shutdown {seed}")
+    longest_s = random.choice((2.3, 4.0, 4.0))
+    classes = (
+        SoakClass("order", Effect.KEYED, longest_s),
+        SoakClass("pay", Effect.NOT_IDEMPOTENT, longest_s),
+        SoakClass("read", Effect.IDEMPOTENT, longest_s * random.uniform(0.4, 1.0)),
+    )
+    site = replace(draw_site(random, ingresses), classes=classes, dedup_window_s=0.8)
+    backends = random.randint(6, 8)
+    shuffled = random.sample(range(ingresses), ingresses)
+    faults = []
+    for wave in range(WAVES):
+        at_s = QUIET_S + wave * max(0.0, seconds - QUIET_S - 1) / WAVES
+        faults += _hanging_backends(random, backends, at_s)
+        faults += _restarts(random, shuffled[wave::WAVES], at_s)
+    return SoakPlan(
+        seed,
+        site,
+        ingresses,
+        backends,
+        seconds,
+        clients=random.randint(4, 6),
+        crowd=False,
+        counter=False,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+    )
+
+
+def _hanging_backends(random: Random, backends: int, at_s: float) -> list[PlannedFault]:
+    kinds = [FaultKind.BACKEND_HANGS, FaultKind.BACKEND_RESETS_LATE] * backends
+    targets = random.sample(range(backends), backends - 2)
+    return [
+        PlannedFault(at_s, kind, target, WAVE_S)
+        for kind, target in zip(kinds, targets, strict=False)
+    ]
+
+
+def _restarts(random: Random, targets: list[int], wave_at_s: float) -> list[PlannedFault]:
+    return [
+        PlannedFault(
+            wave_at_s + random.uniform(0.3, 1.5),
+            FaultKind.RESTART,
+            target,
+            signals=random.choice(SIGNAL_SERIES),
+            gap_s=random.uniform(0.0, 0.1),
+        )
+        for target in targets
+    ]
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -11,14 +11,15 @@
 import msgspec
 
 from fleetlab.soak.evidence import Evidence
-from fleetlab.soak.pressure import make_pressure_plan
+from fleetlab.soak.pressure import make_shutdown_plan, make_slow_start_plan
 from fleetlab.soak.run import SoakResult, play
 from fleetlab.soak.schedule import SoakPlan, make_plan
 
 MIN_INGRESSES = 10
 MAX_INGRESSES = 40
 FEW_INGRESSES_BIAS = 3  # power of the draw: most runs have few ingresses, some have all
-FIRST_PRESSURE_SEED = 1000
+FIRST_SLOW_START_SEED = 1000
+FIRST_SHUTDOWN_SEED = 2000
 PRESSURE_INGRESSES = (4, 16)  # few enough for each to have many clients
 SHOWN_VIOLATIONS = 3
 
@@ -44,12 +45,14 @@
 def plan_of(seed: int, ingresses: int, seconds: float) -> SoakPlan:
     """Return the run of a seed; ingresses: how many, 0: drawn from the seed.
 
-    Seeds from FIRST_PRESSURE_SEED on press on slow start, those below play all faults.
+    Seeds below FIRST_SLOW_START_SEED play all faults, others press on slow start, and those from
+    FIRST_SHUTDOWN_SEED on press on shutdown.
     """
-    if seed < FIRST_PRESSURE_SEED:
+    if seed < FIRST_SLOW_START_SEED:
         return make_plan(seed, ingresses or draw_ingresses(seed), seconds)
     few = Random(seed).randint(*PRESSURE_INGRESSES)
-    return make_pressure_plan(seed, ingresses or few, seconds)
+    make = make_slow_start_plan if seed < FIRST_SHUTDOWN_SEED else make_shutdown_plan
+    return make(seed, ingresses or few, seconds)
 
 
 def draw_ingresses(seed: int) -> int:
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -38,6 +38,7 @@
     CROWD = "crowd"  # idle connections fill the descriptors
     BACKEND_HANGS = "backend_hangs"
     BACKEND_FAILS = "backend_fails"  # errors, resets, noise, half responses
+    BACKEND_RESETS_LATE = "backend_resets_late"  # under requests that have begun
     BACKEND_UNBOUNDED = "backend_unbounded"  # responses without a length, some of them reset
     BACKEND_CRASHES = "backend_crashes"  # refuses and resets, and comes back
     BACKEND_UNREACHABLE = "backend_unreachable"  # connections never come up, open ones are silent
--- a/fleetlab/soak/site.py
+++ b/fleetlab/soak/site.py
@@ -79,29 +79,33 @@
         assert isinstance(settings, dict)
         (template,) = settings["categories"]
         settings["categories"] = [
-            template
-            | {
-                "name": request_class.name,
-                "aim": min(1000.0, request_class.deadline_s * 400),
-                "hard_limit": request_class.deadline_s * 1000,
-                "idempotency": request_class.effect.value,
-                "dedup_window": self.dedup_window_s * 1000,
-            }
-            for request_class in self.classes
+            template | self._category(request_class) for request_class in self.classes
         ]
         settings["permissions"] |= {
             "dial_timeout": self.connect_timeout_s * 1000,
             "parallel_tries": self.hedging,
             "most_tries": 5,
         }
-        settings["safety"] |= {
+        settings["safety"] |= self._safety()
+        return config | {
+            "settings": settings,
+            "limits": {"sockets": self.sockets, "memory_mb": 64},
+        }
+
+    def _category(self, request_class: SoakClass) -> JsonObject:
+        return {
+            "name": request_class.name,
+            "aim": min(1000.0, request_class.deadline_s * 400),
+            "hard_limit": request_class.deadline_s * 1000,
+            "idempotency": request_class.effect.value,
+            "dedup_window": self.dedup_window_s * 1000,
+        }
+
+    def _safety(self) -> JsonObject:
+        return {
             "stop_sending_within": self.drain_grace_s * 1000,
             "cold": self.slow_start_s * 1000,
             "start_capacity": self.initial_capacity,
             "fall_multiple": self.overload_factor,
             "overload_for": self.overload_window_s * 1000,
         }
-        return config | {
-            "settings": settings,
-            "limits": {"sockets": self.sockets, "memory_mb": 64},
-        }
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fleetlab.soak.runs import FIRST_PRESSURE_SEED, plan_of
+from fleetlab.soak.runs import FIRST_SHUTDOWN_SEED, FIRST_SLOW_START_SEED, plan_of
 from fleetlab.soak.schedule import FaultKind
 
 # of the plans with 10 ingresses and 10 seconds, as they were when the seeds were listed
@@ -25,7 +25,7 @@
 
 
 def test_eight_seeds_press_on_slow_start_in_many_ways() -> None:
-    plans = [plan_of(FIRST_PRESSURE_SEED + seed, 0, 12.0) for seed in range(1, 9)]
+    plans = [plan_of(FIRST_SLOW_START_SEED + seed, 0, 12.0) for seed in range(1, 9)]
     assert {plan.site.overload_window_s for plan in plans} == {0.5, 1.0, 3.0}
     for plan in plans:
         starts = [fault for fault in plan.faults if fault.kind is FaultKind.BACKEND_DRAINS]
@@ -33,3 +33,17 @@
         assert max(fault.at_s for fault in starts) <= 7.0
     late = [fault for plan in plans for fault in plan.faults if fault.kind is FaultKind.LIST_SILENT]
     assert late
+
+
+def test_a_seed_that_presses_on_shutdown_restarts_all_ingresses_while_backends_hang() -> None:
+    plan = plan_of(FIRST_SHUTDOWN_SEED + 1, 6, 12.0)
+    restarts = [fault for fault in plan.faults if fault.kind is FaultKind.RESTART]
+    assert {fault.target for fault in restarts} == set(range(6))
+    for restart in restarts:
+        hanging = [
+            fault
+            for fault in plan.faults
+            if fault.kind is FaultKind.BACKEND_HANGS
+            and fault.at_s < restart.at_s < fault.at_s + fault.seconds
+        ]
+        assert hanging
