Learn service time from calm blocks, and drop a backend's own reports from its budget

Now the budget follows the ramp of the settings times what reports of warm backends show, 0.8 of it (was 0.5, or 0.6 of the own reports). Service time is the mean of one of the calmer of eight blocks of 30 observations, as others that a gateway does not see delay it, with a margin for few observations that shrinks with the gateways that share it. It begins with a fifth of the latency objective. A fresh gateway spares only backends that had started before it.

test_cold_backends_get_what_their_load_reports_show_that_they_can_do gave warm backends the reports of cold ones; they report what warm ones do now. Its assertions are as they were.

--- a/sumacpost/policy/fleet_estimate.py
+++ b/sumacpost/policy/fleet_estimate.py
@@ -1,10 +1,9 @@
 """What is learnt of the fleet and its backends from the ends of attempts and from load reports."""
 
-from math import sqrt
-
 from sumacpost.model import AttemptEnded, Outcome, RequestArrived, Settings
 from sumacpost.policy.backend import Backend, InFlightAttempt
 from sumacpost.policy.latency import FAILURE_WEIGHT, LatencyInflation
+from sumacpost.policy.service_time import ServiceTime
 
 PAST_WEIGHT = 0.9  # weight of the past in moving means
 OBSERVATION_WEIGHT = 1 - PAST_WEIGHT
@@ -12,7 +11,7 @@
 MAX_UNIT_STEP = 1.0  # congestion is not learnt as the usual time of a unit
 OBJECTIVE_UNITS = 10  # units that are first believed to fit in the latency objective
 MIN_UNITS = 0.01  # that a request is taken to use
-MAX_SERVICE_STEP = 4.0  # a response counts for this times the service time at most
+MAX_SERVICE_FRACTION = 0.2  # of the latency objective: slower requests can't meet it under load
 FAILURE_INFLATION = 10.0  # what a failure counts for
 MILD_FAILURE_INFLATION = 3.0  # where one connection or one broken response may be the cause
 MAX_INFLATION_STEP = 1.5  # an observation counts for this times the fleet's and 1 more at most
@@ -39,19 +38,14 @@
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)  # of a request
         self.usual_work = self.mean_work  # the same over many requests
         self._requests_sent = 0
-        # of a request of usual work on a backend that has no other; first what clients wait for
-        self._service_ms = self.mean_work * OBJECTIVE_UNITS
-        self._service_times = 0  # observed so far
-        self._is_service_time_warm = False  # whether they are those of warm backends
+        # of a request of usual work
+        first_ms = self.mean_work * OBJECTIVE_UNITS * MAX_SERVICE_FRACTION
+        self.service_time = ServiceTime(first_ms)
+        self._is_service_time_warm = False  # whether it is that of warm backends
         self.warm_capacity = 0.0  # requests a second of a warm backend, by load reports
         fields = settings.report_fields
         self._report_field_indexes = [fields.index(n) for n in REPORT_FIELDS if n in fields]
 
-    @property
-    def longest_service_ms(self) -> float:
-        """How long a request of usual work takes on a backend that has no other, or less."""
-        return self._service_ms * (1 + 1 / sqrt(self._service_times + 1))
-
     def work(self, event: RequestArrived) -> float:
         """Return how long a request is expected to take on an idle backend, in milliseconds."""
         return self.unit_ms[event.request_class] * max(event.units, MIN_UNITS)
@@ -121,13 +115,9 @@
         if attempt.outstanding > 1:
             return
         is_warm = backend.warmth(now, self._settings) >= 1
+        if self._is_service_time_warm and not is_warm:
+            return  # it is slower, and tells nothing of the others
         if is_warm and not self._is_service_time_warm:
             self._is_service_time_warm = True
-            self._service_times = 0
-        elif self._is_service_time_warm and not is_warm:
-            return  # it is slower, and tells nothing of the others
-        self._service_times += 1
-        weight = max(UNIT_WEIGHT, 1 / (self._service_times + 1))
-        observed_ms = elapsed_ms / attempt.work * self.usual_work
-        observed_ms = min(observed_ms, MAX_SERVICE_STEP * self._service_ms)
-        self._service_ms += (observed_ms - self._service_ms) * weight
+            self.service_time = ServiceTime(self.service_time.longest_ms(1))
+        self.service_time.observe(elapsed_ms / attempt.work * self.usual_work)
--- /dev/null
+++ b/sumacpost/policy/service_time.py
@@ -0,0 +1,47 @@
+"""What a request takes on a backend that has no other."""
+
+from collections import deque
+from math import sqrt
+
+BLOCK_SIZE = 30  # observations that are averaged
+KEPT_BLOCKS = 8
+DEVIATIONS = 1.5  # of a mean, in standard deviations as large as the mean: it may be longer by it
+MAX_STEP = 4.0  # an observation counts for this times what is known at most
+
+
+class ServiceTime:
+    """The mean of one of the calmer of the latest blocks of observations.
+
+    Requests wait for others that a gateway does not see. So an observation is the service time or
+    more, and nearest to it while the fleet is calm.
+    """
+
+    def __init__(self, first_ms: float) -> None:
+        """Take what is believed before the first observation; it weighs as much as one."""
+        self._mean_ms = first_ms
+        self._observations = 1  # that the mean is of
+        self._blocks: deque[float] = deque(maxlen=KEPT_BLOCKS)
+        self._count = 1  # of the block that is being filled
+        self._sum_ms = first_ms
+
+    def longest_ms(self, gateways: int) -> float:
+        """Return what a request takes, or more where little is known of it.
+
+        gateways: how many share what is decided by it. Their errors cancel out, as each has
+        observations of its own.
+        """
+        return self._mean_ms * (1 + DEVIATIONS / sqrt(self._observations * gateways))
+
+    def observe(self, observed_ms: float) -> None:
+        """Take in one observation."""
+        self._count += 1
+        self._sum_ms += min(observed_ms, MAX_STEP * self._mean_ms)
+        if self._count >= BLOCK_SIZE:
+            self._blocks.append(self._sum_ms / self._count)
+            self._mean_ms = sorted(self._blocks)[len(self._blocks) // 4]
+            self._observations = self._count
+            self._count = 0
+            self._sum_ms = 0.0
+        elif not self._blocks:
+            self._mean_ms = self._sum_ms / self._count
+            self._observations = self._count
--- a/sumacpost/policy/slow_start.py
+++ b/sumacpost/policy/slow_start.py
@@ -9,9 +9,7 @@
 from sumacpost.policy.slow_start_budget import share, window_units
 from sumacpost.policy.subsetting import UINT64_MASK, splitmix64
 
-OVERLOAD_FRACTION = 0.75  # of what overloads a backend of one core: it may be a slower one
-FLEET_CAPACITY_FRACTION = 0.5  # of what reports say that warm backends can do
-OWN_CAPACITY_FRACTION = 0.6  # of what they say that it can: it may be half as fast
+OVERLOAD_FRACTION = 0.8  # of what overloads a warm backend or a core: it may be a slower one
 ROUNDED_OFF = 0.5  # of a request
 ARRIVAL_SPREAD_MS = 50.0  # by which attempts may arrive closer together than they were sent
 
@@ -42,7 +40,7 @@
         warmth = backend.warmth(now - self._span_ms, self._settings)
         if warmth >= 1:
             return True
-        if self._may_have_spent_before(now):
+        if self._may_have_spent_before(now, backend):
             return False
         allowed = self._share(now, backend, warmth)
         if not allowed:
@@ -55,13 +53,16 @@
         if backend.warmth(now - self._span_ms, self._settings) < 1:
             backend.recent_work.add((request, number), now, work)
 
-    def _may_have_spent_before(self, now: float) -> bool:
-        """Return whether an earlier life of this gateway may have spent the budget.
+    def _may_have_spent_before(self, now: float, backend: Backend) -> bool:
+        """Return whether an earlier life of this gateway may have spent the budget of a backend.
 
-        Where no backend is warm, all have started together, and there is nothing else to send to.
+        Not where the backend has started in this life. Where no backend is warm, all have started
+        together, and there is nothing else to send to.
         """
         if now - self._first_event_at >= self._span_ms:
             return False
+        if backend.endpoint.up_since_ms >= self._first_event_at:
+            return False
         backends = self._endpoints.backends
         members = self._endpoints.subset.members()
         return any(backends[number].warmth(now, self._settings) >= 1 for number in members)
@@ -80,15 +81,19 @@
             backend.slow_start_key = key
             draw = splitmix64((splitmix64(number) + period) & UINT64_MASK)
             rounding = (draw >> 32) / (1 << 32)
-            units = window_units(self._expected_requests(backend, warmth), gateways, rounding)
+            expected = self._expected_requests(warmth, gateways)
+            units = window_units(expected, gateways, rounding)
             backend.slow_start_share = share(units, gateways, (rank + draw) % gateways)
         return backend.slow_start_share
 
-    def _expected_requests(self, backend: Backend, warmth: float) -> float:
-        """Return what a backend bears in a window without the allowance for chance, or less."""
+    def _expected_requests(self, warmth: float, gateways: int) -> float:
+        """Return what a backend bears in a window without the allowance for chance, or less.
+
+        By the load reports of warm ones, or as if it had one core where there are none. Its own
+        reports are of a few requests each, and may say ten times what it can do.
+        """
         settings = self._settings
-        one_core = OVERLOAD_FRACTION * warmth / self._estimate.longest_service_ms
-        fleet_rate = FLEET_CAPACITY_FRACTION * warmth * self._estimate.warm_capacity
-        rate = max(fleet_rate, OWN_CAPACITY_FRACTION * backend.measured_capacity)
-        per_ms = max(one_core, rate / 1000)
+        service_ms = self._estimate.service_time.longest_ms(gateways)
+        warm_per_ms = max(1 / service_ms, self._estimate.warm_capacity / 1000)
+        per_ms = OVERLOAD_FRACTION * warmth * warm_per_ms
         return per_ms * settings.overload_factor * settings.overload_window_ms
--- a/sumacpost/policy/slow_start_budget.py
+++ b/sumacpost/policy/slow_start_budget.py
@@ -12,8 +12,6 @@
 A window touches two periods and may meet the extra requests of both:
 
     sum of shares in any window  <=  units + units % gateways
-
-Each share is a bound, and many gateways send less. So more than N is dealt out, up to that limit.
 """
 
 from math import sqrt
@@ -21,8 +19,6 @@
 FEW_REQUESTS = 30.0  # below which a backend bears more by chance
 NOTIFIED_FRACTION = 2 / 3  # of a fall: with less of it from those that know, it is not theirs
 
-DEALT_FACTOR = 1.5  # requests dealt out for each that is to be sent
-
 
 def bearable_requests(expected: float) -> float:
     """Return the requests of mean work that a backend bears in a window.
@@ -45,7 +41,7 @@
     limit = int(NOTIFIED_FRACTION * bearable_requests(expected))
     for_all = limit // gateways * gateways
     for_some = (limit - for_all) // 2  # two periods meet in a window
-    return min(int(DEALT_FACTOR * expected + rounding), for_all + for_some)
+    return min(int(expected + rounding), for_all + for_some)
 
 
 def share(units: int, gateways: int, place: int) -> int:
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -114,6 +114,7 @@
         self.cold = cold
         self.kind = kind
         self.report: tuple[float, ...] = ()
+        self.warm_report: tuple[float, ...] = ()
         self.units: tuple[float, ...] = (1.0,)
         # When each cold backend got work, once for each unit.
         self.work_at: list[list[float]] = [[] for _ in range(cold)]
@@ -147,7 +148,8 @@
                 if send.backend >= FIRST_COLD:
                     self.work_at[send.backend - FIRST_COLD] += [now] * int(units)
                 end = ended(number, send.backend, elapsed_ms=WORK_MS * units)
-                g.handle(now, replace(end, report=self.report))
+                report = self.report if send.backend >= FIRST_COLD else self.warm_report
+                g.handle(now, replace(end, report=report))
 
     @property
     def total_units(self) -> int:
@@ -191,6 +193,7 @@
     unknown = ColdStart(60, 2, 30).run(seconds=30)
     reported = ColdStart(60, 2, 30)
     reported.report = (0.0, 2.0, 0.5)  # four requests a second: a fifth of three cores
+    reported.warm_report = (0.0, 10.0, 0.5)
     reported.run(seconds=30)
     assert reported.total_units > 1.3 * unknown.total_units
     assert reported.most_work_ms() < MAX_WORK_MS
