Test the window, the service time and the first moments of a gateway's slow start

Four tests of the service time and four of the window: a share doesn't begin anew with a period, an attempt counts from its writing, and a gateway spares only backends that an earlier life may have sent to.

--- /dev/null
+++ b/tests/policy/test_service_time.py
@@ -0,0 +1,45 @@
+"""The service time follows the calmer observations, and is trusted by their number."""
+
+from __future__ import annotations
+
+import pytest
+
+from sumacpost.model import Send
+from sumacpost.policy.service_time import BLOCK_SIZE, ServiceTime
+from tests.support.builders import START, ended, gateway, of_type, request
+
+
+def observed(*values: float) -> ServiceTime:
+    service_time = ServiceTime(1000.0)
+    for value in values:
+        service_time.observe(value)
+    return service_time
+
+
+def test_few_observations_leave_a_margin_that_gateways_share() -> None:
+    one = observed(*[100.0] * 9)
+    assert one.longest_ms(1) > one.longest_ms(10) > 100
+
+
+def test_a_congested_block_does_not_raise_it_while_calm_ones_are_known() -> None:
+    calm = observed(*[100.0] * 2 * BLOCK_SIZE)
+    congested = observed(*[100.0] * 2 * BLOCK_SIZE, *[300.0] * BLOCK_SIZE)
+    assert congested.longest_ms(1) == pytest.approx(calm.longest_ms(1))
+
+
+def test_service_that_stays_slower_is_learnt() -> None:
+    slower = observed(*[100.0] * 2 * BLOCK_SIZE, *[300.0] * 9 * BLOCK_SIZE)
+    assert 300 <= slower.longest_ms(100) < 320
+
+
+def test_requests_side_by_side_do_not_shorten_it() -> None:
+    """The fault of 2026-12-03: their time was divided by their number."""
+    g = gateway(1)
+    for number in range(0, 600, 6):
+        now = START + number * 100
+        batch = range(number, number + 6)
+        sends = [send for n in batch for send in of_type(g.handle(now, request(n)), Send)]
+        for send in sends:
+            g.handle(now + 100, ended(send.request, send.backend, elapsed_ms=100))
+    assert g.estimate.mean_work < 100
+    assert g.estimate.service_time.longest_ms(1) >= 100
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -227,3 +227,56 @@
             g.handle(START, replace(ended(number, send.backend), report=report))
     assert g.endpoints.backends[1].measured_capacity == pytest.approx(2.0)  # a fifth of ten
     assert g.estimate.warm_capacity == pytest.approx(0.5)
+
+
+# ---- the window of one gateway
+
+
+def sent_to_cold(g: Gateway, numbers: range, now: float) -> int:
+    sends = [send for n in numbers for send in of_type(g.handle(now, request(n)), Send)]
+    return sum(send.backend >= FIRST_COLD for send in sends)
+
+
+def before_a_cold_start(up: float) -> Gateway:
+    """Return a gateway that knows its backends, one of them cold, with a window of 3 s."""
+    g = gateway(1)
+    for number in range(1000, 1100):
+        now = START + 100 * (number - 1000)
+        (send,) = of_type(g.handle(now, request(number)), Send)
+        g.handle(now + 50, ended(number, send.backend, elapsed_ms=50))
+    g.handle(START + 10_000, fleet(FIRST_COLD, kind=UpdateKind.CHANGES, up=up))
+    return g
+
+
+def test_a_gateway_spares_a_backend_that_an_earlier_life_may_have_sent_to() -> None:
+    g = gateway(1)
+    g.handle(START, fleet(FIRST_COLD, kind=UpdateKind.CHANGES, up=START - 500))
+    assert sent_to_cold(g, range(20), START + 1000) == 0
+    assert sent_to_cold(g, range(20, 40), START + 4000) > 0
+
+
+def test_a_gateway_uses_a_backend_that_has_started_in_its_life() -> None:
+    g = gateway(1)
+    g.handle(START + 500, fleet(FIRST_COLD, kind=UpdateKind.CHANGES, up=START + 500))
+    assert sent_to_cold(g, range(20), START + 1000) > 0
+
+
+def test_a_share_is_for_any_window_not_for_one_that_begins_anew() -> None:
+    g = before_a_cold_start(START + 10_000)
+    now = START + 11_999
+    assert sent_to_cold(g, range(200), now) > 2
+    # the next period has begun, and its share may be larger by one
+    assert sent_to_cold(g, range(200, 400), now + 2) <= 1
+    assert sent_to_cold(g, range(400, 600), now + 3100) > 2
+
+
+def test_an_attempt_counts_from_when_it_is_written() -> None:
+    g = before_a_cold_start(START + 10_000)
+    now = START + 11_000
+    sends = [send for n in range(200) for send in of_type(g.handle(now, request(n)), Send)]
+    to_cold = [send for send in sends if send.backend == FIRST_COLD]
+    for send in to_cold:
+        assert g.write_obstacle(now + 1500, send.request, 0) is None
+    backend = g.endpoints.backends[FIRST_COLD]
+    assert backend.recent_work.total(now + 1400) > 0
+    assert backend.recent_work.total(now + 1600) == 0
