Let the soak's clients wait on for a late response, so that its process can be looked at

A response that came 0.6 s and more after its time counted as none, and a trace of its process could excuse nothing. A response is judged by its time now, as all others; one that never comes is lost as before.

--- a/fleetlab/soak/client.py
+++ b/fleetlab/soak/client.py
@@ -11,6 +11,7 @@
 from fleetlab.stand_in import split_address
 
 LATE_S = 0.5  # after its time a response only earns nothing; later it is lost
+WATCH_S = 3.0  # for which a client waits on: when a lost response comes tells why
 CONNECT_TIMEOUT_S = 2.0
 _HEAD_END = b"\r\n\r\n"
 
@@ -109,10 +110,10 @@
         return record
 
     async def receive(self, record: ClientRequest) -> None:
-        """Read the response to a request until its time, and what is allowed after it, is over."""
+        """Read the response to a request until long after its time."""
         assert record.sent_at is not None
         try:
-            async with asyncio.timeout(record.timeout_s + LATE_S + 0.1):
+            async with asyncio.timeout(record.timeout_s + LATE_S + WATCH_S):
                 head = await self._reader.readuntil(_HEAD_END)
                 record.received_bytes = len(head)
                 body = await self._reader.readexactly(_content_length(head))
