--- a/sumacpost/policy/fleet_estimate.py
+++ b/sumacpost/policy/fleet_estimate.py
@@ -38,7 +38,6 @@
         self.mean_work = sum(self.unit_ms) / len(self.unit_ms)  # of a request
         self.usual_work = self.mean_work  # the same over many requests
         self._requests_sent = 0
-        # of a request of usual work
         first_ms = self.mean_work * OBJECTIVE_UNITS * MAX_SERVICE_FRACTION
         self.service_time = ServiceTime(first_ms)
         self._is_service_time_warm = False  # whether it is that of warm backends
@@ -120,4 +119,4 @@
         if is_warm and not self._is_service_time_warm:
             self._is_service_time_warm = True
             self.service_time = ServiceTime(self.service_time.longest_ms(1))
-        self.service_time.observe(elapsed_ms / attempt.work * self.usual_work)
+        self.service_time.observe(elapsed_ms, attempt.work / self.usual_work)
--- a/tests/policy/test_service_time.py
+++ b/tests/policy/test_service_time.py
@@ -12,7 +12,7 @@
 def observed(*values: float) -> ServiceTime:
     service_time = ServiceTime(1000.0)
     for value in values:
-        service_time.observe(value)
+        service_time.observe(value, 1.0)
     return service_time
 
 
@@ -43,3 +43,11 @@
             g.handle(now + 100, ended(send.request, send.backend, elapsed_ms=100))
     assert g.estimate.mean_work < 100
     assert g.estimate.service_time.longest_ms(1) >= 100
+
+
+def test_a_small_request_weighs_by_its_work() -> None:
+    service_time = ServiceTime(200.0)
+    for _ in range(BLOCK_SIZE // 2):
+        service_time.observe(200, 0.2)
+        service_time.observe(900, 1.8)
+    assert service_time.longest_ms(10_000) == pytest.approx(1100 / 2, rel=0.01)
