--- a/fleetlab/soak/pressure.py
+++ b/fleetlab/soak/pressure.py
@@ -15,7 +15,7 @@
     draw_ingress_faults,
     draw_site,
 )
-from fleetlab.soak.site import SoakClass
+from fleetlab.soak.site import SoakClass, SoakSite
 
 CLIENTS = 60  # of all ingresses together, two of each at least
 STARTS_WITHIN_S = 7.0  # all replaced backends are
@@ -41,17 +41,8 @@
         *_starts(random, backends, ingresses, seconds, site.drain_grace_s),
         *_disturbances(random, ingresses, seconds),
     ]
-    return SoakPlan(
-        seed,
-        site,
-        ingresses,
-        backends,
-        seconds,
-        clients=max(2, CLIENTS // ingresses),
-        crowd=False,
-        counter=False,
-        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
-    )
+    clients = max(2, CLIENTS // ingresses)
+    return _plan(seed, site, backends, seconds, clients, faults)
 
 
 def _starts(
@@ -104,17 +95,7 @@
         at_s = QUIET_S + wave * max(0.0, seconds - QUIET_S - 1) / WAVES
         faults += _hanging_backends(random, backends, at_s)
         faults += _restarts(random, shuffled[wave::WAVES], at_s)
-    return SoakPlan(
-        seed,
-        site,
-        ingresses,
-        backends,
-        seconds,
-        clients=random.randint(4, 6),
-        crowd=False,
-        counter=False,
-        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
-    )
+    return _plan(seed, site, backends, seconds, random.randint(4, 6), faults)
 
 
 def _hanging_backends(random: Random, backends: int, at_s: float) -> list[PlannedFault]:
@@ -137,3 +118,24 @@
         )
         for target in targets
     ]
+
+
+def _plan(
+    seed: int,
+    site: SoakSite,
+    backends: int,
+    seconds: float,
+    clients: int,
+    faults: list[PlannedFault],
+) -> SoakPlan:
+    return SoakPlan(
+        seed,
+        site,
+        site.ingresses,
+        backends,
+        seconds,
+        clients,
+        crowd=False,
+        counter=False,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+    )
