Wait out a shortage of descriptors at the start instead of ending

Callers saw: no ingress at all after a restart that fell into a moment in which the system was short of descriptors or memory; the process ended with status 1.

Cause: any error of the listening socket was taken for an address that can't be listened on. Ruled out: the configuration's reading and the counter's first connection, both before it in the log.

Mend: shortages are tried again for 20 s; an address of no use still ends the process at once.

--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import logging
 import os
@@ -26,6 +27,10 @@
 
 MAINTENANCE_INTERVAL_S = 0.25  # between the closings of connections that have been idle too long
 
+LISTEN_TIMEOUT_S = 20.0  # for which a shortage of the system is waited out
+LISTEN_RETRY_DELAY_S = 0.05
+SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN))
+
 HANDLED_SIGNALS = (
     signal.SIGTERM,
     signal.SIGINT,
@@ -75,7 +80,8 @@
         await self._start_counter()
         if stop.is_set():
             return  # no client has connected yet
-        self.address = self._server.listen(self._config.listen)
+        if not await self._listen(stop):
+            return
         maintenance_task = SupervisedTask("maintenance", self._maintain)
         on_serving(self)
         self._log_serving()
@@ -124,6 +130,25 @@
         )
         await first_attempt_done.wait()
 
+    async def _listen(self, stop: asyncio.Event) -> bool:
+        """Begin to accept clients; return False if `stop` is set before that.
+
+        A system that is short of descriptors or memory for a moment must not end the process; raise
+        OSError once it has been so for long, and at once if the address is of no use.
+        """
+        give_up_at = time.monotonic() + LISTEN_TIMEOUT_S
+        while not stop.is_set():
+            try:
+                self.address = self._server.listen(self._config.listen)
+            except OSError as error:
+                if error.errno not in SHORTAGES or time.monotonic() >= give_up_at:
+                    raise
+                log.warning("listening failed: error=%s", error)
+            else:
+                return True
+            await asyncio.sleep(LISTEN_RETRY_DELAY_S)
+        return False
+
     def _log_serving(self) -> None:
         host, port = self.address
         log.info(
--- /dev/null
+++ b/tests/test_start_shortage.py
@@ -0,0 +1,85 @@
+"""A start while the system is short of descriptors or memory.
+
+A run of the soak with failing system calls (seed 4001) had a process that ended at its start with
+status 1: "can't serve: [Errno 23] Too many open files in system". The shortage lasted for 3 s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import socket
+from typing import Any
+
+import pytest
+
+from sumacpost.config import Config, read_config
+from sumacpost.service import serve
+from tests.support.configuration import MINIMAL_CONFIG
+from tests.support.event_loop import run, until
+from tests.support.http_client import request
+from tests.support.ingress import running_ingress
+from tests.support.peers import respond
+
+
+def fail_to_listen(monkeypatch: pytest.MonkeyPatch, error: int, times: int) -> list[int]:
+    """Let listening fail so many times; return a list that holds the errors that came."""
+    came: list[int] = []
+    create_server = socket.create_server
+
+    def create(*args: Any, **options: Any) -> socket.socket:
+        if len(came) < times:
+            came.append(error)
+            raise OSError(error, os.strerror(error))
+        return create_server(*args, **options)
+
+    monkeypatch.setattr(socket, "create_server", create)
+    return came
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_a_shortage_at_the_start_is_waited_out(monkeypatch: pytest.MonkeyPatch, error: int) -> None:
+    async def test() -> None:
+        came = fail_to_listen(monkeypatch, error, 3)
+        async with running_ingress(respond()) as ingress:
+            assert came == [error] * 3
+            assert (await ingress.send(request())).status == 200
+
+    run(test())
+
+
+def test_an_address_of_no_use_ends_the_process_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        came = fail_to_listen(monkeypatch, errno.EADDRINUSE, 2)
+        with pytest.raises(OSError, match="in use"):
+            await serve(minimal_config(), asyncio.Event())
+        assert len(came) == 1
+
+    run(test())
+
+
+def test_a_process_that_is_told_to_end_waits_for_no_shortage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        came = fail_to_listen(monkeypatch, errno.ENFILE, 10_000)
+        starting = asyncio.create_task(start_and_stop(came))
+        await asyncio.wait_for(starting, 10)
+
+    run(test())
+
+
+async def start_and_stop(came: list[int]) -> None:
+    """Start an ingress that can't listen, and tell it to end."""
+    stop = asyncio.Event()
+    serving = asyncio.create_task(serve(minimal_config(), stop))
+    await until(lambda: len(came) > 1)
+    stop.set()
+    await serving
+
+
+def minimal_config() -> Config:
+    """Return a configuration that an ingress starts with."""
+    return read_config(json.dumps(MINIMAL_CONFIG))
