Let system calls fail and wall clocks step in the soak, by a library of our own

fleetlab/system_faults: a C library that the ingresses of a run load (built with the system's compiler; without one a clear error) fails accept, socket, connect, waits, reads, writes and the log at rates that the soak changes as it runs, and steps the wall clock.

Responses without a length may be cut where connections were broken on purpose; that is excused in the recorded time of the fault at that ingress alone.

--- a/fleetlab/soak/evidence.py
+++ b/fleetlab/soak/evidence.py
@@ -89,6 +89,13 @@
             and wait.ended_at >= begin
         )
 
+    def paths_broke(self, ingress: str, begin: float, end: float) -> bool:
+        """Return whether connections that an ingress had made broke between two times."""
+        return any(
+            broken.ingress == ingress and broken.began_at <= end and begin <= broken.ended_at
+            for broken in self.record.broken_paths
+        )
+
     def accepted_ids(self) -> set[str]:
         """Return the ids of the requests that the ingresses have read and taken."""
         return {match for text in self.logs.values() for match in _ACCEPTED.findall(text)}
--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -22,14 +22,26 @@
 from fleetlab.soak.endpoint_list import AgentFault, SharedList, SoakAgent
 from fleetlab.soak.ingress_process import IngressProcess
 from fleetlab.soak.population import Population
-from fleetlab.soak.records import BackendStart, RunRecord
+from fleetlab.soak.records import BackendStart, BrokenPaths, RunRecord
 from fleetlab.soak.schedule import FaultKind, PlannedFault
 from fleetlab.soak.site import SoakSite
+from fleetlab.system_faults.control import SystemFault
 
 OLD_AGENT_CLOSES_S = 1.5  # after SIGHUP
 CROWD_SIZE = 60
 FORGET_IDLE_S = 0.1  # after which idle connections are forgotten
 
+# Of the calls that fail while such a fault lasts.
+_SYSTEM_FAULTS = {
+    FaultKind.SYSTEM_ACCEPT: (SystemFault.ACCEPT, 0.3),
+    FaultKind.SYSTEM_SOCKET: (SystemFault.SOCKET, 0.2),
+    FaultKind.SYSTEM_CONNECT: (SystemFault.CONNECT, 0.3),
+    FaultKind.SYSTEM_INTERRUPTS: (SystemFault.WAIT_INTERRUPTED, 0.3),
+    FaultKind.SYSTEM_SHORT_READS: (SystemFault.SHORT_READ, 0.3),
+    FaultKind.SYSTEM_SHORT_WRITES: (SystemFault.SHORT_WRITE, 0.3),
+    FaultKind.SYSTEM_BROKEN: (SystemFault.BROKEN_CONNECTION, 0.02),
+    FaultKind.SYSTEM_LOG: (SystemFault.LOG_WRITE, 1.0),
+}
 _LIST_FAULTS = {
     FaultKind.LIST_SILENT: AgentFault.SILENT,
     FaultKind.LIST_RESET: AgentFault.RESET,
@@ -74,6 +86,10 @@
             await self._backend_fault(fault)
         elif name.startswith("list_"):
             await self._list_fault(self.nodes[fault.target].agent, fault)
+        elif fault.kind in _SYSTEM_FAULTS:
+            await self._system_fault(self.nodes[fault.target].process, fault)
+        elif fault.kind is FaultKind.CLOCK_STEP:
+            self.nodes[fault.target].process.system_faults.step_clock(fault.seconds)
         else:
             await self._ingress_fault(self.nodes[fault.target], fault)
 
@@ -130,6 +146,16 @@
             asyncio.get_running_loop().call_later(OLD_AGENT_CLOSES_S, old.close_soon)
             await asyncio.sleep(fault.gap_s)
 
+    async def _system_fault(self, process: IngressProcess, fault: PlannedFault) -> None:
+        failing, probability = _SYSTEM_FAULTS[fault.kind]
+        began_at = time.monotonic()
+        process.system_faults.set_probability(failing, probability)
+        await asyncio.sleep(fault.seconds)
+        process.system_faults.set_probability(failing, 0.0)
+        if failing is SystemFault.BROKEN_CONNECTION:
+            broken = BrokenPaths(process.name, began_at, time.monotonic())
+            self.record.broken_paths.append(broken)
+
     # ---- discovery
 
     async def _list_fault(self, agent: SoakAgent, fault: PlannedFault) -> None:
--- a/fleetlab/soak/records.py
+++ b/fleetlab/soak/records.py
@@ -185,6 +185,20 @@
     waited_s: float
 
 
+class BrokenPaths(msgspec.Struct):
+    """A time in which connections that an ingress has made may break at any moment.
+
+    Attributes:
+        ingress: its name.
+        began_at: when the first could break.
+        ended_at: when the last could.
+    """
+
+    ingress: str
+    began_at: float
+    ended_at: float
+
+
 class RunRecord(msgspec.Struct):
     """All that was seen in one run."""
 
@@ -196,3 +210,4 @@
     backend_starts: list[BackendStart] = []
     faults: dict[str, int] = {}
     waits: list[ProcessWait] = []
+    broken_paths: list[BrokenPaths] = []
--- a/fleetlab/soak/request_oracles.py
+++ b/fleetlab/soak/request_oracles.py
@@ -126,7 +126,8 @@
     """A response without a length that comes whole reaches its client.
 
     Excused: the request was concluded before, by another attempt or at its deadline, which the
-    ingress sets so early that its own response still crosses to the client in time.
+    ingress sets so early that its own response still crosses to the client in time; or its
+    connection may have broken before all was read.
     """
     answered = {r.request_id: r for r in evidence.record.requests if r.answered_at is not None}
     for attempt in evidence.record.attempts:
@@ -140,6 +141,8 @@
         ended_at = request.answered_at if attempt.ended_at is None else attempt.ended_at
         if ended_at > request.sent_at + request.timeout_s - CROSSING_S:
             continue
+        if evidence.paths_broke(request.ingress, attempt.received_at, request.answered_at):
+            continue
         earlier_s = request.answered_at - ended_at
         moment = (ended_at, request.answered_at)
         if not evidence.within("unbounded_kept", earlier_s, CROSSING_S, request.ingress, moment):
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -25,8 +25,10 @@
 from fleetlab.soak.oracles import judge
 from fleetlab.soak.population import Mix, Population
 from fleetlab.soak.records import RunRecord
-from fleetlab.soak.schedule import SoakPlan
+from fleetlab.soak.schedule import SYSTEM_FAULT_KINDS, SoakPlan
 from fleetlab.soak.wait_monitor import WaitMonitor
+from fleetlab.system_faults.control import SystemFault, SystemFaults
+from fleetlab.system_faults.library import build_library
 
 STARTS_AT_ONCE = 8  # processes that start side by side
 LAST_REQUESTS_S = 1.0  # clients may go on for so long after the last process has been told to end
@@ -92,10 +94,17 @@
         self._record.list_changes += self._shared.changes
         for node in self._nodes:
             self._record.lives += node.process.lives
+            self._count_failed_calls(node.process.system_faults)
             self._record.list_changes += [told for agent in node.agents for told in agent.told]
         logs = {node.process.name: node.process.log_text() for node in self._nodes}
         return Evidence(self._record, self._site, logs, self._plan.crowd, os.getpid())
 
+    def _count_failed_calls(self, faults: SystemFaults) -> None:
+        for kind in SystemFault:
+            if count := faults.count(kind):
+                name = f"calls_failed_{kind.name.lower()}"
+                self._record.faults[name] = self._record.faults.get(name, 0) + count
+
     def _pids(self) -> list[int]:
         return [node.process.life.pid for node in self._nodes if node.process.running]
 
@@ -123,6 +132,8 @@
 
     async def _start_ingresses(self, resources: AsyncExitStack, counter: str) -> None:
         turns = asyncio.Semaphore(STARTS_AT_ONCE)
+        faults = {fault.kind for fault in self._plan.faults}
+        library = build_library(self._folder) if faults & SYSTEM_FAULT_KINDS else None
 
         async def start(process: IngressProcess) -> None:
             async with turns:
@@ -135,7 +146,7 @@
             config = self._site.config(
                 number, self._plan.seed, agent.address, self._shared.entries, counter
             )
-            process = IngressProcess(name, ingress_address(number), config, self._folder)
+            process = IngressProcess(name, ingress_address(number), config, self._folder, library)
             population = Population(self._site, process, self._random, self._record, Mix())
             node = Node(process, agent, population, [agent])
             resources.push_async_callback(self._stop_node, node)
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -48,7 +48,20 @@
     LIST_RESET = "list_reset"
     LIST_TORN = "list_torn"
     LIST_UNBOUNDED = "list_unbounded"
-
+    SYSTEM_ACCEPT = "system_accept"  # system calls of an ingress fail, as long as it lasts
+    SYSTEM_SOCKET = "system_socket"
+    SYSTEM_CONNECT = "system_connect"
+    SYSTEM_INTERRUPTS = "system_interrupts"  # waits for events are interrupted
+    SYSTEM_SHORT_READS = "system_short_reads"
+    SYSTEM_SHORT_WRITES = "system_short_writes"
+    SYSTEM_BROKEN = "system_broken"  # connections to backends, discovery and counter break
+    SYSTEM_LOG = "system_log"  # standard error takes nothing
+    CLOCK_STEP = "clock_step"  # of an ingress's wall clock, by `seconds`, for good
+
+
+SYSTEM_FAULT_KINDS = frozenset(
+    kind for kind in FaultKind if kind.value.startswith(("system_", "clock_"))
+)
 
 _INGRESS_FAULTS = (
     (FaultKind.RESTART, 0.8),
--- /dev/null
+++ b/fleetlab/soak/system_schedule.py
@@ -0,0 +1,53 @@
+"""Runs in which system calls of the ingresses fail and their wall clocks are stepped as well."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+from fleetlab.soak.schedule import QUIET_S, FaultKind, PlannedFault, SoakPlan, make_plan
+
+FAULTS_PER_INGRESS = (1, 4)
+CLOCK_STEP_CHANCE = 0.4  # of an ingress
+CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
+_KINDS = (
+    FaultKind.SYSTEM_ACCEPT,
+    FaultKind.SYSTEM_SOCKET,
+    FaultKind.SYSTEM_CONNECT,
+    FaultKind.SYSTEM_INTERRUPTS,
+    FaultKind.SYSTEM_SHORT_READS,
+    FaultKind.SYSTEM_SHORT_WRITES,
+    FaultKind.SYSTEM_BROKEN,
+)
+
+
+def make_system_fault_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return the run of a seed with all the faults of `make_plan`, and those of the system."""
+    plan = make_plan(seed, ingresses, seconds)
+    random = Random(f"system faults {seed}")
+    faults = list(plan.faults)
+    for target in range(ingresses):
+        for _ in range(random.randint(*FAULTS_PER_INGRESS)):
+            at_s = random.uniform(QUIET_S, seconds)
+            kind = random.choice(_KINDS)
+            faults.append(PlannedFault(at_s, kind, target, random.uniform(0.5, 3.0)))
+        if random.random() < CLOCK_STEP_CHANCE:
+            step_s = random.choice(CLOCK_STEPS_S)
+            at_s = random.uniform(QUIET_S, seconds)
+            faults.append(PlannedFault(at_s, FaultKind.CLOCK_STEP, target, step_s))
+    faults += _log_faults(random, plan, seconds)
+    return replace(plan, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
+
+
+def _log_faults(random: Random, plan: SoakPlan, seconds: float) -> list[PlannedFault]:
+    """Return a log that takes nothing for an ingress that is not restarted, if there is one.
+
+    The start of a process, and which requests it took, are read from the log.
+    """
+    restarts = (FaultKind.RESTART, FaultKind.KILL)
+    restarted = {fault.target for fault in plan.faults if fault.kind in restarts}
+    lasting = [target for target in range(plan.ingresses) if target not in restarted]
+    return [
+        PlannedFault(random.uniform(QUIET_S, seconds), FaultKind.SYSTEM_LOG, target, 1.0)
+        for target in lasting[:1]
+    ]
--- /dev/null
+++ b/fleetlab/system_faults/library.py
@@ -0,0 +1,41 @@
+"""Builds the library that a process loads to have its system calls fail."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+from pathlib import Path
+
+from fleetlab.system_faults.control import SystemFaults
+
+SOURCE = Path(__file__).with_name("system_faults.c")
+CONTROL_VARIABLE = "SYSTEM_FAULTS_CONTROL"
+_FLAGS = ("-std=gnu11", "-O2", "-Wall", "-Wextra", "-Werror", "-shared", "-fPIC")
+
+
+class MissingCompilerError(RuntimeError):
+    """There is no C compiler, without which there are no system faults."""
+
+
+def build_library(folder: Path) -> Path:
+    """Compile the library into a folder and return its path.
+
+    Raise MissingCompilerError without a compiler, subprocess.CalledProcessError if that fails.
+    """
+    compiler = os.environ.get("CC") or "cc"
+    if shutil.which(compiler) is None:
+        raise MissingCompilerError(f"{compiler!r} is needed to build {SOURCE.name}")
+    library = folder / "system_faults.so"
+    subprocess.run(
+        [compiler, *_FLAGS, "-o", str(library), str(SOURCE), "-ldl"],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    return library
+
+
+def environment(library: Path, faults: SystemFaults) -> dict[str, str]:
+    """Return the variables with which a process loads the library and obeys these faults."""
+    return {"LD_PRELOAD": str(library), CONTROL_VARIABLE: str(faults.path)}
--- /dev/null
+++ b/tests/fleetlab/test_system_faults.py
@@ -0,0 +1,102 @@
+"""Each fault of the library comes in a process that loads it, and none comes unasked."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from fleetlab.system_faults.control import SystemFault, SystemFaults
+from fleetlab.system_faults.library import MissingCompilerError, build_library, environment
+
+# what a process does to meet each fault; the name of the error, or what was read, is printed
+PROLOGUE = """
+import errno, os, select, socket, time
+def name(call):
+    try:
+        return call()
+    except OSError as error:
+        return errno.errorcode[error.errno]
+def pair():
+    client = socket.create_connection(listener.getsockname())
+    return client, listener.accept()[0]
+"""
+LISTEN = 'listener = socket.create_server(("127.0.0.1", 0));'
+ACTIONS = {
+    SystemFault.ACCEPT: LISTEN + "client = socket.socket(); client.connect(listener.getsockname());"
+    "listener.setblocking(False); print(name(lambda: listener.accept() and 'fine'))",
+    SystemFault.SOCKET: "print(name(lambda: socket.socket() and 'fine'))",
+    SystemFault.CONNECT: LISTEN + "s = socket.socket(); s.setblocking(False);"
+    "print(name(lambda: s.connect_ex(listener.getsockname()) in (0, 115) and 'fine'))",
+    SystemFault.SHORT_READ: LISTEN + "a, b = pair(); b.sendall(b'x' * 99); time.sleep(0.1);"
+    "print('fine' if len(a.recv(99)) == 99 else 'short')",
+    SystemFault.SHORT_WRITE: LISTEN
+    + "a, b = pair(); print('fine' if a.send(b'x' * 99) == 99 else 'short')",
+    SystemFault.BROKEN_CONNECTION: LISTEN + "a, b = pair(); b.send(b'x');"
+    "print(name(lambda: a.recv(9) and 'fine'))",
+    SystemFault.LOG_WRITE: "print(name(lambda: os.write(2, b'x') and 'fine'))",
+}
+
+
+@pytest.fixture(scope="module")
+def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    return build_library(tmp_path_factory.mktemp("library"))
+
+
+@pytest.fixture
+def faults(tmp_path: Path) -> Iterator[SystemFaults]:
+    made = SystemFaults(tmp_path / "faults")
+    yield made
+    made.close()
+
+
+def run(library: Path, faults: SystemFaults, code: str) -> str:
+    return subprocess.run(
+        [sys.executable, "-c", PROLOGUE + code],
+        env=os.environ | environment(library, faults),
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    ).stdout.strip()
+
+
+@pytest.mark.parametrize("fault", ACTIONS)
+def test_a_call_fails_where_it_is_asked_to_and_never_else(
+    library: Path, faults: SystemFaults, fault: SystemFault
+) -> None:
+    assert run(library, faults, ACTIONS[fault]) == "fine"
+    assert not any(faults.count(kind) for kind in SystemFault)
+    faults.set_probability(fault, 1.0)
+    assert "fine" not in {run(library, faults, ACTIONS[fault]) for _ in range(6)}
+    assert faults.count(fault) >= 6
+
+
+def test_a_wait_that_is_interrupted_goes_on(library: Path, faults: SystemFaults) -> None:
+    faults.set_probability(SystemFault.WAIT_INTERRUPTED, 0.5)
+    code = "p = select.epoll(); [p.poll(0.001) for _ in range(50)]; print('over')"
+    assert run(library, faults, code) == "over"
+    assert faults.count(SystemFault.WAIT_INTERRUPTED)
+
+
+def test_the_wall_clock_is_stepped_and_the_monotonic_one_is_not(
+    library: Path, faults: SystemFaults
+) -> None:
+    faults.step_clock(-3600)
+    faults.step_clock(5)
+    wall, monotonic = run(library, faults, "print(time.time(), time.monotonic())").split()
+    assert float(wall) - time.time() == pytest.approx(-3595, abs=10)
+    assert float(monotonic) == pytest.approx(time.monotonic(), abs=10)
+
+
+def test_a_missing_compiler_is_a_clear_error(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("CC", "no-such-compiler")
+    with pytest.raises(MissingCompilerError, match="no-such-compiler"):
+        build_library(tmp_path)
