--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -147,6 +147,9 @@
                 number, self._plan.seed, agent.address, self._shared.entries, counter
             )
             process = IngressProcess(name, ingress_address(number), config, self._folder, library)
+            for fault in self._plan.faults:
+                if fault.before_start and fault.target == number:
+                    process.system_faults.step_clock(fault.seconds)
             population = Population(self._site, process, self._random, self._record, Mix())
             node = Node(process, agent, population, [agent])
             resources.push_async_callback(self._stop_node, node)
@@ -177,7 +180,8 @@
         started_at = time.monotonic()
         waited_s = cpu_pressure_s()
         try:
-            await injector.run(self._plan.faults, started_at)
+            later = tuple(fault for fault in self._plan.faults if not fault.before_start)
+            await injector.run(later, started_at)
             await asyncio.sleep(max(0.0, started_at + self._plan.seconds - time.monotonic()))
             await asyncio.gather(
                 *(node.process.terminate(self._site.kill_after_s) for node in self._nodes)
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -14,7 +14,7 @@
 from fleetlab.soak.pressure import make_hold_up_plan, make_shutdown_plan, make_slow_start_plan
 from fleetlab.soak.run import SoakResult, play
 from fleetlab.soak.schedule import SoakPlan, make_plan
-from fleetlab.soak.system_schedule import make_system_fault_plan
+from fleetlab.soak.system_schedule import make_system_fault_plan, make_wrong_clock_plan
 
 MIN_INGRESSES = 10
 MAX_INGRESSES = 40
@@ -23,6 +23,7 @@
 FIRST_SHUTDOWN_SEED = 2000
 FIRST_HOLD_UP_SEED = 3000
 FIRST_SYSTEM_FAULT_SEED = 4000
+FIRST_WRONG_CLOCK_SEED = 5000
 PRESSURE_INGRESSES = (4, 16)  # few enough for each to have many clients
 SHOWN_VIOLATIONS = 3
 
@@ -48,20 +49,22 @@
 def plan_of(seed: int, ingresses: int, seconds: float) -> SoakPlan:
     """Return the run of a seed; ingresses: how many, 0: drawn from the seed.
 
-    Seeds below FIRST_SLOW_START_SEED play all faults but those of the system, seeds from
+    Seeds below FIRST_SLOW_START_SEED play all faults but those of the system, the thousand from
     FIRST_SYSTEM_FAULT_SEED on these too, and the others press on one rule each.
     """
     if seed < FIRST_SLOW_START_SEED:
         return make_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if seed >= FIRST_SYSTEM_FAULT_SEED:
+    if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED:
         return make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
     few = Random(seed).randint(*PRESSURE_INGRESSES)
     if seed < FIRST_SHUTDOWN_SEED:
         make = make_slow_start_plan
     elif seed < FIRST_HOLD_UP_SEED:
         make = make_shutdown_plan
-    else:
+    elif seed < FIRST_SYSTEM_FAULT_SEED:
         make = make_hold_up_plan
+    else:
+        make = make_wrong_clock_plan
     return make(seed, ingresses or few, seconds)
 
 
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -106,6 +106,11 @@
     signals: tuple[str, ...] = ()
     gap_s: float = 0.0
 
+    @property
+    def before_start(self) -> bool:
+        """Whether it is there before the processes start: a step of a clock may be."""
+        return self.at_s < 0
+
 
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
--- a/fleetlab/soak/system_schedule.py
+++ b/fleetlab/soak/system_schedule.py
@@ -5,10 +5,13 @@
 from dataclasses import replace
 from random import Random
 
+from fleetlab.soak.pressure import make_slow_start_plan
 from fleetlab.soak.schedule import QUIET_S, FaultKind, PlannedFault, SoakPlan, make_plan
 
 FAULTS_PER_INGRESS = (1, 4)
 CLOCK_STEP_CHANCE = 0.4  # of an ingress
+WRONG_CLOCK_CHANCE = 0.8  # of an ingress, where that is what a run is about
+BEFORE_START_S = -1.0  # when a fault begins that is there from the start
 CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 _KINDS = (
     FaultKind.SYSTEM_ACCEPT,
@@ -39,6 +42,18 @@
     return replace(plan, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
 
 
+def make_wrong_clock_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return a run that presses on slow start while the clocks of most ingresses are wrong."""
+    plan = make_slow_start_plan(seed, ingresses, seconds)
+    random = Random(f"wrong clocks {seed}")
+    steps = [
+        PlannedFault(BEFORE_START_S, FaultKind.CLOCK_STEP, target, random.choice(CLOCK_STEPS_S))
+        for target in range(ingresses)
+        if random.random() < WRONG_CLOCK_CHANCE
+    ]
+    return replace(plan, faults=(*steps, *plan.faults))
+
+
 def _log_faults(random: Random, plan: SoakPlan, seconds: float) -> list[PlannedFault]:
     """Return a log that takes nothing for an ingress that is not restarted, if there is one.
 
