Place the starts of backends on this machine's clock, which may be wrong

Callers saw: requests lost or late at backends that had just started and were overloaded by ingresses whose wall clock was wrong at their start (5 s, 1 h).

Cause: boot_ms, Unix time of the fleet, was compared with this machine's clock; and the periods of the budget were counted on each machine's own clock. Ruled out: a step while a process runs (its clock keeps the offset of its start).

--- a/sumacpost/clock.py
+++ b/sumacpost/clock.py
@@ -8,16 +8,19 @@
 TIMER_SLACK_S = 0.001
 
 
+# Fixed as the process starts, so that no later step of the wall clock is felt.
+_OFFSET_S = time.time() - time.monotonic()
+
+
 class Clock:
     """Monotonic milliseconds on the scale of Unix time.
 
     The gateway names counters after the current minute, and all ingresses must name them alike: so
-    the scale is the one that machines share, fixed at the start so that no later step is felt.
+    the scale is the one that machines share. Where the wall clock is wrong at the start, spans of
+    time are right all the same, and starts of backends are placed by `StartTimes`; the names of the
+    counter are then this ingress's own, and its customers' use is not seen by the others.
     """
 
-    def __init__(self) -> None:
-        self._offset_s = time.time() - time.monotonic()
-
     def now(self) -> float:
         """Return the time in milliseconds."""
-        return (self._offset_s + time.monotonic()) * 1000
+        return (_OFFSET_S + time.monotonic()) * 1000
--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -11,6 +11,7 @@
 from math import inf
 
 from sumacpost.address import Address
+from sumacpost.clock import Clock
 from sumacpost.discovery.backoff import (
     MAX_LIMITED_RESPONSE_BYTES,
     SMALL_LIST_BYTES,
@@ -23,6 +24,7 @@
     EndpointListReader,
 )
 from sumacpost.discovery.incremental_json import IncrementalJson
+from sumacpost.discovery.start_times import StartTimes
 from sumacpost.errors import EndpointListError, ResponseError
 from sumacpost.http1 import HTTP_OK, Response, ResponseReader
 from sumacpost.model import EndpointListUpdate, UpdateKind
@@ -62,10 +64,13 @@
         version: int,
         on_update: UpdateListener,
         drain_grace_s: float = inf,
+        start_times: StartTimes | None = None,
     ) -> None:
         self._address = address
         self._reader = reader
         self._on_update = on_update
+        self._start_times = start_times or StartTimes(Clock().now)
+        self._heard = False  # of discovery, in the life of this process
         self._response_timeout_s = max(
             MIN_RESPONSE_TIMEOUT_S,
             min(RESPONSE_TIMEOUT_S, drain_grace_s * RESPONSE_TIMEOUT_GRACE_FRACTION),
@@ -159,6 +164,8 @@
         self._reader.adopt(parser, endpoint_list.update)
         if endpoint_list.update.kind is UpdateKind.FULL:
             self._full_list_bytes = decoder.size
+        self._start_times.place(endpoint_list.update, live=self._heard)
+        self._heard = True
         self._poll_succeeded(endpoint_list.update)
         await self._apply(endpoint_list)
         return response.keep_alive
--- a/sumacpost/policy/slow_start.py
+++ b/sumacpost/policy/slow_start.py
@@ -75,7 +75,9 @@
         if rank is None:
             return 0  # the gateways that have it in their subsets share all of the budget
         gateways = subset.gateways_of(number)
-        period = int(now // self._settings.overload_window_ms)
+        # counted from its start, which all gateways know, whatever their clocks say
+        age_ms = now - backend.endpoint.up_since_ms
+        period = int(age_ms // self._settings.overload_window_ms)
         key = (period, gateways, rank)
         if backend.slow_start_key != key:
             backend.slow_start_key = key
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -14,8 +14,10 @@
 
 import uvloop
 
+from sumacpost.clock import Clock
 from sumacpost.config import Config, load_config, load_config_in_steps
 from sumacpost.diagnostics.log_stream import log_to_standard_error
+from sumacpost.discovery.start_times import StartTimes
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
 from sumacpost.ingress import Ingress, max_connections_per_side
@@ -54,6 +56,8 @@
 
     def __init__(self, config: Config) -> None:
         self._config = config
+        start_times = StartTimes(Clock().now)
+        start_times.place(config.initial_endpoints, live=False)
         self._ingress = Ingress(config)
         self._ingress.update_endpoints(config.initial_endpoints, config.initial_addresses)
         self._server = Server(
@@ -65,6 +69,7 @@
             config.initial_endpoints.version,
             self._ingress.update_endpoints,
             config.settings.drain_grace_ms / 1000,
+            start_times,
         )
         self._discovery_task: SupervisedTask | None = None
         self._counter_task: SupervisedTask | None = None
