Two more oracles of the soak: one response each, and descriptors that return

answered_twice: bytes that come on a client's connection when nothing is owed. descriptors: once all clients have left, the processes have open what they had at their start, and their connections to backends. For that, seeds from 6000 on let the clients leave before the processes are told to end; in all others they send on until the kill, as before.

Each is shown to fail in tests/soak/test_oracles.py.

--- a/fleetlab/soak/client.py
+++ b/fleetlab/soak/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 
 from fleetlab.soak.records import ClientRequest, Effect
@@ -13,6 +14,7 @@
 LATE_S = 0.5  # after its time a response only earns nothing; later it is lost
 WATCH_S = 3.0  # for which a client waits on: when a lost response comes tells why
 CONNECT_TIMEOUT_S = 2.0
+MAX_EXTRA_BYTES = 4096
 _HEAD_END = b"\r\n\r\n"
 
 
@@ -64,7 +66,8 @@
         self._reader = reader
         self._writer = writer
         self._records = records
-        self._used = False
+        self._last: ClientRequest | None = None
+        self._owed = 0  # responses
         self._rests_since = time.monotonic()
 
     @classmethod
@@ -85,16 +88,18 @@
 
     async def send(self, plan: RequestPlan, pieces: int = 1, pause_s: float = 0.0) -> ClientRequest:
         """Write a request, in so many pieces with pauses between, and record it."""
+        await self._note_extra_bytes()
         record = ClientRequest(
             plan.request_id,
             self.ingress,
             plan.effect,
             plan.timeout_s,
-            not self._used,
+            self._last is None,
             time.monotonic(),
             time.monotonic() - self._rests_since,
         )
-        self._used = True
+        self._last = record
+        self._owed += 1
         self._records.append(record)
         data = plan.encode()
         size = -(-len(data) // pieces)
@@ -109,6 +114,14 @@
         record.sent_at = time.monotonic()
         return record
 
+    async def _note_extra_bytes(self) -> None:
+        """Note what has come since the last response, if none is owed."""
+        if self._last is None or self._owed:
+            return
+        with suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(0):  # only for what has come already
+                self._last.extra_bytes = len(await self._reader.read(MAX_EXTRA_BYTES))
+
     async def receive(self, record: ClientRequest) -> None:
         """Read the response to a request until long after its time."""
         assert record.sent_at is not None
@@ -126,6 +139,7 @@
             self.close()
         else:
             record.answered_at = time.monotonic()
+            self._owed -= 1
             self._rests_since = record.answered_at
             record.status = int(head.split(b" ", 2)[1])
             record.body = body
--- a/fleetlab/soak/ingress_process.py
+++ b/fleetlab/soak/ingress_process.py
@@ -96,6 +96,7 @@
                     raise RuntimeError(f"{self.name} ended before it was ready: {self.log_tail()}")
                 await asyncio.sleep(READY_POLL_S)
         await self._log_events()
+        life.descriptors_at_start = self.open_descriptors()
         life.ready_at = time.monotonic()
 
     async def _log_events(self) -> None:
@@ -106,6 +107,13 @@
             while self.running and "event log: live=True" not in self.log_text()[began:]:
                 await asyncio.sleep(READY_POLL_S)
 
+    def open_descriptors(self) -> int:
+        """Return how many descriptors the process has open; 0 if it has ended."""
+        try:
+            return len(os.listdir(f"/proc/{self.life.pid}/fd"))
+        except OSError:
+            return 0
+
     def send_signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process if it still runs, and record it."""
         if self._process is not None and self.running:
--- a/fleetlab/soak/oracles.py
+++ b/fleetlab/soak/oracles.py
@@ -10,12 +10,17 @@
     starting_backends_are_not_overloaded,
 )
 from fleetlab.soak.evidence import Evidence, Oracle, Violation
-from fleetlab.soak.process_oracles import logs_show_no_fault, processes_end_well
+from fleetlab.soak.process_oracles import (
+    descriptors_return,
+    logs_show_no_fault,
+    processes_end_well,
+)
 from fleetlab.soak.request_oracles import (
     bad_clients_get_an_error_or_a_close,
     complete_unbounded_responses_are_forwarded,
     no_request_is_lost,
     refusals_are_harmless,
+    requests_are_answered_once,
     responses_are_those_of_a_backend,
 )
 
@@ -23,6 +28,7 @@
     no_request_is_lost,
     responses_are_those_of_a_backend,
     refusals_are_harmless,
+    requests_are_answered_once,
     requests_run_as_their_class_permits,
     nothing_is_sent_for_a_client_that_left,
     backends_are_told_the_time_left,
@@ -31,6 +37,7 @@
     bad_clients_get_an_error_or_a_close,
     complete_unbounded_responses_are_forwarded,
     processes_end_well,
+    descriptors_return,
     logs_show_no_fault,
 )
 
--- a/fleetlab/soak/population.py
+++ b/fleetlab/soak/population.py
@@ -139,8 +139,8 @@
     async def _keep_busy(self, connection: ClientConnection, stop: asyncio.Event) -> None:
         timeout_s = min(request_class.deadline_s for request_class in self._site.classes)
         waiting: deque[ClientRequest] = deque()
-        while not stop.is_set():
-            while len(waiting) < BEHIND and not connection.has_ended():
+        while waiting or not stop.is_set():
+            while len(waiting) < BEHIND and not (stop.is_set() or connection.has_ended()):
                 plan = replace(self._plan(), timeout_s=timeout_s)
                 waiting.append(await connection.send(plan))
             if not waiting:
--- a/fleetlab/soak/process_oracles.py
+++ b/fleetlab/soak/process_oracles.py
@@ -8,6 +8,8 @@
 from fleetlab.soak.evidence import Evidence, Violation, first_warning
 from fleetlab.soak.records import Life
 
+SIDE_CONNECTIONS = 2  # of a process: to discovery and the counter, which come and go
+
 _FAULT_LINES = re.compile(
     r"rule violated|event failed|supervised task failed|Traceback|left without a response"
 )
@@ -37,6 +39,21 @@
             evidence.come_near("killed_in_drain", took_s / evidence.site.kill_after_s)
 
 
+def descriptors_return(evidence: Evidence) -> Iterable[Violation]:
+    """Once all clients have gone, a process has open what it had at its start.
+
+    And its connections to backends, which it may keep for a while: only the sum is known.
+    """
+    rested = [life for life in evidence.record.lives if life.descriptors_at_rest is not None]
+    more = sum((life.descriptors_at_rest or 0) - life.descriptors_at_start for life in rested)
+    more -= evidence.record.backend_connections_at_rest
+    allowed = SIDE_CONNECTIONS * len(rested)
+    if rested:
+        evidence.come_near("descriptors", max(0, more) / allowed)
+    if more > allowed:
+        yield Violation("descriptors", f"{len(rested)} processes", f"{more} more than at the start")
+
+
 def _held_up_before(life: Life, at: float) -> bool:
     """Return whether a process was stopped for a while just before a time."""
     return any(name == "SIGSTOP" and at - 1.0 < when <= at for name, when in life.signals)
--- a/fleetlab/soak/records.py
+++ b/fleetlab/soak/records.py
@@ -36,6 +36,7 @@
         body: of the response.
         ended_at: when the connection ended before the response was whole.
         received_bytes: of the response, as far as it came.
+        extra_bytes: that came after the response, when its connection owed none.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     body: bytes = b""
     ended_at: float | None = None
     received_bytes: int = 0
+    extra_bytes: int = 0
 
 
 class BadClient(msgspec.Struct):
@@ -124,6 +126,8 @@
         signals: the name and time of each signal that was sent.
         ended_at: when its process had ended.
         exit_code: of the process; negative if a signal ended it.
+        descriptors_at_start: how many it had open when it was ready.
+        descriptors_at_rest: how many once all clients had gone; None if that was not waited for.
     """
 
     ingress: str
@@ -133,6 +137,8 @@
     signals: list[tuple[str, float]] = []
     ended_at: float | None = None
     exit_code: int | None = None
+    descriptors_at_start: int = 0
+    descriptors_at_rest: int | None = None
 
     def signalled_at(self, name: str) -> float | None:
         """Return when the signal of this name was first sent."""
@@ -211,3 +217,4 @@
     faults: dict[str, int] = {}
     waits: list[ProcessWait] = []
     broken_paths: list[BrokenPaths] = []
+    backend_connections_at_rest: int = 0
--- a/fleetlab/soak/request_oracles.py
+++ b/fleetlab/soak/request_oracles.py
@@ -99,6 +99,13 @@
             yield Violation("served_unmade", request.request_id, f"{request.body!r}, made: {made}")
 
 
+def requests_are_answered_once(evidence: Evidence) -> Iterable[Violation]:
+    """Nothing comes on a connection after the last response that it owes."""
+    for request in evidence.record.requests:
+        if request.extra_bytes:
+            yield Violation("answered_twice", request.request_id, str(request))
+
+
 def refusals_are_harmless(evidence: Evidence) -> Iterable[Violation]:
     """A request that is not idempotent is rejected only where no attempt of it may have run."""
     forwarded = evidence.attempts_by_request()
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -32,6 +32,7 @@
 
 STARTS_AT_ONCE = 8  # processes that start side by side
 LAST_REQUESTS_S = 1.0  # clients may go on for so long after the last process has been told to end
+REST_S = 1.0  # from the end of the last client to the count of descriptors
 CROWDED_SOCKETS = 96  # of an ingress that idle clients are to crowd
 
 
@@ -183,6 +184,8 @@
             later = tuple(fault for fault in self._plan.faults if not fault.before_start)
             await injector.run(later, started_at)
             await asyncio.sleep(max(0.0, started_at + self._plan.seconds - time.monotonic()))
+            if self._plan.rests:
+                await self._rest(stop, clients)
             await asyncio.gather(
                 *(node.process.terminate(self._site.kill_after_s) for node in self._nodes)
             )
@@ -193,6 +196,17 @@
             elapsed_s = time.monotonic() - started_at
             self.cpu_pressure = (cpu_pressure_s() - waited_s) / elapsed_s
 
+    async def _rest(self, stop: asyncio.Event, clients: list[asyncio.Task[None]]) -> None:
+        """Let the clients leave, and count what the processes have open then."""
+        stop.set()
+        await asyncio.gather(*clients)
+        await asyncio.sleep(REST_S)
+        open_at_backends = sum(len(backend.connections) for backend in self._backends)
+        self._record.backend_connections_at_rest = open_at_backends
+        for node in self._nodes:
+            if node.process.running:
+                node.process.life.descriptors_at_rest = node.process.open_descriptors()
+
 
 async def play(plan: SoakPlan, folder: Path) -> tuple[SoakResult, Evidence]:
     """Play a plan and judge it; logs and configurations are left in the folder."""
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -5,6 +5,7 @@
 import shutil
 import tempfile
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -24,6 +25,7 @@
 FIRST_HOLD_UP_SEED = 3000
 FIRST_SYSTEM_FAULT_SEED = 4000
 FIRST_WRONG_CLOCK_SEED = 5000
+FIRST_REST_SEED = 6000
 PRESSURE_INGRESSES = (4, 16)  # few enough for each to have many clients
 SHOWN_VIOLATIONS = 3
 
@@ -50,12 +52,14 @@
     """Return the run of a seed; ingresses: how many, 0: drawn from the seed.
 
     Seeds below FIRST_SLOW_START_SEED play all faults but those of the system, the thousand from
-    FIRST_SYSTEM_FAULT_SEED on these too, and the others press on one rule each.
+    FIRST_SYSTEM_FAULT_SEED on these too, and so do those from FIRST_REST_SEED on, whose clients
+    leave before the end. The others press on one rule each.
     """
     if seed < FIRST_SLOW_START_SEED:
         return make_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED:
-        return make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
+    if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED or seed >= FIRST_REST_SEED:
+        plan = make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
+        return replace(plan, rests=seed >= FIRST_REST_SEED)
     few = Random(seed).randint(*PRESSURE_INGRESSES)
     if seed < FIRST_SHUTDOWN_SEED:
         make = make_slow_start_plan
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
 
@@ -126,6 +126,7 @@
         crowd: whether idle clients fill the descriptors of some ingresses.
         counter: whether there is a shared counter.
         faults: by the time at which they begin.
+        rests: whether the clients leave before the processes are told to end.
     """
 
     seed: int
@@ -137,6 +138,7 @@
     crowd: bool
     counter: bool
     faults: tuple[PlannedFault, ...]
+    rests: bool = field(default=False, repr=False)  # not part of what a listed seed draws
 
 
 def make_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
--- a/tests/soak/test_oracles.py
+++ b/tests/soak/test_oracles.py
@@ -66,6 +66,17 @@
         "served_unmade",
         lambda: evidence(sent(body=b"x"), attempts=[SERVED]),
     ),
+    "a second response comes": (
+        "answered_twice",
+        lambda: evidence(sent(extra_bytes=9), attempts=[SERVED]),
+    ),
+    "a process keeps descriptors": (
+        "descriptors",
+        lambda: evidence(
+            lives=[life(descriptors_at_start=9, descriptors_at_rest=25)],
+            backend_connections_at_rest=13,
+        ),
+    ),
     "a spoilt body is forwarded": (
         "served_unmade",
         lambda: evidence(sent(), attempts=[attempt(result=AttemptResult.SPOILT)]),
