Place a later start of a backend later, whatever is thought of the clock by then

Callers could have seen: attempts on connections of a backend's life before, and its slow start counted on from that life, where the first start had been told 10 s late and a second one soon after another backend's had been told at once.

Cause: the estimate of how far this clock is ahead only shrinks, so that a later start could be placed before an earlier one, and was not taken for a new life. Found by reading; the new test was red before.

--- a/sumacpost/discovery/start_times.py
+++ b/sumacpost/discovery/start_times.py
@@ -12,6 +12,8 @@
 
 from sumacpost.model import BackendId, Endpoint, EndpointListUpdate, EndpointStatus, UpdateKind
 
+MIN_INCARNATION_MS = 1.0  # between two starts of one backend
+
 
 class StartTimes:
     """Turns the starts that lists give into times of this machine's clock.
@@ -63,10 +65,16 @@
         return known is not None and known[0] == entry.up_since_ms
 
     def _place(self, now: float, entry: Endpoint) -> float:
-        """Return a start by this machine's clock, the same each time that it is listed."""
+        """Return a start by this machine's clock, the same each time that it is listed.
+
+        A later start of the same backend gets a later time, whatever is thought of the clock now.
+        """
         if not self._is_known(entry):
             ahead_ms = self._ahead_ms if self._ahead_ms < inf else 0.0
             start = min(now, entry.up_since_ms + ahead_ms)
+            boot_before, start_before = self._placed.get(entry.backend, (inf, 0.0))
+            if entry.up_since_ms > boot_before:
+                start = max(start, start_before + MIN_INCARNATION_MS)
             self._placed[entry.backend] = (entry.up_since_ms, start)
         return self._placed[entry.backend][1]
 
--- a/tests/discovery/test_start_times.py
+++ b/tests/discovery/test_start_times.py
@@ -91,6 +91,18 @@
     assert entry.up_since_ms == LONG_AGO
 
 
+def test_a_later_start_of_a_backend_is_placed_later_though_the_clock_is_thought_better() -> None:
+    machine = Machine(0.0)
+    late, other = Endpoint(1, up_since_ms=FLEET_NOW_MS - 10_000), Endpoint(2)
+    machine.starts.place(EndpointListUpdate(UpdateKind.CHANGES, [late]), live=True)
+    machine.fleet_now_ms += 1000
+    other.up_since_ms = FLEET_NOW_MS + 900
+    machine.starts.place(EndpointListUpdate(UpdateKind.CHANGES, [other]), live=True)
+    again = Endpoint(1, up_since_ms=FLEET_NOW_MS - 2000)
+    machine.starts.place(EndpointListUpdate(UpdateKind.CHANGES, [again]), live=True)
+    assert again.up_since_ms > late.up_since_ms
+
+
 def test_what_has_gone_is_forgotten() -> None:
     machine = Machine(HOUR_MS)
     machine.told_ms(FLEET_NOW_MS - 300)
