Keep files of results readable where a write fails or a kill leaves half a line

Seen by those who read results: after a full disk or a kill in the midst of a write, the next result was written behind the half line, and `slopes` refused the whole folder ("line N: ... malformed").

Cause: lines were appended by one buffered write whose failure left what had been written; readers took the last piece for a line. The lab and the soak each had that code.

Mend: fleetlab/json_lines.py, used by both. A line is synced before it counts; a failed one is taken back; half a line is removed by the next append and is no line to a reader.

--- /dev/null
+++ b/fleetlab/json_lines.py
@@ -0,0 +1,54 @@
+"""Files of one JSON value a line, which stay readable where a write failed or was cut short."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import msgspec
+
+NEWLINE = b"\n"
+SEARCHED_BYTES = 64 * 1024  # read at a time to find the end of the last whole line
+
+
+def append_line(path: Path, value: object) -> None:
+    """Add a value as one line, on the disk when this returns.
+
+    What a process that was killed had left half written is removed first. Raise OSError if the line
+    can't be written; the file is then as it was.
+    """
+    data = msgspec.json.encode(value) + NEWLINE
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o666)
+    try:
+        size = _end_of_last_line(descriptor)
+        os.ftruncate(descriptor, size)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        except OSError:
+            os.ftruncate(descriptor, size)
+            raise
+    finally:
+        os.close(descriptor)
+
+
+def read_lines(path: Path) -> list[bytes]:
+    """Return the whole lines of a file; one without an end is no line yet."""
+    return path.read_bytes().split(NEWLINE)[:-1]
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    while data:
+        data = data[os.write(descriptor, data) :]
+
+
+def _end_of_last_line(descriptor: int) -> int:
+    """Return the size of the file without a last line that has no end."""
+    end = os.fstat(descriptor).st_size
+    while end:
+        start = max(0, end - SEARCHED_BYTES)
+        newline_at = os.pread(descriptor, end - start, start).rfind(NEWLINE)
+        if newline_at >= 0:
+            return start + newline_at + 1
+        end = start
+    return 0
--- a/fleetlab/results.py
+++ b/fleetlab/results.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fleetlab.json_lines import append_line, read_lines
 from fleetlab.process_stats import machine_mb
 
 GIT_TIMEOUT_S = 10
@@ -69,9 +70,8 @@
 
 
 def append(path: Path, result: Result) -> None:
-    """Add one line to a file of results."""
-    with path.open("ab") as file:
-        file.write(msgspec.json.encode(result) + b"\n")
+    """Add one line to a file of results; OSError if it can't be written."""
+    append_line(path, result)
 
 
 def read(path: Path) -> list[Result]:
@@ -85,7 +85,7 @@
 
 def _read_file(file: Path) -> list[Result]:
     results = []
-    for number, line in enumerate(file.read_bytes().splitlines(), 1):
+    for number, line in enumerate(read_lines(file), 1):
         try:
             results.append(msgspec.json.decode(line, type=Result))
         except msgspec.DecodeError as error:
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from fleetlab.json_lines import append_line
 from fleetlab.soak.evidence import Evidence
 from fleetlab.soak.pressure import make_hold_up_plan, make_shutdown_plan, make_slow_start_plan
 from fleetlab.soak.run import SoakResult, play
@@ -43,8 +44,7 @@
         result, evidence = await play(plan, folder)
         if result.violations:
             _keep(out / f"seed-{seed}", folder, result, evidence)
-    with (out / "soak.jsonl").open("ab") as file:
-        file.write(msgspec.json.encode(result) + b"\n")
+    append_line(out / "soak.jsonl", result)
     return result
 
 
