Open closed standard streams on the null device before any socket

Operators saw: an ingress that was started with a closed standard error ended by an abort (status 134) after SIGTERM, and wrote its log to the descriptor of its event loop.

Cause: the next descriptor that is opened gets the number of a closed stream; libuv asserts that it closes no standard one. Ruled out: a full or broken standard error, which drops lines (tests/diagnostics/test_log_stream.py).

Mend: the null device is opened at each closed standard descriptor first.

--- a/sumacpost/diagnostics/log_stream.py
+++ b/sumacpost/diagnostics/log_stream.py
@@ -14,6 +14,7 @@
 LOG_FORMAT = "%(asctime)s %(levelname)s %(message)s"
 # A pipe takes so much as a whole or not at all; a longer line, such as a traceback, may be cut.
 MAX_ATOMIC_BYTES = 4096
+LAST_STANDARD_DESCRIPTOR = 2
 
 
 class DroppingLogHandler(logging.Handler):
@@ -48,6 +49,17 @@
             self.dropped = 0
 
 
+def reserve_standard_descriptors() -> None:
+    """Open the null device at each standard descriptor that is closed.
+
+    Otherwise the next socket would get its number, and be sent the log; and the event loop aborts
+    the process as it closes a descriptor of its own with such a number.
+    """
+    while (descriptor := os.open(os.devnull, os.O_RDWR)) <= LAST_STANDARD_DESCRIPTOR:
+        pass
+    os.close(descriptor)
+
+
 def log_to_standard_error() -> None:
     """Let all loggers write to standard error, from level INFO on."""
     logging.basicConfig(level=logging.INFO, handlers=[DroppingLogHandler(2)])
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -16,7 +16,7 @@
 
 from sumacpost.clock import Clock
 from sumacpost.config import Config, load_config, load_config_in_steps
-from sumacpost.diagnostics.log_stream import log_to_standard_error
+from sumacpost.diagnostics.log_stream import log_to_standard_error, reserve_standard_descriptors
 from sumacpost.discovery.start_times import StartTimes
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
@@ -257,6 +257,7 @@
     EXIT_OK after a graceful shutdown; with one line on stderr, EXIT_BAD_CONFIG if the configuration
     can't be used, and EXIT_CANNOT_SERVE if the address can't be listened on.
     """
+    reserve_standard_descriptors()
     reloader = ConfigReloader()
     log_to_standard_error()
     path = os.environ.get("RELAY_CONFIG")
