Soak: a proxy that delays, silences, resets and half-closes the path to the counter

Resets by clients and agents are resets now: they ended connections with a FIN where nothing stood unread.

--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import struct
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -13,12 +12,11 @@
 
 from fleetlab.soak.behaviour import LATE, UNBOUNDED, Behaviour, Chooser
 from fleetlab.soak.records import Attempt, AttemptResult
-from fleetlab.stand_in import format_address
+from fleetlab.stand_in import format_address, reset_connection
 
 QUEUE_FILLERS = 4  # connections that fill a listener's queue of none
 MAX_WORK_S = 0.05  # of a request that meets no fault
 PIECE_PAUSE_S = 0.02  # between the pieces of a response in pieces
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends RST
 
 
 @dataclass(slots=True)
@@ -265,10 +263,7 @@
 
     def reset(self) -> None:
         """End the connection with a reset."""
-        sock: socket.socket | None = self._transport.get_extra_info("socket")
-        if sock is not None and not self._transport.is_closing():
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self._transport.abort()
+        reset_connection(self._transport)
 
     def connection_lost(self, _exc: Exception | None) -> None:
         if self._idle_timer is not None:
--- a/fleetlab/soak/client.py
+++ b/fleetlab/soak/client.py
@@ -7,9 +7,10 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass
+from typing import cast
 
 from fleetlab.soak.records import ClientRequest, Effect
-from fleetlab.stand_in import split_address
+from fleetlab.stand_in import reset_connection, split_address
 
 LATE_S = 0.5  # after its time a response only earns nothing; later it is lost
 WATCH_S = 3.0  # for which a client waits on: when a lost response comes tells why
@@ -161,7 +162,7 @@
         """Close the connection, by a FIN or a reset."""
         self.open = False
         if reset:
-            self._writer.transport.abort()
+            reset_connection(cast(asyncio.Transport, self._writer.transport))
         else:
             self._writer.close()
 
--- a/fleetlab/soak/endpoint_list.py
+++ b/fleetlab/soak/endpoint_list.py
@@ -6,10 +6,11 @@
 import time
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import cast
 from urllib.parse import parse_qs, urlsplit
 
 from fleetlab.soak.records import ListChange
-from fleetlab.stand_in import StandInServer
+from fleetlab.stand_in import StandInServer, reset_connection
 from fleetlab.versioned_list import JsonObject, VersionedList
 
 MOVED_CLOSE_S = 1.5  # after a new configuration, when the old address closes its connections
@@ -73,7 +74,7 @@
         self.fault = fault
         if fault is AgentFault.RESET:
             for writer in list(self._writers):
-                writer.transport.abort()
+                reset_connection(cast(asyncio.Transport, writer.transport))
 
     def close_soon(self) -> None:
         """Close the port and all connections in the next turns of the loop."""
@@ -105,7 +106,7 @@
             case AgentFault.SILENT:
                 await asyncio.Event().wait()
             case AgentFault.RESET:
-                writer.transport.abort()
+                reset_connection(cast(asyncio.Transport, writer.transport))
                 return False
         changes = None if known is None else self._shared.list.encode_changes(known)
         told = self._shared.changes_since(known if changes is not None else None)
--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from fleetlab.path_proxy import PathFault, PathProxy
 from fleetlab.soak.backend import SoakBackend
 from fleetlab.soak.behaviour import (
     FAILING_WEIGHTS,
@@ -31,6 +32,12 @@
 CROWD_SIZE = 60
 FORGET_IDLE_S = 0.1  # after which idle connections are forgotten
 
+_COUNTER_FAULTS = {
+    FaultKind.COUNTER_DELAYED: PathFault.DELAYED,
+    FaultKind.COUNTER_SILENT: PathFault.SILENT,
+    FaultKind.COUNTER_RESET: PathFault.RESET,
+    FaultKind.COUNTER_HALF_CLOSED: PathFault.HALF_CLOSED,
+}
 # Of the calls that fail while such a fault lasts.
 _SYSTEM_FAULTS = {
     FaultKind.SYSTEM_ACCEPT: (SystemFault.ACCEPT, 0.3),
@@ -70,6 +77,7 @@
     shared: SharedList
     record: RunRecord
     random: Random
+    counter_path: PathProxy | None = None
     busy_backends: set[int] = field(default_factory=set)  # that are away, or about to be
 
     async def run(self, faults: tuple[PlannedFault, ...], started_at: float) -> None:
@@ -86,6 +94,11 @@
             await self._backend_fault(fault)
         elif name.startswith("list_"):
             await self._list_fault(self.nodes[fault.target].agent, fault)
+        elif fault.kind in _COUNTER_FAULTS:
+            assert self.counter_path is not None
+            self.counter_path.begin_fault(_COUNTER_FAULTS[fault.kind])
+            await asyncio.sleep(fault.seconds)
+            self.counter_path.begin_fault(PathFault.NONE)
         elif fault.kind in _SYSTEM_FAULTS:
             await self._system_fault(self.nodes[fault.target].process, fault)
         elif fault.kind is FaultKind.CLOCK_STEP:
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -14,6 +14,7 @@
 
 from fleetlab.counter_server import CounterServer
 from fleetlab.monitors import cpu_pressure_s
+from fleetlab.path_proxy import PathProxy
 from fleetlab.site import endpoint_entries
 from fleetlab.soak.addresses import ingress_address
 from fleetlab.soak.backend import BackendState, SoakBackend
@@ -32,6 +33,7 @@
 
 STARTS_AT_ONCE = 8  # processes that start side by side
 LAST_REQUESTS_S = 1.0  # clients may go on for so long after the last process has been told to end
+COUNTER_DELAY_S = 0.15  # of each piece on a path to the counter that is delayed
 REST_S = 1.0  # from the end of the last client to the count of descriptors
 CROWDED_SOCKETS = 96  # of an ingress that idle clients are to crowd
 
@@ -83,6 +85,7 @@
         self.cpu_pressure = 0.0  # the share of the time in which some process had to wait
         self._backends: list[SoakBackend] = []
         self._nodes: list[Node] = []
+        self._counter_path: PathProxy | None = None
         self._shared: SharedList
 
     async def play(self) -> Evidence:
@@ -129,7 +132,10 @@
         counter = CounterServer()
         await counter.start()
         resources.push_async_callback(counter.stop)
-        return counter.address
+        self._counter_path = PathProxy(counter.address, COUNTER_DELAY_S)
+        await self._counter_path.start()
+        resources.push_async_callback(self._counter_path.stop)
+        return self._counter_path.address
 
     async def _start_ingresses(self, resources: AsyncExitStack, counter: str) -> None:
         turns = asyncio.Semaphore(STARTS_AT_ONCE)
@@ -176,7 +182,13 @@
             )
         ]
         injector = FaultInjector(
-            self._site, self._nodes, self._backends, self._shared, self._record, self._random
+            self._site,
+            self._nodes,
+            self._backends,
+            self._shared,
+            self._record,
+            self._random,
+            self._counter_path,
         )
         started_at = time.monotonic()
         waited_s = cpu_pressure_s()
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -16,7 +16,11 @@
 from fleetlab.soak.pressure import make_hold_up_plan, make_shutdown_plan, make_slow_start_plan
 from fleetlab.soak.run import SoakResult, play
 from fleetlab.soak.schedule import SoakPlan, make_plan
-from fleetlab.soak.system_schedule import make_system_fault_plan, make_wrong_clock_plan
+from fleetlab.soak.system_schedule import (
+    make_counter_path_plan,
+    make_system_fault_plan,
+    make_wrong_clock_plan,
+)
 
 MIN_INGRESSES = 10
 MAX_INGRESSES = 40
@@ -27,6 +31,7 @@
 FIRST_SYSTEM_FAULT_SEED = 4000
 FIRST_WRONG_CLOCK_SEED = 5000
 FIRST_REST_SEED = 6000
+FIRST_COUNTER_PATH_SEED = 7000
 PRESSURE_INGRESSES = (4, 16)  # few enough for each to have many clients
 SHOWN_VIOLATIONS = 3
 
@@ -51,15 +56,20 @@
 def plan_of(seed: int, ingresses: int, seconds: float) -> SoakPlan:
     """Return the run of a seed; ingresses: how many, 0: drawn from the seed.
 
-    Seeds below FIRST_SLOW_START_SEED play all faults but those of the system, the thousand from
-    FIRST_SYSTEM_FAULT_SEED on these too, and so do those from FIRST_REST_SEED on, whose clients
-    leave before the end. The others press on one rule each.
+    Seeds below FIRST_SLOW_START_SEED play all faults but those of the system. The thousand from
+    FIRST_SYSTEM_FAULT_SEED on play these too; so do the thousand from FIRST_REST_SEED on, whose
+    clients leave before the end, and those from FIRST_COUNTER_PATH_SEED on, whose counter can't be
+    reached at times. The others press on one rule each.
     """
     if seed < FIRST_SLOW_START_SEED:
         return make_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED or seed >= FIRST_REST_SEED:
+    if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED:
+        return make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
+    if seed >= FIRST_COUNTER_PATH_SEED:
+        return make_counter_path_plan(seed, ingresses or draw_ingresses(seed), seconds)
+    if seed >= FIRST_REST_SEED:
         plan = make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
-        return replace(plan, rests=seed >= FIRST_REST_SEED)
+        return replace(plan, rests=True)
     few = Random(seed).randint(*PRESSURE_INGRESSES)
     if seed < FIRST_SHUTDOWN_SEED:
         make = make_slow_start_plan
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -48,6 +48,10 @@
     LIST_RESET = "list_reset"
     LIST_TORN = "list_torn"
     LIST_UNBOUNDED = "list_unbounded"
+    COUNTER_DELAYED = "counter_delayed"  # the path of all ingresses to the counter
+    COUNTER_SILENT = "counter_silent"
+    COUNTER_RESET = "counter_reset"
+    COUNTER_HALF_CLOSED = "counter_half_closed"
     SYSTEM_ACCEPT = "system_accept"  # system calls of an ingress fail, as long as it lasts
     SYSTEM_SOCKET = "system_socket"
     SYSTEM_CONNECT = "system_connect"
--- a/fleetlab/soak/system_schedule.py
+++ b/fleetlab/soak/system_schedule.py
@@ -11,6 +11,7 @@
 FAULTS_PER_INGRESS = (1, 4)
 CLOCK_STEP_CHANCE = 0.4  # of an ingress
 WRONG_CLOCK_CHANCE = 0.8  # of an ingress, where that is what a run is about
+ALL_INGRESSES = -1  # the target of a fault that befalls all
 BEFORE_START_S = -1.0  # when a fault begins that is there from the start
 CLOCK_STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 _KINDS = (
@@ -24,6 +25,14 @@
 )
 
 
+_COUNTER_KINDS = (
+    FaultKind.COUNTER_DELAYED,
+    FaultKind.COUNTER_SILENT,
+    FaultKind.COUNTER_RESET,
+    FaultKind.COUNTER_HALF_CLOSED,
+)
+
+
 def make_system_fault_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
     """Return the run of a seed with all the faults of `make_plan`, and those of the system."""
     plan = make_plan(seed, ingresses, seconds)
@@ -42,6 +51,19 @@
     return replace(plan, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
 
 
+def make_counter_path_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return a run with the faults of `make_system_fault_plan` and a failing path to a counter."""
+    plan = make_system_fault_plan(seed, ingresses, seconds)
+    random = Random(f"counter path {seed}")
+    faults = [
+        PlannedFault(
+            random.uniform(QUIET_S, seconds), kind, ALL_INGRESSES, random.uniform(0.3, 2.0)
+        )
+        for kind in random.sample(_COUNTER_KINDS, 3)
+    ]
+    return replace(plan, counter=True, faults=(*plan.faults, *faults))
+
+
 def make_wrong_clock_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
     """Return a run that presses on slow start while the clocks of most ingresses are wrong."""
     plan = make_slow_start_plan(seed, ingresses, seconds)
--- a/fleetlab/stand_in.py
+++ b/fleetlab/stand_in.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import socket
+import struct
 
 LOOPBACK = "127.0.0.1"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends RST
 
 
 class StandInServer:
@@ -59,6 +61,14 @@
         writer.close()
 
 
+def reset_connection(transport: asyncio.Transport) -> None:
+    """End a connection with a reset."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 def format_address(socket_name: tuple[str, int]) -> str:
     """Return host and port as the configuration writes them."""
     host, port = socket_name
