Soak: date attempts by when their bytes came, and hand responses over at once

Traced: the ingresses' logs show the attempts cancelled 2 s before the stand-in backends read them, three backends at the same moment: the soak's own loop was late by 0.1 s in every turn, and its listeners accept one connection a turn. Responses were dated before the turn in which they were written.

Now TCP_INFO dates what came, and last pieces go to the system at once.

--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -12,7 +12,12 @@
 
 from fleetlab.soak.behaviour import LATE, UNBOUNDED, Behaviour, Chooser
 from fleetlab.soak.records import Attempt, AttemptResult
-from fleetlab.stand_in import format_address, reset_connection
+from fleetlab.stand_in import (
+    format_address,
+    reset_connection,
+    since_last_data_s,
+    write_at_once,
+)
 
 QUEUE_FILLERS = 4  # connections that fill a listener's queue of none
 MAX_WORK_S = 0.05  # of a request that meets no fault
@@ -153,7 +158,7 @@
             self.reset()
             return
         if not self._buffer:
-            self._first_byte_at = time.monotonic()
+            self._first_byte_at = self._came_at()
         self._buffer += data
         head, separator, rest = self._buffer.partition(b"\r\n\r\n")
         if not separator or self._attempt is not None:
@@ -165,8 +170,12 @@
         self._buffer = rest[length:]
         self._start(headers)
 
+    def _came_at(self) -> float:
+        """Return when the last bytes came, which the loop may have read later."""
+        return time.monotonic() - since_last_data_s(self._transport)
+
     def _start(self, headers: dict[bytes, bytes]) -> None:
-        now = time.monotonic()
+        received_at = self._came_at()
         behaviour = self._backend.state.choose()
         self._attempt = Attempt(
             headers.get(b"request-id", b"").decode(),
@@ -175,7 +184,7 @@
             headers.get(b"idempotency-key", b"").decode(),
             float(headers.get(b"request-timeout", b"0")),
             self._first_byte_at,
-            now,
+            received_at,
             unbounded=behaviour in UNBOUNDED,
         )
         self._backend.attempts.append(self._attempt)
@@ -230,8 +239,7 @@
             self._transport.write(_bounded_head(body) + body[:half])
             loop.call_later(PIECE_PAUSE_S, self._write_last, attempt, body[half:], False)
         elif behaviour is Behaviour.UNBOUNDED:
-            self._transport.write(b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n")
-            self._write_last(attempt, body, True)
+            self._write_last(attempt, b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n" + body, True)
         elif behaviour is Behaviour.UNBOUNDED_IN_PIECES:
             self._transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body[:half])
             loop.call_later(PIECE_PAUSE_S, self._write_last, attempt, body[half:], True)
@@ -243,7 +251,7 @@
     def _write_last(self, attempt: Attempt, data: bytes, close: bool) -> None:
         if attempt is not self._attempt or self._transport.is_closing() or self._backend.silent:
             return
-        self._transport.write(data)
+        write_at_once(self._transport, data, end=close)
         self._conclude(attempt, AttemptResult.SERVED)
         if close:
             self._transport.close()
--- a/fleetlab/stand_in.py
+++ b/fleetlab/stand_in.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
+from contextlib import suppress
 
 LOOPBACK = "127.0.0.1"
+# Of TCP_INFO: the milliseconds since the last data came, and how much is read to get there.
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends RST
 
 
@@ -69,6 +73,39 @@
     transport.abort()
 
 
+def since_last_data_s(transport: asyncio.Transport) -> float:
+    """Return for how long the last bytes that came had lain there, by the system's account.
+
+    A loop that is late reads and accepts late; this tells when the bytes came. 0 if it isn't told.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+        (age_ms,) = LAST_DATA_RECEIVED.unpack(info)
+    except (OSError, struct.error):
+        return 0.0
+    return float(age_ms) / 1000
+
+
+def write_at_once(transport: asyncio.Transport, data: bytes, end: bool = False) -> None:
+    """Hand bytes to the system now, and the end of the connection behind them if that is asked.
+
+    A transport does both only at the end of the loop's turn, which may be late. Bytes that the
+    system does not take are left to the transport.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is not None and not transport.get_write_buffer_size() and not transport.is_closing():
+        with suppress(OSError):
+            data = data[os.write(sock.fileno(), data) :]
+            if end and not data:
+                with socket.socket(fileno=os.dup(sock.fileno())) as own:
+                    own.shutdown(socket.SHUT_WR)
+    if data:
+        transport.write(data)
+
+
 def format_address(socket_name: tuple[str, int]) -> str:
     """Return host and port as the configuration writes them."""
     host, port = socket_name
