--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -619,6 +619,8 @@
 
 def run_case(folder: Path, case: Case, limit_s: float = 110.0) -> int:
     """Run a case within its time; return the exit status of its script."""
+    # The end of the script ends the processes that it started, as an interrupt does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     record.say(f"trouble={'on' if troubled() else 'off'}")
 
