Keep no exceptions and only short texts in the record of events

Cause: EventRecorder keeps the values of the latest 512 events as they are. ClientConnection and RequestHandler pass it the RequestError, whose traceback keeps the frames of _parse_next and feed: the bytes of the read, the connection, its reader and all headers parsed so far. The target of a refused request, up to 16 KB, was kept as well.

Change: the recorder owns the bound. It keeps numbers and at most 128 characters of each subject and value, whatever it is given; its signature admits no other objects, and both callers pass the text.

--- a/sumacpost/diagnostics/event_recorder.py
+++ b/sumacpost/diagnostics/event_recorder.py
@@ -14,9 +14,18 @@
 from enum import Enum
 from typing import NamedTuple
 
+from sumacpost.address import Address
+
 log = logging.getLogger(__name__)
 
-MAX_KEPT_EVENTS = 512  # about 1 to 2 s of events at a busy ingress; about 200 KB
+MAX_KEPT_EVENTS = 512  # about 1 to 2 s of events at a busy ingress
+MAX_KEPT_CHARACTERS = 128  # kept of each subject or value; the longest valid id of a request
+
+EventValue = int | float | str
+"""A value of an event: data without references to other objects of the program."""
+
+EventSubject = bytes | str | Address
+"""What an event concerns."""
 
 
 class EventKind(Enum):
@@ -44,17 +53,18 @@
         reason: why it happened, or its result; a single word, because events are counted by it.
         subject: what the event concerns: the id of a request, the address of a peer, the target of
             a refused request (empty if the request could not be read), or the subject of a drain
-            phase.
+            phase. At most its first MAX_KEPT_CHARACTERS.
         detail: further fields of the log line, as a %-format string for `values`.
-        values: the values for `detail`; formatted only if the event is logged.
+        values: the values for `detail`, each a number or at most MAX_KEPT_CHARACTERS of text;
+            formatted only if the event is logged.
     """
 
     at_s: float
     kind: EventKind
     reason: str
-    subject: object
+    subject: EventSubject
     detail: str
-    values: tuple[object, ...]
+    values: tuple[EventValue, ...]
 
     def __str__(self) -> str:
         subject = self.subject
@@ -66,6 +76,10 @@
 class EventRecorder:
     """Counts events by kind and reason, and keeps the most recent ones.
 
+    The memory of the kept events is bounded whatever is recorded: there are at most
+    MAX_KEPT_EVENTS, and each keeps numbers and short texts only. An object that is recorded, such
+    as an exception with its traceback, is kept as its text, so that it can be freed.
+
     Attributes:
         logs_live: whether each event is logged immediately.
         counts: the number of events since the start, by kind and reason.
@@ -77,17 +91,29 @@
         self._recent: deque[RecordedEvent] = deque(maxlen=MAX_KEPT_EVENTS)
 
     def record(
-        self, kind: EventKind, reason: str, subject: object, detail: str = "", *values: object
+        self,
+        kind: EventKind,
+        reason: str,
+        subject: EventSubject,
+        detail: str = "",
+        *values: EventValue,
     ) -> None:
         """Count and keep an event, and log it if live logging is on."""
-        event = RecordedEvent(time.monotonic(), kind, reason, subject, detail, values)
+        event = RecordedEvent(
+            time.monotonic(),
+            kind,
+            reason,
+            _kept_subject(subject),
+            detail,
+            tuple(map(_kept_value, values)),
+        )
         self.counts[kind, reason] += 1
         self._recent.append(event)
         if self.logs_live:
             log.info("%s", event)
 
     def record_violation(
-        self, rule: str, subject: object, detail: str = "", *values: object
+        self, rule: str, subject: EventSubject, detail: str = "", *values: EventValue
     ) -> None:
         """Record that a fault of the program has violated a rule, or would have violated it.
 
@@ -103,10 +129,11 @@
         counts = self.counts.items()
         return sum(count for (kind, _), count in counts if kind is EventKind.VIOLATION)
 
-    def log_events_of(self, subject: object) -> None:
+    def log_events_of(self, subject: EventSubject) -> None:
         """Log the kept events of one subject, to explain a violation."""
+        kept_subject = _kept_subject(subject)
         for event in self._recent:
-            if event.subject == subject:
+            if event.subject == kept_subject:
                 _log_with_age(event)
 
     def log_recent_events(self) -> None:
@@ -126,5 +153,21 @@
         log.info("event counts: %s", " ".join(fields))
 
 
+def _kept_subject(subject: EventSubject) -> EventSubject:
+    """Return what is kept of a subject: an address, or text of limited length."""
+    if isinstance(subject, tuple):
+        return subject
+    if isinstance(subject, bytes | str):
+        return subject[:MAX_KEPT_CHARACTERS]
+    return str(subject)[:MAX_KEPT_CHARACTERS]
+
+
+def _kept_value(value: EventValue) -> EventValue:
+    """Return what is kept of a value: a number, or text of limited length."""
+    if type(value) is int or type(value) is float:
+        return value
+    return str(value)[:MAX_KEPT_CHARACTERS]
+
+
 def _log_with_age(event: RecordedEvent) -> None:
     log.info("recent event: age_s=%.3f %s", time.monotonic() - event.at_s, event)
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -192,7 +192,7 @@
         except RequestError as error:
             self._close_reason = CloseReason.INVALID_INPUT
             self._handler.recorder.record(
-                EventKind.REQUEST_REFUSED, str(error.status), "", "error=%s", error
+                EventKind.REQUEST_REFUSED, str(error.status), "", "error=%s", str(error)
             )
             self._reject(error.status)
         finally:
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -39,7 +39,11 @@
             response.request = self._ingress.start_request(request, response)
         except RequestError as error:
             self.recorder.record(
-                EventKind.REQUEST_REFUSED, str(error.status), message.target, "error=%s", error
+                EventKind.REQUEST_REFUSED,
+                str(error.status),
+                message.target,
+                "error=%s",
+                str(error),
             )
             response.send(error.status, error.reason.encode(), _PLAIN_TEXT)
 
