Bound what the incomplete or waiting input of a client costs in memory

Cause: a limit on bytes was taken for a limit on memory. Each header costs some 130 bytes more than it has on the wire, a two-byte chunk 42, a trailer as much as a header; trailers were kept, though nothing reads them. Limits of the head were checked after a whole read of 256,000 bytes had been parsed, and so was the limit of eight responses owed. An idle connection kept the headers and body of its last request. Each read that waited was an object of its own, and a closed connection was in a reference cycle with its parser until the garbage collector came by.

Change: PartialMessage (sumacpost/http_message.py) owns the limits of a message that is being received: bytes of the head, 256 headers, the body as one buffer, and 16 KB of framing without body, and states what is held. Connections pass input in slices of 512 bytes, or what a Content-Length still lacks, and look at the limits and at the responses owed between two slices. InputBuffer joins pieces that arrive within 10 ms. Refused input is dropped at once, also from the reader and the parser.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -24,7 +24,7 @@
 )
 from sumacpost.discovery.incremental_json import IncrementalJsonDecoder, JsonEvent
 from sumacpost.errors import ConfigError
-from sumacpost.http1 import MAX_BODY_BYTES
+from sumacpost.http_message import MAX_BODY_BYTES
 from sumacpost.model import DeduplicationScope, EndpointListUpdate, Settings, UpdateKind
 from sumacpost.settings_json import parse_settings_json
 
--- a/sumacpost/errors.py
+++ b/sumacpost/errors.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 
 class SumacpostError(Exception):
     """The base class of the exceptions in this module."""
@@ -31,6 +33,28 @@
         self.reason = reason
 
 
+class MessagePart(Enum):
+    """The parts of an HTTP message that are limited; the values are used in error texts."""
+
+    HEAD = "head"
+    BODY = "body"
+    FRAMING = "framing"
+
+
+class MessageLimitError(SumacpostError):
+    """A part of an HTTP message exceeds a limit.
+
+    Attributes:
+        part: the part.
+        reason: the limit that it exceeds, as the rest of a sentence about the part.
+    """
+
+    def __init__(self, part: MessagePart, reason: str) -> None:
+        super().__init__(f"{part.value} {reason}")
+        self.part = part
+        self.reason = reason
+
+
 class ResponseError(SumacpostError):
     """A peer sent an invalid HTTP response, or one that exceeds the limits."""
 
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -6,13 +6,12 @@
 import socket
 import time
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum, auto
 from typing import cast
 
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
-from sumacpost.http1 import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from sumacpost.http_message import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from sumacpost.policy.connection_rules import (
     CloseDenialReason,
     ConnectionSnapshot,
@@ -21,6 +20,7 @@
 )
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_registry import ConnectionRegistry
+from sumacpost.server.input_buffer import InputBuffer
 from sumacpost.server.request_handler import RequestHandler
 from sumacpost.server.request_reader import RequestMessage, RequestReader
 from sumacpost.server.response import PendingResponse
@@ -49,14 +49,6 @@
 _CLOSING = ConnectionState.CLOSING
 
 
-@dataclass(slots=True)
-class ReceivedData:
-    """The bytes of one read from the socket."""
-
-    received_at: float  # monotonic seconds
-    data: bytes
-
-
 class ClientConnection(asyncio.Protocol):
     """A client connection; requests may arrive in pieces, pipelined, or chunked."""
 
@@ -80,11 +72,9 @@
         self._close_reason = CloseReason.CLIENT_DISCONNECTED
         self._finish_reason = CloseReason.DRAIN_DEADLINE
         self._pending_responses: deque[PendingResponse] = deque()
-        self._buffered_input: deque[ReceivedData] = deque()
-        self._buffered_bytes = 0
+        self._input = InputBuffer()
         self._buffer_overflowed = False  # the buffered input has exceeded MAX_BUFFERED_BYTES
         self._unread_age_s = unread_age_s
-        self._received_at = 0.0  # when the bytes being parsed were received, in monotonic seconds
         self._parsing = False
         self._writing_paused = False  # the client does not read its responses fast enough
         self._transport: asyncio.Transport
@@ -105,11 +95,10 @@
         """
         if self._state is _CLOSING:
             return
-        self._buffered_input.append(ReceivedData(time.monotonic() - self._unread_age_s, data))
+        self._input.append(time.monotonic() - self._unread_age_s, data)
         self._unread_age_s = 0.0
-        self._buffered_bytes += len(data)
         self.advance()
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if self._input.size > MAX_BUFFERED_BYTES:
             self._buffer_overflowed = True
             self._close_reason = CloseReason.INVALID_INPUT
             self._reject(429)
@@ -147,6 +136,7 @@
             len(unsent),
             self._reader.incomplete_bytes,
         )
+        self._reader.close()
 
     # ---- requests and responses
 
@@ -156,14 +146,14 @@
             return  # responses that are ready immediately are written after parsing
         wrote = self._write_due_responses()
         while (
-            self._buffered_input
+            self._input
             and self._state is not _CLOSING
             and not self._writing_paused
             and len(self._pending_responses) < MAX_PIPELINED
         ):
             self._parse_next()
             wrote = self._write_due_responses() or wrote
-        if self._state is _FINISHING and not (self._pending_responses or self._buffered_input):
+        if self._state is _FINISHING and not (self._pending_responses or self._input):
             self._end_after_input(self._finish_reason)
         self._update_registry(wrote)
 
@@ -176,19 +166,17 @@
         return close_denial_reason(
             ConnectionSnapshot(
                 responses_owed=len(self._pending_responses),
-                buffered_bytes=self._buffered_bytes,
+                buffered_bytes=self._input.size,
                 has_partial_message=self._reader.has_partial_message,
                 has_unread_input=has_unread_input(self._sock),
             )
         )
 
     def _parse_next(self) -> None:
-        received = self._buffered_input.popleft()
-        self._received_at = received.received_at
-        self._buffered_bytes -= len(received.data)
+        data = self._input.take(self._reader.slice_bytes)
         self._parsing = True
         try:
-            self._reader.feed(received.data)
+            self._reader.feed(data)
         except RequestError as error:
             self._close_reason = CloseReason.INVALID_INPUT
             self._handler.recorder.record(
@@ -205,7 +193,7 @@
         if self.has_disconnected():
             self._discard_input()
             return
-        response = PendingResponse(self, message.keep_alive, self._received_at)
+        response = PendingResponse(self, message.keep_alive, self._input.received_at)
         self._pending_responses.append(response)
         if not message.keep_alive:
             self._discard_input()
@@ -218,7 +206,7 @@
         """
         if self._state is _CLOSING:
             return
-        response = PendingResponse(self, keep_alive=False, received_at=self._received_at)
+        response = PendingResponse(self, keep_alive=False, received_at=self._input.received_at)
         self._pending_responses.append(response)
         self._discard_input()
         response.send(status)
@@ -235,7 +223,7 @@
             is_last = is_last_response(
                 response.keep_alive,
                 self._handler.draining,
-                bool(self._pending_responses or self._buffered_input),
+                bool(self._pending_responses or self._input),
             )
             self._write(response.head, response.body, is_last)
             if is_last:
@@ -320,8 +308,8 @@
 
     def _discard_input(self) -> None:
         self._state = _CLOSING
-        self._buffered_input.clear()
-        self._buffered_bytes = 0
+        self._input.clear()
+        self._reader.discard()
 
     def _end_after_last_response(self) -> None:
         """End the connection after its last response.
--- a/sumacpost/server/request_reader.py
+++ b/sumacpost/server/request_reader.py
@@ -7,11 +7,19 @@
 
 import httptools
 
-from sumacpost.errors import RequestError
-from sumacpost.http1 import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from sumacpost.errors import MessageLimitError, MessagePart, RequestError
+from sumacpost.http_message import (
+    MAX_BODY_BYTES,
+    MAX_CONTENT_LENGTH_DIGITS,
+    Header,
+    PartialMessage,
+)
 
 MAX_MESSAGE_BYTES = 8 * MAX_BODY_BYTES  # limit of a whole message, including its chunk framing
-MAX_CONTENT_LENGTH_DIGITS = 12  # limit of the digits in a Content-Length header
+# A slice of input that may contain several requests: at most some thirty of the shortest.
+MIN_SLICE_BYTES = 512
+
+_STATUS_BY_PART = {MessagePart.HEAD: 431, MessagePart.BODY: 413, MessagePart.FRAMING: 413}
 
 
 @dataclass(slots=True)
@@ -20,7 +28,7 @@
 
     method: bytes
     target: bytes
-    headers: list[tuple[bytes, bytes]]  # names in lower case
+    headers: list[Header]  # names in lower case
     body: bytes
     keep_alive: bool  # whether another request may follow on the connection
 
@@ -37,10 +45,9 @@
     """
 
     __slots__ = (
-        "_body",
-        "_body_size",
-        "_headers",
-        "_in_head",
+        "_discarded",
+        "_message",
+        "_missing_body_bytes",
         "_on_request",
         "_parser",
         "_target",
@@ -51,41 +58,74 @@
     def __init__(self, on_request: Callable[[RequestMessage], None]) -> None:
         self._on_request = on_request
         self._parser = httptools.HttpRequestParser(self)
+        self._discarded = False
+        self._message = PartialMessage()
+        self._missing_body_bytes = 0  # by the Content-Length of the partial message
+        self._target = b""
         self.incomplete_bytes = 0
         self.has_partial_message = False
-        self._clear()
 
-    def feed(self, data: bytes) -> None:
+    @property
+    def held_bytes(self) -> int:
+        """The memory of the partial message, in bytes."""
+        return len(self._target) + self._message.held_bytes
+
+    @property
+    def slice_bytes(self) -> int:
+        """How many bytes should be fed at a time.
+
+        The caller can decide between two slices whether to go on, so a slice contains few requests.
+        """
+        return max(MIN_SLICE_BYTES, self._missing_body_bytes)
+
+    def feed(self, data: bytes | bytearray) -> None:
         """Parse further bytes.
 
         Raise RequestError if the bytes are not a valid request or exceed a limit. The reader must
         not be used after that, because the start of the next request is unknown.
         """
+        if self._discarded:
+            return
         self.incomplete_bytes += len(data)
+        self._message.count_input(len(data))
         try:
             self._parser.feed_data(data)
+            self._message.check_input()
         except httptools.HttpParserUpgrade:
             return  # treated as an ordinary request, after which the connection ends
         except httptools.HttpParserError as error:
             raise _request_error(error) from None
-        if self._in_head and self.incomplete_bytes > MAX_HEAD_BYTES:
-            raise RequestError(431, f"request head exceeds {MAX_HEAD_BYTES} bytes")
+        except MessageLimitError as error:
+            raise _limit_error(error) from None
+        finally:
+            if self._discarded:
+                self._clear()
         if self.incomplete_bytes > MAX_MESSAGE_BYTES:
             raise RequestError(413, f"request message exceeds {MAX_MESSAGE_BYTES} bytes")
 
+    def discard(self) -> None:
+        """Drop the partial message, and ignore all further input.
+
+        May be called from the callback, while the input that contains the request is being parsed.
+        """
+        self._discarded = True
+        self._clear()
+
+    def close(self) -> None:
+        """Drop everything; call it when the connection has ended."""
+        self.discard()
+        del self._parser  # breaks the reference cycle with this object
+
     def _clear(self) -> None:
-        self._in_head = True
+        self._message.reset()
+        self._missing_body_bytes = 0
         self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
 
     # Callbacks of httptools, which wraps the exceptions that they raise.
 
     def on_message_begin(self) -> None:
         """Prepare for a new message."""
         self.has_partial_message = True
-        self._clear()
 
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
@@ -93,13 +133,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
-        self._headers.append((name.lower(), value))
+        self._message.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the framing of the body; ambiguous framing could hide a second request in it."""
-        self._in_head = False
-        lengths = [value for name, value in self._headers if name == b"content-length"]
-        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        self._message.end_head()
+        headers = self._message.headers
+        lengths = [value for name, value in headers if name == b"content-length"]
+        codings = [value for name, value in headers if name == b"transfer-encoding"]
         if (lengths and codings) or len(lengths) > 1 or len(codings) > 1:
             raise RequestError(
                 400, "ambiguous framing: more than one Content-Length or Transfer-Encoding header"
@@ -107,7 +148,7 @@
         if codings:
             self._check_transfer_coding(codings[0])
         if lengths:
-            _check_content_length(lengths[0])
+            self._missing_body_bytes = _parse_content_length(lengths[0])
 
     def _check_transfer_coding(self, coding: bytes) -> None:
         if coding.lower() != b"chunked" or self._parser.get_http_version() != "1.1":
@@ -115,34 +156,38 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
-        self._body_size += len(data)
-        if self._body_size > MAX_BODY_BYTES:
-            raise RequestError(413, f"request body exceeds {MAX_BODY_BYTES} bytes")
-        self._body.append(data)
+        self._missing_body_bytes -= len(data)
+        self._message.add_body(data)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the callback."""
-        self.incomplete_bytes = 0
-        self.has_partial_message = False
         parser = self._parser
-        self._on_request(
-            RequestMessage(
-                parser.get_method(),
-                self._target,
-                self._headers,
-                b"".join(self._body),
-                parser.should_keep_alive() and not parser.should_upgrade(),
-            )
+        message = RequestMessage(
+            parser.get_method(),
+            self._target,
+            self._message.headers,
+            self._message.take_body(),
+            parser.should_keep_alive() and not parser.should_upgrade(),
         )
+        self._clear()
+        self.incomplete_bytes = 0
+        self.has_partial_message = False
+        self._on_request(message)
 
 
 def _request_error(error: httptools.HttpParserError) -> RequestError:
-    """Return the RequestError that a callback raised, or a new one for malformed HTTP."""
+    """Return the error that a callback raised, or a new one for malformed HTTP."""
     raised = error.__context__
+    if isinstance(raised, MessageLimitError):
+        return _limit_error(raised)
     return raised if isinstance(raised, RequestError) else RequestError(400, "malformed HTTP")
 
 
-def _check_content_length(length: bytes) -> None:
+def _limit_error(error: MessageLimitError) -> RequestError:
+    return RequestError(_STATUS_BY_PART[error.part], f"request {error}")
+
+
+def _parse_content_length(length: bytes) -> int:
     if not length.isdigit():
         raise RequestError(400, "Content-Length is not a number")
     if len(length) > MAX_CONTENT_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
@@ -150,3 +195,4 @@
             413,
             f"Content-Length exceeds {MAX_BODY_BYTES} bytes or {MAX_CONTENT_LENGTH_DIGITS} digits",
         )
+    return int(length)
--- a/sumacpost/upstream/pool_manager.py
+++ b/sumacpost/upstream/pool_manager.py
@@ -7,7 +7,7 @@
 
 from sumacpost.address import Address
 from sumacpost.diagnostics.event_recorder import EventRecorder
-from sumacpost.http1 import MAX_BODY_BYTES
+from sumacpost.http_message import MAX_BODY_BYTES
 from sumacpost.model import (
     BackendId,
     EndpointListUpdate,
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -272,7 +272,7 @@
                 await until_attempted(ingress, number)
             server = ingress.server
             client.write(slow_request("vat-filing"))
-            await until(lambda: any(c._buffered_input for c in server.connections.open))
+            await until(lambda: any(c._input for c in server.connections.open))
             (first,) = attempted_backends(ingress, 100)
             client.write(following_input)
             disconnect_during(
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -56,7 +56,7 @@
             ]
             for data in buffered_requests:
                 client.write(data)
-            await until(lambda: connection._buffered_bytes == len(b"".join(buffered_requests)))
+            await until(lambda: connection._input.size == len(b"".join(buffered_requests)))
             client.disconnect(how)
             await until(
                 lambda: not ingress.server.connections.open and not ingress.instance._pending
@@ -75,7 +75,7 @@
         async with running_ingress(*[never_respond] * 8) as ingress:
             client, connection = await fill_pipeline(ingress)
             client.write(request("vat-filing", 50, Request_Timeout="5.000"))
-            await until(lambda: connection._buffered_bytes > 0)
+            await until(lambda: connection._input.size > 0)
             await asyncio.sleep(0.05)  # counts towards the request's timeout
             for backend in ingress.backends:
                 backend.script = respond()
@@ -96,7 +96,7 @@
             some_90_kilobytes = b"".join(request("vat-filing", 100 + n) for n in range(400))
             client.write(some_90_kilobytes)
             await until(lambda: connection._state is ConnectionState.CLOSING)
-            assert connection._buffered_bytes == 0
+            assert connection._input.size == 0
             respond_to_all(ingress)
             statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED)]
             assert statuses == [200] * MAX_PIPELINED
@@ -125,11 +125,11 @@
                 await asyncio.sleep(0)
             before = ingress.requests_received
             client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
-            await until(lambda: connection._buffered_bytes > 0)
+            await until(lambda: connection._input.size > 0)
             assert ingress.requests_received == before
             client.resume_reading()
             statuses = [(await client.read_response()).status for _ in range(number + 1)]
             assert 200 in statuses
-            assert not connection._buffered_input
+            assert not connection._input
 
     run(test())
--- a/tests/server/test_request_reader.py
+++ b/tests/server/test_request_reader.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sumacpost.errors import RequestError
-from sumacpost.http1 import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from sumacpost.http_message import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from sumacpost.server.request_reader import MAX_MESSAGE_BYTES, RequestMessage, RequestReader
 from tests.support.http_client import request
 
--- a/tests/server/test_requests.py
+++ b/tests/server/test_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sumacpost.http1 import MAX_BODY_BYTES
+from sumacpost.http_message import MAX_BODY_BYTES
 from tests.support.configuration import SETTINGS
 from tests.support.event_loop import run
 from tests.support.http_client import HEALTH_REQUEST, request
--- a/tests/upstream/test_attempt.py
+++ b/tests/upstream/test_attempt.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sumacpost.http1 import MAX_BODY_BYTES
+from sumacpost.http_message import MAX_BODY_BYTES
 from sumacpost.model import Outcome
 from tests.support.attempts import AttemptRecorder
 from tests.support.event_loop import run
