Bound what the incomplete response of a backend costs in memory

Seen by callers: with a limit of 64 MB, where one of four responses was hostile, an ingress reached 237 MB (bodies in chunks of one byte), 731 MB (short trailers without end) and 434 MB (one trailer without end); it would have been killed, with all requests that it had.

Cause: as for clients: the limit on a body counted its bytes, not the objects of its pieces, some 42 bytes each. Nothing limited what follows the head without being body: trailers were kept as headers, and the parser collects a trailer until its end, however long. An idle connection kept the body of its last response, up to a 48th of the memory limit. An error quoted whole headers in the log.

A complete response leaves nothing behind; a connection that is lost frees its parser.

Six of the tests fail on the code before.

--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -7,13 +7,15 @@
 
 import httptools
 
-from sumacpost.errors import ResponseError
+from sumacpost.errors import MessageLimitError, MessagePart, ResponseError
+from sumacpost.http_message import (
+    MAX_CONTENT_LENGTH_DIGITS,
+    SLICE_BYTES,
+    Header,
+    PartialMessage,
+)
 
-MAX_BODY_BYTES = 64 * 1024  # the protocol's limit on the length of a body
-# Limit on a request line or status line with its headers. The heads of the interim responses before
-# a response count towards the same limit.
-MAX_HEAD_BYTES = 16 * 1024
-MAX_CONTENT_LENGTH_DIGITS = 12
+MAX_QUOTED_BYTES = 40  # bytes of an invalid header in an error message
 
 HTTP_OK = 200
 FIRST_FINAL_STATUS = 200  # lower statuses belong to interim responses
@@ -44,14 +46,11 @@
     """
 
     __slots__ = (
-        "_body",
-        "_body_size",
         "_complete",
         "_ends_with_connection",
-        "_head_size",
         "_headers",
-        "_headers_done",
         "_max_body_bytes",
+        "_message",
         "_on_body",
         "_parser",
     )
@@ -61,14 +60,19 @@
         self._on_body = on_body
         self._parser = httptools.HttpResponseParser(self)
         self._complete: Response | None = None
+        self._message = PartialMessage(max_body_bytes)
+        self._headers: dict[bytes, bytes] = {}
         self._ends_with_connection = False  # the body has no stated length
-        self._head_size = 0  # bytes of all heads since the last complete response
-        self.on_message_begin()
 
     @property
     def response_started(self) -> bool:
         """Whether part of a response has been received, but not all of it."""
-        return self._headers_done or self._head_size > 0
+        return self._message.head_bytes > 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory of the partial response, in bytes."""
+        return self._message.held_bytes
 
     def feed(self, data: bytes) -> Response | None:
         """Return the response that these bytes complete, or None if they complete none.
@@ -77,20 +81,37 @@
         is unknown what they belong to. Raise ResponseError if a response is invalid or exceeds the
         limits.
         """
-        if not self._headers_done:
-            self._head_size += len(data)
+        for start in range(0, len(data), SLICE_BYTES):
+            response = self._feed_slice(data[start : start + SLICE_BYTES])
+            if response is not None:
+                if start + SLICE_BYTES < len(data):
+                    response.keep_alive = False
+                return response
+        return None
+
+    def _feed_slice(self, data: bytes) -> Response | None:
+        self._message.count_input(len(data))
         try:
             self._parser.feed_data(data)
+            if self._complete is None:
+                self._message.check_input()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._complete is None:
-                raise ResponseError(_describe(error)) from error
+                raise ResponseError(_describe(error)) from None
             self._complete.keep_alive = False
+        except MessageLimitError as error:
+            raise ResponseError(_describe_limit(error)) from None
+        return self._take_complete()
+
+    def close(self) -> None:
+        """Drop everything; call it when the connection has ended."""
+        self._message.reset()
+        self._ends_with_connection = False
+        del self._parser  # breaks the reference cycle with this object
+
+    def _take_complete(self) -> Response | None:
         response = self._complete
-        if response is not None:
-            self._complete = None
-            self._head_size = 0
-        elif not self._headers_done and self._head_size > MAX_HEAD_BYTES:
-            raise ResponseError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
+        self._complete = None
         return response
 
     def feed_eof(self) -> Response | None:
@@ -101,29 +122,18 @@
         if not self._ends_with_connection:
             return None
         self._finish(keep_alive=False)
-        response = self._complete
-        self._complete = None
-        self._head_size = 0
-        self._headers_done = False
-        return response
+        return self._take_complete()
 
     # Callbacks of the parser, which wraps the exceptions that they raise in an HttpParserError.
 
     def on_message_begin(self) -> None:
-        """Reset the state of the current response."""
+        """Check that no response starts before the complete one has been returned."""
         if self._complete is not None:
             raise _TrailingDataError
-        self._headers: dict[bytes, bytes] = {}
-        self._headers_done = False
-        self._ends_with_connection = False
-        self._body: list[bytes] = []
-        self._body_size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; append the value of a repeated one to the previous values."""
-        name = name.lower()
-        previous = self._headers.get(name)
-        self._headers[name] = value if previous is None else previous + b", " + value
+        """Store a header."""
+        self._message.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the framing of the body; a body without framing ends with the connection.
@@ -134,14 +144,16 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
-        self._headers_done = True
+        self._message.end_head()
+        self._headers = _join_repeated(self._message.headers)
         length = self._headers.get(b"content-length")
         coding = self._headers.get(b"transfer-encoding")
         if coding is not None:
             if coding.strip().lower() != b"chunked" or length is not None:
                 raise ResponseError(
-                    f"response body: invalid framing by Transfer-Encoding {coding!r}"
-                    f" and Content-Length {length!r}"
+                    f"response body: invalid framing by Transfer-Encoding"
+                    f" {coding[:MAX_QUOTED_BYTES]!r}"
+                    f" and Content-Length {(length or b'')[:MAX_QUOTED_BYTES]!r}"
                 )
         elif length is not None:
             self._check_content_length(length)
@@ -150,38 +162,56 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, or pass it to the on_body callback."""
-        self._body_size += len(data)
-        if self._body_size > self._max_body_bytes:
-            raise ResponseError(f"response body: exceeds {self._max_body_bytes} bytes")
         if self._on_body is None:
-            self._body.append(data)
-        elif self._parser.get_status_code() == HTTP_OK:
+            self._message.add_body(data)
+            return
+        self._message.count_body(len(data))
+        if self._parser.get_status_code() == HTTP_OK:
             self._on_body(data)
 
     def on_message_complete(self) -> None:
         """Assemble the response, unless it is an interim one, which a final response follows."""
         if self._parser.get_status_code() >= FIRST_FINAL_STATUS:
             self._finish(self._parser.should_keep_alive())
-        self._headers_done = False
+        else:
+            self._message.restart_head()
 
     def _finish(self, keep_alive: bool) -> None:
-        """Assemble the complete response."""
+        """Assemble the complete response, and keep nothing of it."""
         status = self._parser.get_status_code()
-        self._complete = Response(status, self._headers, b"".join(self._body), keep_alive)
+        self._complete = Response(status, self._headers, self._message.take_body(), keep_alive)
+        self._message.reset()
+        self._headers = {}
         self._ends_with_connection = False
 
     def _check_content_length(self, length: bytes) -> None:
         too_long = len(length) > MAX_CONTENT_LENGTH_DIGITS
         if not length.isdigit() or too_long or int(length) > self._max_body_bytes:
             raise ResponseError(
-                f"response body: Content-Length {length[:40]!r} is not a number"
+                f"response body: Content-Length {length[:MAX_QUOTED_BYTES]!r} is not a number"
                 f" of at most {self._max_body_bytes}"
             )
 
 
+def _join_repeated(headers: list[Header]) -> dict[bytes, bytes]:
+    """Return the headers by name, with the values of a repeated one joined by commas."""
+    by_name = dict(headers)
+    if len(by_name) < len(headers):
+        for name in by_name:
+            by_name[name] = b", ".join(value for other, value in headers if other == name)
+    return by_name
+
+
 def _describe(error: Exception) -> str:
     """Return the message of the callback's exception or, without one, of the parser's error."""
     cause = error.__context__
+    if isinstance(cause, MessageLimitError):
+        return _describe_limit(cause)
     if isinstance(cause, ValueError | ResponseError):
         return str(cause)
     return repr(cause or error)
+
+
+def _describe_limit(error: MessageLimitError) -> str:
+    separator = ":" if error.part is MessagePart.BODY else ""
+    return f"response {error.part.value}{separator} {error.reason}"
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -119,6 +119,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse more of the response, and end the attempt once the response is complete."""
+        if self._state is ConnectionState.CLOSED:
+            return
         try:
             response = self._reader.feed(data)
         except ResponseError as error:
@@ -151,6 +153,7 @@
         """End the attempt in flight, if any, because the connection is closed."""
         del exc  # an orderly close and a reset have the same effect
         self._fail(CloseReason.LOST)
+        self._reader.close()
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection immediately, without reading further or reporting an outcome."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -5,11 +5,19 @@
 import pytest
 
 from sumacpost.errors import ResponseError
-from sumacpost.http1 import MAX_HEAD_BYTES, Response, ResponseReader
+from sumacpost.http1 import Response, ResponseReader
+from sumacpost.http_message import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS
+from tests.support.memory import measured_memory
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nX-Part: a\r\nX-Part: b\r\nContent-Length: 4\r\n\r\ndone"
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TRAILER_LINES = b"".join(b"%x:\r\n" % number for number in range(100_000))
+# A head, a body and trailers of the longest permitted lengths, with the overhead of all headers.
+MAX_HELD_BYTES = 192 * 1024
+
+
 @pytest.fixture
 def reader() -> ResponseReader:
     return ResponseReader(max_body_bytes=16)
@@ -115,3 +123,58 @@
     reader = ResponseReader(max_body_bytes=16, on_body=reject)
     with pytest.raises(ResponseError, match="not a list"):
         reader.feed(RESPONSE)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\n" + TRAILER_LINES,
+        CHUNKED + b"1\r\nx\r\n" * (MAX_BODY_BYTES - 1),
+        CHUNKED + b"1\r\nx\r\n0\r\n" + TRAILER_LINES,
+        CHUNKED + b"1\r\nx\r\n0\r\nX: " + b"x" * 500_000,
+        CHUNKED + b"1;" + b"x" * 500_000,
+    ],
+    ids=[
+        "headers without end",
+        "single-byte chunks",
+        "trailers without end",
+        "trailer without end",
+        "chunk extension without end",
+    ],
+)
+def test_an_incomplete_response_costs_little_more_than_its_permitted_bytes(response: bytes) -> None:
+    # Guards against chunks and trailers of backends that cost 40 times their bytes, without end.
+    with measured_memory() as held:
+        reader = ResponseReader(MAX_BODY_BYTES)
+        try:
+            for start in range(0, len(response), 65_536):
+                assert reader.feed(response[start : start + 65_536]) is None
+        except ResponseError as error:
+            assert "exceeds" in str(error)  # noqa: PT017
+    assert held.size < MAX_HELD_BYTES
+    assert reader.held_bytes < MAX_HELD_BYTES
+
+
+def test_a_complete_response_leaves_nothing_in_the_reader() -> None:
+    # Guards against idle connections that keep the body of their last response.
+    reader = ResponseReader(MAX_BODY_BYTES)
+    body = b"x" * MAX_BODY_BYTES
+    response = reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    assert response is not None
+    assert response.body == body
+    assert response.keep_alive
+    assert reader.held_bytes == 0
+
+
+def test_a_response_has_a_limited_number_of_headers() -> None:
+    reader = ResponseReader(MAX_BODY_BYTES)
+    with pytest.raises(ResponseError, match="response head exceeds 256 headers"):
+        reader.feed(b"HTTP/1.1 200 OK\r\n" + b"X: 1\r\n" * (MAX_HEADERS + 1) + b"\r\n")
+
+
+def test_an_error_does_not_quote_a_long_header() -> None:
+    # Guards against lines of the log that are as long as a backend makes them.
+    reader = ResponseReader(MAX_BODY_BYTES)
+    with pytest.raises(ResponseError) as error:
+        reader.feed(CHUNKED.replace(b"chunked", b"\xff" * 3000))
+    assert len(str(error.value)) < 500
