Free what a failed poll of discovery has read, and keep no fields that are not read

Seen: an ingress grows with each poll of discovery that fails, for good. Nothing frees the parser with the entries that it had stored, up to a whole partition of the list.

Cause: the decoder of ijson refers to IncrementalJsonDecoder and back, and the garbage collector does not see through ijson's types. The cycle was broken in finish alone, which runs after a complete list only. Found while looking for what refused input leaves behind; a weak reference to the sink of a decoder that was given nonsense is alive after gc.collect().

Change: the decoder is a context manager, closed however a poll ends. The watch logs the text of an error, as a log record keeps an exception's frames.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -169,11 +169,11 @@
 
 def _decode(chunks: Iterable[bytes], builder: _ConfigBuilder) -> Generator[None, None, None]:
     """Send the JSON events of a file to the builder, yielding after each chunk."""
-    decoder = IncrementalJsonDecoder(builder)
-    for chunk in chunks:
-        decoder.feed(chunk)
-        yield
-    decoder.finish()
+    with IncrementalJsonDecoder(builder) as decoder:
+        for chunk in chunks:
+            decoder.feed(chunk)
+            yield
+        decoder.finish()
 
 
 class _ConfigBuilder:
--- a/sumacpost/discovery/deduplication_peers.py
+++ b/sumacpost/discovery/deduplication_peers.py
@@ -9,6 +9,7 @@
 from sumacpost.model import BackendId, Endpoint, EndpointStatus
 
 DEDUPLICATION_PEERS_PER_CELL = 2  # backends of other partitions
+MAX_CANDIDATE_CELLS = 16 * 1024  # five times the cells of the largest planned fleet
 
 
 class ListedBackend(NamedTuple):
@@ -42,7 +43,9 @@
         """Return whether a backend of another partition qualifies as a candidate for its cell."""
         if status is not EndpointStatus.READY:
             return False
-        candidates = self._candidates.get(cell, [])
+        candidates = self._candidates.get(cell)
+        if candidates is None:
+            return len(self._candidates) < MAX_CANDIDATE_CELLS
         if len(candidates) < DEDUPLICATION_PEERS_PER_CELL:
             return True
         return self._rank(backend) < candidates[-1].rank
--- a/sumacpost/discovery/endpoint_list.py
+++ b/sumacpost/discovery/endpoint_list.py
@@ -28,6 +28,7 @@
 MAX_DEPTH = 8  # levels of nested values; a valid list needs three
 MAX_BACKEND_SIZE = 1e6  # relative to a standard backend
 MAX_BOOT_MS = 1e15
+MAX_CELL = 1 << 53  # larger numbers have no exact form in many JSON writers
 UNKNOWN_INDEX = 0xFFFF  # index of a zone or machine type that the settings don't name
 STATUS_BY_NAME = {
     "active": EndpointStatus.READY,
@@ -35,6 +36,12 @@
     "left": EndpointStatus.GONE,
 }
 
+# The fields that are read; values of others are dropped, as a list may have any number of them.
+LIST_FIELDS = frozenset({"rev", "all", "targets"})
+ENTRY_FIELDS = frozenset(
+    {"uid", "endpoint", "az", "model", "pod_group", "state", "capacity_hint", "boot_ms"}
+)
+
 START_EVENTS = frozenset({"start_map", "start_array"})
 END_EVENTS = frozenset({"end_map", "end_array"})
 
@@ -79,6 +86,7 @@
         self._entry_fields: dict[str, Any] = {}
         # Fields of the object that is being parsed; None where fields are ignored.
         self._current_fields: dict[str, Any] | None = None
+        self._field_names = LIST_FIELDS  # of the object that is being parsed
         self._current_key = ""
         self._entry_count = 0
         self._present_count = 0  # entries of backends that have not been removed
@@ -96,7 +104,7 @@
         elif name in END_EVENTS:
             self._end_value()
         elif self._current_fields is not None:
-            self._current_fields[self._current_key] = value
+            self._set_field(value)
         elif self._context is not _JsonContext.IGNORED:
             raise EndpointListError(f"expected an object, got {value!r:.40}")
 
@@ -148,7 +156,7 @@
                 self._entry_fields = {}
                 self._set_context(_JsonContext.ENTRY)
             case _JsonContext.ENTRY:
-                self._entry_fields[self._current_key] = None
+                self._set_field(None)
                 self._set_context(_JsonContext.IGNORED)
             case _:
                 self._set_context(_JsonContext.IGNORED)
@@ -163,11 +171,18 @@
         self._context = value
         if value is _JsonContext.ENTRY:
             self._current_fields = self._entry_fields
+            self._field_names = ENTRY_FIELDS
         elif value is _JsonContext.LIST:
             self._current_fields = self._list_fields
+            self._field_names = LIST_FIELDS
         else:
             self._current_fields = None
 
+    def _set_field(self, value: object) -> None:
+        """Set a field of the current object, if it is one that is read."""
+        if self._current_fields is not None and self._current_key in self._field_names:
+            self._current_fields[self._current_key] = value
+
     def _add_entry(self, raw: dict[str, Any]) -> None:
         self._entry_count += 1
         if self._entry_count > MAX_ENTRIES:
@@ -290,9 +305,9 @@
     def read(self, data: bytes, cached: bool = False) -> EndpointList:
         """Read and adopt a list encoded as JSON; raise EndpointListError if it is invalid."""
         parser = self.new_parser()
-        decoder = IncrementalJsonDecoder(parser)
-        decoder.feed(data)
-        decoder.finish()
+        with IncrementalJsonDecoder(parser) as decoder:
+            decoder.feed(data)
+            decoder.finish()
         endpoint_list = parser.result(cached)
         self.adopt(parser, endpoint_list.update)
         return endpoint_list
@@ -305,13 +320,16 @@
         boot_ms = float(raw.get("boot_ms", 0))
         if not (0 <= size < MAX_BACKEND_SIZE and 0 <= boot_ms < MAX_BOOT_MS):
             raise ValueError(f"capacity_hint {size} or boot_ms {boot_ms} out of range")
+        cell = int(raw.get("pod_group", 0))
+        if abs(cell) > MAX_CELL:
+            raise ValueError("pod_group out of range")
         # boot_ms is Unix time, as is the gateway's clock: see sumacpost.clock.Clock.
         endpoint = Endpoint(
             backend,
             status,
             self._zones.get(raw.get("az", ""), UNKNOWN_INDEX),
             self._machine_types.get(raw.get("model", ""), UNKNOWN_INDEX),
-            int(raw.get("pod_group", 0)),
+            cell,
             size,
             boot_ms,
         )
--- a/sumacpost/discovery/incremental_json.py
+++ b/sumacpost/discovery/incremental_json.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+from typing import Any, Protocol, Self
 
 import ijson  # type: ignore[import-untyped]
 
@@ -24,7 +24,8 @@
 class IncrementalJsonDecoder:
     """A JSON decoder that receives a document in pieces and passes its events to a sink.
 
-    Exceptions that the sink raises propagate through feed and finish.
+    Exceptions that the sink raises propagate through feed and finish. Use the decoder as a context
+    manager, or call close: otherwise it is never freed, nor is the sink.
 
     Attributes:
         total_bytes: bytes of the document received so far.
@@ -36,6 +37,18 @@
         self._bytes_since_event = 0
         self.total_bytes = 0
 
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Drop the decoder of ijson; has no effect if it is closed already."""
+        # The decoder refers to this object, and the garbage collector can't break the cycle, as it
+        # does not see through the types of ijson.
+        self._decoder = None
+
     def send(self, event: JsonEvent) -> None:
         """Pass an event to the sink; called by ijson."""
         self._bytes_since_event = 0
@@ -64,7 +77,7 @@
         except ijson.JSONError as error:
             raise _not_json(error) from error
         finally:
-            self._decoder = None  # breaks the reference cycle with this object
+            self.close()
 
 
 def _not_json(error: ijson.JSONError) -> EndpointListError:
--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -120,7 +120,8 @@
         delay_s = self._backoff.next_delay(self._received_bytes, malformed, _now())
         if self._received_bytes or self._agent_available:
             event = "endpoint list rejected" if malformed else "discovery poll failed"
-            log.warning("%s: error=%r retry_after_s=%.3f", event, error, delay_s)
+            # As text: a log record with the exception would keep the frames of its traceback.
+            log.warning("%s: error=%s retry_after_s=%.3f", event, repr(error), delay_s)
         self._agent_available = False
         return delay_s
 
@@ -151,21 +152,23 @@
             wait_s += hold_ms / 1000
         max_bytes = MAX_LIMITED_RESPONSE_BYTES if limited else MAX_LIST_BYTES
         parser = self._reader.new_parser()
-        decoder = IncrementalJsonDecoder(parser)
         self._received_bytes = 0
-        try:
-            response = await self._receive(reader, ResponseReader(max_bytes, decoder.feed), wait_s)
-            _check_status(response)
-            decoder.finish()
-            endpoint_list = parser.result()
-            _check_version(endpoint_list.update, since_version)
-        except (EndpointListError, ResponseError):
-            # A full list includes the changes that the response should have contained. If a long
-            # full list can't be read, changes to the last usable list may still be readable.
-            self._needs_full_list = since_version is not None and (
-                self._full_list_bytes <= SMALL_LIST_BYTES or self._backoff.failures > 0
-            )
-            raise
+        with IncrementalJsonDecoder(parser) as decoder:
+            try:
+                response = await self._receive(
+                    reader, ResponseReader(max_bytes, decoder.feed), wait_s
+                )
+                _check_status(response)
+                decoder.finish()
+                endpoint_list = parser.result()
+                _check_version(endpoint_list.update, since_version)
+            except (EndpointListError, ResponseError):
+                # A full list includes the changes that the response should have contained. If a
+                # long full list can't be read, changes to the last usable list may be readable.
+                self._needs_full_list = since_version is not None and (
+                    self._full_list_bytes <= SMALL_LIST_BYTES or self._backoff.failures > 0
+                )
+                raise
         self._reader.adopt(parser, endpoint_list.update)
         if endpoint_list.update.kind is UpdateKind.FULL:
             self._full_list_bytes = decoder.total_bytes
