Give one budget all that clients and backends make the ingress hold, and enforce it

Seen by callers: with a limit of 64 MB, 100 clients took an ingress to 103 MB by valid requests with long bodies, eight on each connection, and to 74 MB by reading no responses; backends took it to 94 MB by bodies without end, one of four responses.

Cause: each connection has its limits, but nothing limits their sum: with 1,024 descriptors 488 clients may hold 80 KB of input each, or eight requests of 64 KB, or unread responses, and as many backend connections a 48th of the memory limit each. Requests that had ended stayed in memory until the garbage collector ran, as request, response, attempts and timer referred to each other; it runs by the number of objects, not by the size of the bodies.

Change: MemoryBudget counts all of it, in bytes of memory, and policy/memory_limits.py decides, from limits.memory_mb alone: half of what the process leaves free is for peers. Accepted requests may hold half of that; one more gets 429. Where the whole is exceeded, the connection that holds most gives it up: incomplete input gets 429, an incomplete response fails its attempt, and a client that does not read is aborted. Output counts once more than 16 KB of it is unsent. The cycles of a request are broken as it ends.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -26,6 +26,7 @@
 from sumacpost.errors import ConfigError
 from sumacpost.http_message import MAX_BODY_BYTES
 from sumacpost.model import DeduplicationScope, EndpointListUpdate, Settings, UpdateKind
+from sumacpost.policy.memory_limits import MB, MemoryLimits, memory_limits
 from sumacpost.settings_json import parse_settings_json
 
 CHUNK_BYTES = 8 * 1024  # size of the part of the file that is decoded in one step
@@ -61,6 +62,7 @@
         settings: the settings of the gateway.
         max_sockets: the maximum number of descriptors that the ingress may have open.
         max_response_bytes: the maximum length of the body of a backend's response, in bytes.
+        memory_limits: the limits on what clients and backends make the ingress hold.
         connect_timeout_s: the timeout for connecting to a backend, in seconds.
         backend_idle_timeout_s: how long a backend leaves an idle connection open, in seconds.
     """
@@ -76,6 +78,7 @@
     settings: Settings
     max_sockets: int
     max_response_bytes: int
+    memory_limits: MemoryLimits
     connect_timeout_s: float
     backend_idle_timeout_s: float
 
@@ -162,6 +165,7 @@
         settings=settings,
         max_sockets=limits.sockets,
         max_response_bytes=limits.max_response_bytes,
+        memory_limits=limits.memory,
         connect_timeout_s=settings.connect_timeout_ms / 1000,
         backend_idle_timeout_s=backend_idle_timeout_s,
     )
@@ -230,6 +234,7 @@
 
     sockets: int
     max_response_bytes: int
+    memory: MemoryLimits
 
 
 def _parse_limits(raw: JsonObject) -> _Limits:
@@ -242,8 +247,8 @@
             f"limits.memory_mb: {memory_mb:g} is not in the range"
             f" from {MIN_MEMORY_MB} to below {MAX_MEMORY_MB:g}"
         )
-    buffer_bytes = int(memory_mb * 1024 * 1024 / MAX_BUFFERED_RESPONSES)
-    return _Limits(sockets, max(MAX_BODY_BYTES, buffer_bytes))
+    buffer_bytes = int(memory_mb * MB / MAX_BUFFERED_RESPONSES)
+    return _Limits(sockets, max(MAX_BODY_BYTES, buffer_bytes), memory_limits(memory_mb))
 
 
 def _parse_idle_timeout_s(permissions: JsonObject) -> float:
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -15,6 +15,7 @@
 from sumacpost.discovery.endpoint_list import AddressByBackend
 from sumacpost.errors import RequestError
 from sumacpost.http1 import Response
+from sumacpost.memory_budget import MemoryBudget
 from sumacpost.model import (
     Action,
     AddToCounter,
@@ -76,6 +77,7 @@
         )
         self.ready = False  # True once a backend has been listed
         self.recorder = EventRecorder()
+        self.memory = MemoryBudget(config.memory_limits)
         self.pool_manager = PoolManager(
             max_connections=max_connections_per_side(config),
             connect_timeout_s=config.connect_timeout_s,
@@ -84,6 +86,7 @@
             max_body_bytes=config.max_response_bytes,
             may_write=self._may_write,
             recorder=self.recorder,
+            memory=self.memory,
         )
         self.counter: CounterClient | None = None
         if settings.counter:
@@ -116,10 +119,12 @@
         """Accept a request, which gets exactly one final response before the client's deadline.
 
         Raise RequestError if a request with the same id is pending, because backends would treat
-        one as a copy of the other.
+        one as a copy of the other, or if the open requests hold too much memory.
         """
         if request.id in self._pending_ids:
             raise RequestError(409, "a request of this id is open")
+        if not self.memory.reserve_request(request.held_bytes):
+            raise RequestError(429, "the open requests hold too much memory")
         self._pending_ids.add(request.id)
         self._last_number += 1
         waited_ms = (time.monotonic() - response.received_at) * 1000
@@ -231,6 +236,7 @@
                 report=report,
             )
         )
+        attempt.forget_request()
 
     # Actions: what the gateway requests.
 
@@ -339,6 +345,7 @@
         if self._pending.pop(pending.number, None) is None:
             return False
         self._pending_ids.discard(pending.request.id)
+        self.memory.release_request(pending.request.held_bytes)
         return True
 
     def _cancel_remaining(self, pending: ProxiedRequest) -> None:
--- /dev/null
+++ b/sumacpost/policy/memory_limits.py
@@ -0,0 +1,63 @@
+"""How much memory peers may make the ingress hold, and which of them has to give it up first.
+
+The platform kills an ingress that exceeds its memory limit, and all requests that it has are lost.
+What a client or a backend has sent in part, and what a client does not read, can be given up. An
+accepted request can't, as it is owed a response; so accepted requests may hold only a part, and a
+request that does not fit is rejected.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TypeVar
+
+MB = 1024 * 1024
+PROCESS_BYTES = 32 * MB  # of the process without peers: interpreter, libraries, endpoint list
+# Fraction of the rest that peers may use. The other half allows for fragmentation, for copies while
+# a message is passed on, and for connections and events.
+PEER_FRACTION = 0.5
+MIN_PEER_BYTES = 2 * MB
+REQUEST_FRACTION = 0.5  # of what peers may use; for accepted requests
+
+Holder = TypeVar("Holder")
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryLimits:
+    """The limits on what peers make the ingress hold, in bytes.
+
+    Attributes:
+        total: for everything together.
+        requests: for accepted requests.
+    """
+
+    total: int
+    requests: int
+
+
+def memory_limits(memory_mb: float) -> MemoryLimits:
+    """Return the limits of an ingress whose process may use `memory_mb` MB."""
+    free_bytes = memory_mb * MB - PROCESS_BYTES
+    total = max(MIN_PEER_BYTES, int(free_bytes * PEER_FRACTION))
+    return MemoryLimits(total, int(total * REQUEST_FRACTION))
+
+
+def permits_request(limits: MemoryLimits, held_by_requests: int, request_bytes: int) -> bool:
+    """Return whether another request may be accepted.
+
+    held_by_requests: the memory of the requests accepted so far, in bytes.
+    """
+    return held_by_requests + request_bytes <= limits.requests
+
+
+def holder_to_release(
+    limits: MemoryLimits, held_in_all: int, held_by: Mapping[Holder, int]
+) -> Holder | None:
+    """Return the holder that has to give up its memory, or None if the limit is kept.
+
+    It is the one that holds most: a peer that sends a usual message holds little, and not for long.
+
+    held_in_all: everything that counts, in bytes. held_by: the part of it that can be given up.
+    """
+    if held_in_all <= limits.total:
+        return None
+    return max(held_by, key=held_by.__getitem__, default=None)
--- a/sumacpost/server/close_reason.py
+++ b/sumacpost/server/close_reason.py
@@ -14,6 +14,7 @@
     REQUEST_TIMEOUT = "request_timeout"  # no complete request arrived within the time limit
     IDLE = "idle"  # no further request arrived within the time limit
     EVICTED = "evicted"  # closed because of a limit on the number of connections
+    OUTPUT_UNREAD = "output_unread"  # the client reads nothing, and the memory is needed
     LINGER_TIMEOUT = "linger_timeout"  # the client did not close after the last response
     DRAIN_IDLE = "drain_idle"  # idle during a drain
     DRAIN_NO_REQUEST = "drain_no_request"  # no complete request arrived during a drain
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -41,8 +41,13 @@
     CLOSING = auto()  # further input is discarded; the connection ends after pending responses
 
 
+# With more unsent output than this, no further input is parsed, and the output counts as held.
+OUTPUT_HIGH_WATER_BYTES = 16 * 1024
+
 # Close reasons that permit unsent responses, as no client is left that would read them.
-_REASONS_WITHOUT_READER = frozenset((CloseReason.CLIENT_DISCONNECTED, CloseReason.INVALID_INPUT))
+_REASONS_WITHOUT_READER = frozenset(
+    (CloseReason.CLIENT_DISCONNECTED, CloseReason.INVALID_INPUT, CloseReason.OUTPUT_UNREAD)
+)
 # Enum members as module constants: up to Python 3.11, each access through the class costs a call.
 _READING = ConnectionState.READING
 _FINISHING = ConnectionState.FINISHING
@@ -76,6 +81,7 @@
         self._buffer_overflowed = False  # the buffered input has exceeded MAX_BUFFERED_BYTES
         self._unread_age_s = unread_age_s
         self._parsing = False
+        self._held_bytes = 0  # as last reported
         self._writing_paused = False  # the client does not read its responses fast enough
         self._transport: asyncio.Transport
 
@@ -85,6 +91,7 @@
         """Store the transport and register the connection."""
         # A cast, because uvloop's transport does not inherit from asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=OUTPUT_HIGH_WATER_BYTES)
         self._registry.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -102,10 +109,12 @@
             self._buffer_overflowed = True
             self._close_reason = CloseReason.INVALID_INPUT
             self._reject(429)
+        self._handler.memory.enforce()
 
     def pause_writing(self) -> None:
         """Stop parsing, because the client does not read its responses."""
         self._writing_paused = True
+        self._count_memory()
 
     def resume_writing(self) -> None:
         """Resume parsing, because the client reads its responses again."""
@@ -137,6 +146,8 @@
             self._reader.incomplete_bytes,
         )
         self._reader.close()
+        self._writing_paused = False
+        self._count_memory()
 
     # ---- requests and responses
 
@@ -156,6 +167,36 @@
         if self._state is _FINISHING and not (self._pending_responses or self._input):
             self._end_after_input(self._finish_reason)
         self._update_registry(wrote)
+        self._count_memory()
+
+    def release_memory(self) -> None:
+        """Reject the incomplete or waiting input, or abort if unread responses hold more."""
+        if self._state is _CLOSING or self._output_bytes() > self._input_bytes():
+            self.abort(CloseReason.OUTPUT_UNREAD)
+            self._writing_paused = False  # the output is discarded, though not at once
+            self._count_memory()
+            return
+        self._close_reason = CloseReason.INVALID_INPUT
+        self._handler.recorder.record(
+            EventKind.REQUEST_REFUSED, "429", "", "error=%s", "incomplete input holds memory"
+        )
+        self._reject(429)
+
+    def _count_memory(self) -> None:
+        """Report what the connection holds; output counts once the client reads too slowly."""
+        held = self._input_bytes() + self._output_bytes()
+        if held != self._held_bytes:
+            self._held_bytes = held
+            self._handler.memory.set_held(self, held)
+
+    def _input_bytes(self) -> int:
+        return self._reader.held_bytes + self._input.held_bytes
+
+    def _output_bytes(self) -> int:
+        unsent = self._transport.get_write_buffer_size() if self._writing_paused else 0
+        if len(self._pending_responses) > 1:  # complete ones may wait for the first
+            unsent += sum(len(response.body) for response in self._pending_responses)
+        return unsent
 
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
--- a/sumacpost/server/request.py
+++ b/sumacpost/server/request.py
@@ -12,6 +12,9 @@
 
 MAX_ACCOUNT = (1 << 33) - 1  # largest customer number in an Account header
 MIN_FORWARDED_TIMEOUT_MS = 1.0
+# Memory of an accepted request beyond its bytes: objects here and in the policy, and an attempt.
+REQUEST_OVERHEAD_BYTES = 8 * 1024
+MAX_COPIES = 2  # of the bytes of a request: its own and those that a backend has not read yet
 
 _REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 _ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
@@ -70,6 +73,11 @@
         self.retryable = retryable
         self.timeout_ms = arrival.time_left_ms
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the request takes until it has its response, in bytes."""
+        return REQUEST_OVERHEAD_BYTES + MAX_COPIES * (len(self._head) + len(self.body))
+
     def encode(self, time_left_ms: float) -> bytes:
         """Encode the request for a backend that has `time_left_ms` to respond.
 
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -19,6 +19,7 @@
 
     Attributes:
         recorder: records events of requests and connections.
+        memory: counts what the connections hold.
         draining: whether the drain has started.
     """
 
@@ -26,6 +27,7 @@
         self._ingress = ingress
         self._parser = parser
         self.recorder = ingress.recorder
+        self.memory = ingress.memory
         self.draining = False
 
     def handle(self, message: RequestMessage, response: PendingResponse) -> None:
@@ -36,7 +38,9 @@
             return
         try:
             request = self._parser.parse(message)
-            response.request = self._ingress.start_request(request, response)
+            accepted = self._ingress.start_request(request, response)
+            if response.head is None:
+                response.request = accepted
         except RequestError as error:
             self.recorder.record(
                 EventKind.REQUEST_REFUSED,
@@ -51,6 +55,7 @@
         """Cancel the request of a disconnected client if its response is still pending."""
         if response.head is None and response.request is not None:
             self._ingress.cancel_request(response.request)
+            response.request = None
 
     def drain(self) -> ShutdownSchedule:
         """Fail health checks from now on, and limit all deadlines as the drain's schedule requires.
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -47,6 +47,7 @@
         lines += [b"%b: %b" % header for header in headers]
         self.head = b"\r\n".join(lines)
         self.body = body
+        self.request = None  # breaks the reference cycle with the request
         self.connection.advance()
 
     def client_disconnected(self) -> bool:
--- a/sumacpost/timer.py
+++ b/sumacpost/timer.py
@@ -48,6 +48,7 @@
     def cancel(self) -> None:
         """Cancel the timer; has no effect once the function has been called."""
         self._handle.cancel()
+        self._args = ()  # the arguments often refer to the timer
 
     def _fire(self) -> None:
         loop = asyncio.get_running_loop()
@@ -58,4 +59,6 @@
             self._reads_left -= 1
             self._handle = loop.call_later(READ_DELAY_S, self._fire)
             return
-        self._callback(*self._args)
+        args = self._args
+        self._args = ()
+        self._callback(*args)
--- a/sumacpost/upstream/attempt.py
+++ b/sumacpost/upstream/attempt.py
@@ -75,6 +75,18 @@
         self.state = AttemptState.ENDED
         return True
 
+    def forget_request(self) -> None:
+        """Drop the references to the request of an ended attempt, which refers to the attempt.
+
+        Otherwise the request would stay in memory until the garbage collector breaks the cycle.
+        """
+        self.owner = None
+        self.encode = _encode_ended
+
+
+def _encode_ended() -> bytes:
+    raise RuntimeError("the attempt has ended")
+
 
 AttemptEndedCallback = Callable[[Attempt, Outcome, Response | None], None]
 
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -13,6 +13,7 @@
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
 from sumacpost.errors import ResponseError
 from sumacpost.http1 import Response, ResponseReader
+from sumacpost.memory_budget import MemoryBudget
 from sumacpost.model import Outcome
 from sumacpost.timer import Timer
 from sumacpost.upstream.attempt import Attempt, AttemptState, classify_response
@@ -53,6 +54,7 @@
     max_body_bytes: int
     reuse_limit: ReuseLimit
     recorder: EventRecorder
+    memory: MemoryBudget
 
     def add_idle(self, connection: BackendConnection) -> None:
         """Add a connection that is free for another attempt."""
@@ -135,10 +137,13 @@
         if response is None:
             # a wrong Content-Length may announce bytes that never arrive on an open connection
             self._stall_timer = Timer(RESPONSE_STALL_TIMEOUT_S, self._on_response_stalled)
+            self._pool.memory.set_held(self, self._reader.held_bytes)
+            self._pool.memory.enforce()
             return
         # a response received before the whole request was written rules out reuse
         reusable = response.keep_alive and self._state is ConnectionState.WRITTEN
         self._end_attempt(classify_response(response), response, reusable)
+        self._pool.memory.enforce()  # the response may wait for its client
 
     def eof_received(self) -> None:
         """End the attempt if the end of the stream completes its response.
@@ -167,6 +172,7 @@
             self._state.value,
         )
         self._state = ConnectionState.CLOSED
+        self._pool.memory.set_held(self, 0)
         if self._stall_timer is not None:
             self._stall_timer.cancel()
         self._pool.remove_connection(self)
@@ -181,6 +187,10 @@
         self.attempt = None
         self.close(CloseReason.ATTEMPT_CANCELLED)
 
+    def release_memory(self) -> None:
+        """Reject the incomplete response, which holds memory that is needed."""
+        self._reject_response("the responses in progress hold too much memory")
+
     def _reject_response(self, error: object) -> None:
         host, port = self._pool.address
         log.warning("response rejected: backend=%s:%d error=%s", host, port, error)
@@ -216,6 +226,7 @@
             self._stall_timer = None
         attempt = self.attempt
         self.attempt = None
+        self._pool.memory.set_held(self, 0)
         if reusable:
             self._state = ConnectionState.IDLE
             self._pool.reuse_limit.record_success()
--- a/sumacpost/upstream/pool.py
+++ b/sumacpost/upstream/pool.py
@@ -12,6 +12,7 @@
 from sumacpost.clock import TIMER_SLACK_S
 from sumacpost.diagnostics.event_recorder import EventRecorder
 from sumacpost.http1 import Response
+from sumacpost.memory_budget import MemoryBudget
 from sumacpost.model import Outcome
 from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback, AttemptState
 from sumacpost.upstream.connection import BackendConnection, CloseReason
@@ -30,6 +31,7 @@
     connect_timeout_s: float
     reuse_limit: ReuseLimit
     recorder: EventRecorder
+    memory: MemoryBudget
     on_attempt_ended: AttemptEndedCallback
     may_write: Callable[[Attempt], bool]
 
@@ -49,6 +51,7 @@
         self.max_body_bytes = owner.max_body_bytes
         self.reuse_limit = owner.reuse_limit
         self.recorder = owner.recorder
+        self.memory = owner.memory
         self.idle: deque[BackendConnection] = deque()  # least recently used first
         self.waiting: deque[Attempt] = deque()  # in order of arrival
         self._owner = owner
--- a/sumacpost/upstream/pool_manager.py
+++ b/sumacpost/upstream/pool_manager.py
@@ -8,6 +8,7 @@
 from sumacpost.address import Address
 from sumacpost.diagnostics.event_recorder import EventRecorder
 from sumacpost.http_message import MAX_BODY_BYTES
+from sumacpost.memory_budget import MemoryBudget
 from sumacpost.model import (
     BackendId,
     EndpointListUpdate,
@@ -15,11 +16,14 @@
     Outcome,
     UpdateKind,
 )
+from sumacpost.policy.memory_limits import memory_limits
 from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback, AttemptState
 from sumacpost.upstream.connection import CloseReason
 from sumacpost.upstream.pool import ConnectionPool
 from sumacpost.upstream.reuse_limit import ReuseLimit
 
+DEFAULT_MEMORY_MB = 64  # of a process, if there is no budget that is shared with others
+
 
 def _allow_all(_: Attempt) -> bool:
     return True
@@ -44,12 +48,14 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         may_write: Callable[[Attempt], bool] = _allow_all,
         recorder: EventRecorder | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.max_body_bytes = max_body_bytes
         self.on_attempt_ended = on_attempt_ended
         self.may_write = may_write
         self.recorder = recorder or EventRecorder()
+        self.memory = memory or MemoryBudget(memory_limits(DEFAULT_MEMORY_MB))
         self.reuse_limit = ReuseLimit(backend_idle_timeout_s)
         self.open_connections = 0  # including those that are being established
         self._max_connections = max_connections
--- /dev/null
+++ b/tests/policy/test_memory_limits.py
@@ -0,0 +1,41 @@
+"""The limits on the memory that peers make the ingress hold, and who gives it up."""
+
+from __future__ import annotations
+
+import pytest
+
+from sumacpost.policy.memory_limits import (
+    MB,
+    MIN_PEER_BYTES,
+    MemoryLimits,
+    holder_to_release,
+    memory_limits,
+    permits_request,
+)
+
+LIMITS = MemoryLimits(total=1000, requests=500)
+
+
+@pytest.mark.parametrize("memory_mb", [24, 32, 36, 64, 192, 2048])
+def test_peers_may_use_a_part_of_the_memory_that_the_process_leaves(memory_mb: float) -> None:
+    limits = memory_limits(memory_mb)
+    assert limits.total == max(MIN_PEER_BYTES, (memory_mb - 32) * MB / 2)
+    assert limits.requests == limits.total / 2
+
+
+def test_a_request_is_accepted_up_to_the_limit_of_requests() -> None:
+    assert permits_request(LIMITS, 400, 100)
+    assert not permits_request(LIMITS, 401, 100)
+
+
+def test_nobody_gives_up_memory_within_the_limit() -> None:
+    assert holder_to_release(LIMITS, 1000, {"a": 1000}) is None
+
+
+def test_the_largest_holder_gives_up_its_memory_first() -> None:
+    assert holder_to_release(LIMITS, 1001, {"a": 300, "b": 400, "c": 301}) == "b"
+
+
+def test_there_may_be_nobody_who_can_give_up_memory() -> None:
+    empty: dict[str, int] = {}
+    assert holder_to_release(LIMITS, 1001, empty) is None
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -107,6 +107,7 @@
     sockets: int = 1024,
     discovery: Script = never_respond,
     settings: dict[str, Any] | None = None,
+    memory_mb: int = 64,
 ) -> AsyncIterator[RunningIngress]:
     """Run an ingress whose initial endpoint list contains a backend for each script.
 
@@ -120,6 +121,7 @@
             await peer.start()
             resources.callback(peer.stop)
         config = configuration(backends, discovery_agent, sockets, settings or {})
+        config["limits"]["memory_mb"] = memory_mb
         if counter is not None:
             await counter_peer.start()
             resources.callback(counter_peer.stop)
