Limit the customers whose quota state is kept, by the memory limit

Cause: the table of customers drops those without requests for 20 s, or longer where a bucket takes longer to fill, and had no other limit: a client can make up 2^33 customers.

Change: memory_limits derives a number from limits.memory_mb, 4,096 at least; beyond it the customer longest without requests is dropped.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -94,7 +94,7 @@
             self.counter = CounterClient(config.counter, timeout_s, self._handle)
         self._clock = Clock()
         self._request_recorder = RequestRecorder(self.recorder, self._clock)
-        self._gateway = Gateway(settings, config.seed)
+        self._gateway = Gateway(settings, config.seed, config.memory_limits.customers)
         self._load_reports = LoadReportReader(settings.report_fields)
         self._max_units = settings.max_units
         self._pending: dict[int, ProxiedRequest] = {}  # requests without a final response
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -21,7 +21,7 @@
 from sumacpost.policy.fleet_estimate import FleetEstimate
 from sumacpost.policy.load_balancing import LoadBalancer
 from sumacpost.policy.pending_request import PendingRequest
-from sumacpost.policy.quota import NO_SHOW_MS, CustomerTable
+from sumacpost.policy.quota import DEFAULT_MAX_CUSTOMERS, NO_SHOW_MS, CustomerTable
 from sumacpost.policy.quota_sync import Grant, QuotaSync
 from sumacpost.policy.retries import RetryPolicy
 
@@ -32,16 +32,21 @@
 
 
 class Gateway:
-    """Makes all decisions of one gateway: pass it every event, and carry out its actions."""
+    """Makes all decisions of one gateway: pass it every event, and carry out its actions.
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    max_customers: the number of customers whose state is kept.
+    """
+
+    def __init__(
+        self, settings: Settings, seed: int, max_customers: int = DEFAULT_MAX_CUSTOMERS
+    ) -> None:
         random = Random(seed)
         self.settings = settings
         self.pending: dict[int, PendingRequest] = {}  # by request number
         self.endpoints = EndpointTable(settings)
         self.estimate = FleetEstimate(settings)
         self.load_balancer = LoadBalancer(settings, random, self.endpoints, self.estimate)
-        self.customers = CustomerTable(settings, random)
+        self.customers = CustomerTable(settings, random, max_customers)
         self.quota_sync = QuotaSync(settings, random)
         self.retries = RetryPolicy(settings)
         self._first_event_at = inf
--- a/sumacpost/policy/memory_limits.py
+++ b/sumacpost/policy/memory_limits.py
@@ -16,6 +16,9 @@
 # a message is passed on, and for connections and events.
 PEER_FRACTION = 0.5
 MIN_PEER_BYTES = 2 * MB
+CUSTOMER_FRACTION = 0.125  # of the same rest; for the state of customers
+CUSTOMER_BYTES = 1024  # of one customer, with a short return queue
+MIN_CUSTOMERS = 4096
 REQUEST_FRACTION = 0.5  # of what peers may use; for accepted requests
 
 Holder = TypeVar("Holder")
@@ -23,22 +26,25 @@
 
 @dataclass(frozen=True, slots=True)
 class MemoryLimits:
-    """The limits on what peers make the ingress hold, in bytes.
+    """The limits on what peers make the ingress hold.
 
     Attributes:
-        total: for everything together.
-        requests: for accepted requests.
+        total: for all messages together, in bytes.
+        requests: for accepted requests, in bytes.
+        customers: the number of customers whose state is kept.
     """
 
     total: int
     requests: int
+    customers: int = MIN_CUSTOMERS
 
 
 def memory_limits(memory_mb: float) -> MemoryLimits:
     """Return the limits of an ingress whose process may use `memory_mb` MB."""
     free_bytes = memory_mb * MB - PROCESS_BYTES
     total = max(MIN_PEER_BYTES, int(free_bytes * PEER_FRACTION))
-    return MemoryLimits(total, int(total * REQUEST_FRACTION))
+    customers = max(MIN_CUSTOMERS, int(free_bytes * CUSTOMER_FRACTION / CUSTOMER_BYTES))
+    return MemoryLimits(total, int(total * REQUEST_FRACTION), customers)
 
 
 def permits_request(limits: MemoryLimits, held_by_requests: int, request_bytes: int) -> bool:
--- a/sumacpost/policy/quota.py
+++ b/sumacpost/policy/quota.py
@@ -24,6 +24,7 @@
 # Customers without requests expire after this, or once their buckets are full if that takes longer.
 EXPIRY_MS = 20_000.0
 EXPIRIES_PER_REQUEST = 2  # more than the one customer that a request can add
+DEFAULT_MAX_CUSTOMERS = 1 << 18  # more than all customers of the largest planned fleet
 # A total in the counter of fewer units than this means that its name is new or was lost.
 MAX_FRESH_TOTAL = 0.01
 
@@ -169,12 +170,19 @@
 
 
 class CustomerTable:
-    """The customers with recent requests. Others are dropped, as a new entry is equivalent."""
+    """The customers with recent requests. Others are dropped, as a new entry is equivalent.
 
-    def __init__(self, settings: Settings, random: Random) -> None:
+    At most `max_customers` are kept. Beyond that the one longest without requests is dropped even
+    if its entry is not equivalent to a new one: clients can make up any number of customers.
+    """
+
+    def __init__(
+        self, settings: Settings, random: Random, max_customers: int = DEFAULT_MAX_CUSTOMERS
+    ) -> None:
         self.by_number: dict[int, CustomerQuota] = {}  # longest without requests first
         self._settings = settings
         self._random = random
+        self._max_customers = max_customers
         self._expiry_ms = max([EXPIRY_MS, *map(_fill_time_ms, settings.plans)])
 
     def get_or_create(
@@ -194,7 +202,8 @@
         customer.refill(now)
         for _ in range(EXPIRIES_PER_REQUEST):
             number, longest_unseen = next(iter(self.by_number.items()))
-            if now - longest_unseen.refilled_at > self._expiry_ms:
+            expired = now - longest_unseen.refilled_at > self._expiry_ms
+            if expired or len(self.by_number) > self._max_customers:
                 del self.by_number[number]
         return customer
 
--- a/tests/policy/test_memory_limits.py
+++ b/tests/policy/test_memory_limits.py
@@ -21,6 +21,7 @@
     limits = memory_limits(memory_mb)
     assert limits.total == max(MIN_PEER_BYTES, (memory_mb - 32) * MB / 2)
     assert limits.requests == limits.total / 2
+    assert limits.customers == max(4096, (memory_mb - 32) * MB / 8 // 1024)
 
 
 def test_a_request_is_accepted_up_to_the_limit_of_requests() -> None:
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -241,6 +241,17 @@
     assert len(g.customers.by_number) <= 210
 
 
+def test_the_customers_longest_without_requests_are_dropped_beyond_the_limit() -> None:
+    # Guards against clients that make up customers until the memory limit is exceeded.
+    g = Gateway(settings(plans=(Plan(rate=2, burst=8),)), 1, max_customers=50)
+    g.handle(START_MS, endpoint_list_update(1))
+    for n in range(200):
+        g.handle(START_MS + n, request_arrived(2 * n, customer=n))
+        g.handle(START_MS + n, request_arrived(2 * n + 1, customer=7))
+    assert len(g.customers.by_number) == 50
+    assert list(g.customers.by_number)[-2:] == [199, 7]
+
+
 def test_idle_customers_ended_requests_and_answered_calls_are_removed() -> None:
     """Guard against memory that grows with every request while a gateway runs for weeks."""
     g = gateway(*range(1, 9), plans=(PLAN,), counter=True, counter_timeout_ms=30.0, gateways=200)
