Cut short the records of the log that are as long as their values

Cause: a log line was as long as the values in it: a failure while an endpoint list is applied logs the whole update, formatted, encoded and copied piece by piece. No case was seen to matter; found while looking for what a peer can make the record of events hold. Change: the log handler, through which all lines pass, cuts a record after 16,384 characters and says how long it was. The new test writes a record of a million characters; before, it fills the pipe.

--- a/sumacpost/diagnostics/log_stream.py
+++ b/sumacpost/diagnostics/log_stream.py
@@ -16,6 +16,7 @@
 # A write of up to this size to a pipe is atomic. A longer line, such as a traceback, is written in
 # several parts and may be truncated.
 MAX_ATOMIC_BYTES = 4096
+MAX_RECORD_CHARACTERS = 16 * 1024  # a longer record, such as one of an endpoint list, is cut short
 LAST_STANDARD_DESCRIPTOR = 2
 
 
@@ -39,6 +40,8 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write one record; drop it if the stream reports an error."""
         text = self.format(record)
+        if len(text) > MAX_RECORD_CHARACTERS:
+            text = f"{text[:MAX_RECORD_CHARACTERS]} [cut short: characters={len(text)}]"
         if self.dropped:
             text += f"\nlog lines dropped: count={self.dropped}"
         data = text.encode("utf-8", "backslashreplace") + b"\n"
--- a/tests/diagnostics/test_log_stream.py
+++ b/tests/diagnostics/test_log_stream.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from sumacpost.diagnostics.log_stream import DroppingLogHandler
+from sumacpost.diagnostics.log_stream import MAX_RECORD_CHARACTERS, DroppingLogHandler
 
 RECORD = logging.LogRecord("x", logging.INFO, "", 0, "line %d", (7,), None)
 
@@ -47,6 +47,16 @@
     assert os.read(reader, 100).endswith(b" INFO line 7\n")
 
 
+def test_a_long_record_is_cut_short(pipe: tuple[int, int]) -> None:
+    # Guards against lines as long as a peer or a list makes them, which are copied to be written.
+    reader, writer = pipe
+    record = logging.LogRecord("x", logging.INFO, "", 0, "x" * 1_000_000, (), None)
+    DroppingLogHandler(writer).emit(record)
+    written = os.read(reader, 65_536)
+    assert len(written) < MAX_RECORD_CHARACTERS + 100
+    assert written.endswith(b" [cut short: characters=1000029]\n")
+
+
 def test_lines_are_dropped_and_counted_while_the_pipe_is_full(
     pipe: tuple[int, int],
 ) -> None:
