Lab: measure the memory of a real ingress beside hostile clients and backends

Change: `python -m fleetlab memory` starts one real ingress with stand-ins, sends usual requests, and lets clients of one of eleven kinds, or backends of one of six, make it hold as much as they can. It reports the memory before, at most and after, and the usual requests, and fails over the limit. The wait for the address of an ingress is a module of its own now, for both runs with a real process.

--- a/fleetlab/command.py
+++ b/fleetlab/command.py
@@ -1,4 +1,4 @@
-"""The commands sweep, real, pairs, soak, planted and slopes."""
+"""The commands sweep, real, pairs, soak, planted and slopes, and the memory command."""
 
 from __future__ import annotations
 
@@ -30,6 +30,7 @@
 )
 from fleetlab.discovery_server import ResponseMode
 from fleetlab.interrupts import InterruptedRunError, run_interruptible
+from fleetlab.memory.command import memory
 from fleetlab.plan import DEFAULT_POINTS, INGRESSES, MAX_POINTS, REQUESTS_PER_S
 from fleetlab.process_stats import MemoryLimitError
 from fleetlab.real_environment import RealRun
@@ -58,6 +59,9 @@
     """Measure ingresses at several sizes, fit slopes and extrapolate them to the plan's size."""
 
 
+cli.add_command(memory)
+
+
 @cli.command()
 @OUT_OPTION
 @click.option(
--- /dev/null
+++ b/fleetlab/memory/__init__.py
@@ -0,0 +1,1 @@
+"""The memory of a real ingress beside hostile clients and backends."""
--- a/fleetlab/real_session.py
+++ b/fleetlab/real_session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import tempfile
 from collections.abc import Coroutine
 from dataclasses import dataclass
@@ -12,6 +11,7 @@
 
 from fleetlab.backend_servers import BackendServers
 from fleetlab.discovery_server import DiscoveryServer
+from fleetlab.ingress_address import wait_for_address
 from fleetlab.latency import percentile_ms
 from fleetlab.load_generator import NO_RESPONSE, LoadGenerator
 from fleetlab.monitors import HealthMonitor, LoopLagMonitor
@@ -22,16 +22,12 @@
 from fleetlab.results import Figures
 from fleetlab.site import config_text
 
-START_TIMEOUT_S = 10.0  # time in which the ingress has to start listening
-START_POLL_S = 0.01
 DRAIN_WATCH_S = 6.0  # time for which the requests to a draining port are counted
 # The requests count as stopped if none arrives in this time before the end of DRAIN_WATCH_S.
 DRAIN_QUIET_S = 1.0
 BUSIEST_PORT_WATCH_S = 1.0  # time for which requests are counted to find the busiest port
 LOAD_WARM_UP_S = 0.3  # duration of the load before the drain is measured
 
-_SERVING = re.compile(rb"serving: name=\S* address=([\d.]+:\d+)")
-
 
 @dataclass(frozen=True, slots=True)
 class _Usage:
@@ -68,7 +64,7 @@
             path.write_text(self._config_text())
             started_at = self._loop.time()
             ingress = await self._processes.start("sumacpost", {"RELAY_CONFIG": str(path)})
-            address = await _wait_for_address(ingress)
+            address = await wait_for_address(ingress)
             self._figures["listening_s"] = self._loop.time() - started_at
             health = HealthMonitor(address)
             self._start_task(health.run())
@@ -188,24 +184,6 @@
         }
 
 
-async def _wait_for_address(ingress: ChildProcess) -> str:
-    """Return the address of the ingress; RuntimeError with its last output line if it exits."""
-    async with asyncio.timeout(START_TIMEOUT_S):
-        while True:
-            for line in list(ingress.stderr_lines):
-                if (found := _SERVING.search(line)) is not None:
-                    return found[1].decode()
-            if not ingress.running:
-                raise RuntimeError(f"the ingress has exited: {_last_line(ingress)}")
-            await asyncio.sleep(START_POLL_S)
-
-
-def _last_line(ingress: ChildProcess) -> str:
-    if not ingress.stderr_lines:
-        return "no output"
-    return ingress.stderr_lines[-1].decode(errors="replace").strip()
-
-
 def _added_ms(p99_ms: float | None, direct_p99_ms: float | None) -> float | None:
     """Return the latency that the ingress adds, in ms.
 
