Count output as unread after 50 ms only, and take output and buffer limits out of the connection

Cause: a response of usual length counts as unsent until the end of the loop's iteration, so with a small limit many responses at once could have ended a client that does read. Change: ClientOutput writes responses and counts what has been unsent for 50 ms. An overflow of the input buffer is recorded as refused input, like other input that is refused.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -32,6 +32,9 @@
 CHUNK_BYTES = 8 * 1024  # size of the part of the file that is decoded in one step
 DEFAULT_SOCKETS = 1024
 MIN_SOCKETS = 64
+# Descriptors for other uses than clients and backends: listening, discovery, counter, event loop,
+# standard streams.
+RESERVED_SOCKETS = 48
 DEFAULT_MEMORY_MB = 64
 MIN_MEMORY_MB = 24
 MAX_MEMORY_MB = 1e9
@@ -82,6 +85,11 @@
     connect_timeout_s: float
     backend_idle_timeout_s: float
 
+    @property
+    def max_connections_per_side(self) -> int:
+        """The limit on client connections, which is also the limit on backend connections."""
+        return (self.max_sockets - RESERVED_SOCKETS) // 2
+
 
 ConfigSteps = Generator[None, None, Config]
 """Reads a configuration: yields after each chunk of the file, then returns the configuration."""
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -57,14 +57,6 @@
 # Most hedge timers fire for requests that already have their response, so they are kept cheap: up
 # to this lateness the timer does not wait for the sockets to be read.
 HEDGE_TIMER_LATENESS_S = 0.005
-# Descriptors for other uses of the process: listening, discovery, counter, event loop, standard
-# streams.
-RESERVED_SOCKETS = 48
-
-
-def max_connections_per_side(config: Config) -> int:
-    """Return the limit on client connections, which is also the limit on backend connections."""
-    return (config.max_sockets - RESERVED_SOCKETS) // 2
 
 
 class Ingress:
@@ -79,7 +71,7 @@
         self.recorder = EventRecorder()
         self.memory = MemoryBudget(config.memory_limits)
         self.pool_manager = PoolManager(
-            max_connections=max_connections_per_side(config),
+            max_connections=config.max_connections_per_side,
             connect_timeout_s=config.connect_timeout_s,
             backend_idle_timeout_s=config.backend_idle_timeout_s,
             on_attempt_ended=self._on_attempt_ended,
--- /dev/null
+++ b/sumacpost/server/client_output.py
@@ -0,0 +1,67 @@
+"""The responses written to one client, and how much of them the client leaves unread."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from sumacpost.http_message import MAX_BODY_BYTES
+
+# With more unsent output than this, no further input is parsed.
+OUTPUT_HIGH_WATER_BYTES = 16 * 1024
+# Output counts as unread once it has been unsent for this long: a client that reads gets a response
+# of usual length at once.
+UNREAD_AFTER_S = 0.05
+
+
+class ClientOutput:
+    """Writes responses to a transport, which reports when the client reads too slowly.
+
+    on_unread is called when output has been unsent for UNREAD_AFTER_S.
+
+    Attributes:
+        paused: whether more than OUTPUT_HIGH_WATER_BYTES are unsent.
+    """
+
+    def __init__(self, on_unread: Callable[[], None]) -> None:
+        self.paused = False
+        self._on_unread = on_unread
+        self._is_unread = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._transport: asyncio.Transport
+
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes that the client has not read in time."""
+        return self._transport.get_write_buffer_size() if self._is_unread else 0
+
+    def open(self, transport: asyncio.Transport) -> None:
+        """Write to this transport, whose protocol has to call pause and resume."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=OUTPUT_HIGH_WATER_BYTES)
+
+    def write(self, head: bytes, body: bytes, is_last: bool) -> None:
+        """Write a response; the last one tells the client that the connection ends."""
+        head += b"\r\nConnection: close\r\n\r\n" if is_last else b"\r\n\r\n"
+        if len(body) > MAX_BODY_BYTES:
+            self._transport.write(head)
+            self._transport.write(body)  # written separately: joining would copy a large body
+        else:
+            self._transport.write(head + body)
+
+    def pause(self) -> None:
+        """Record that much output is unsent."""
+        self.paused = True
+        self._timer = asyncio.get_running_loop().call_later(UNREAD_AFTER_S, self._set_unread)
+
+    def resume(self) -> None:
+        """Record that the output has been sent, or will be discarded."""
+        self.paused = False
+        self._is_unread = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _set_unread(self) -> None:
+        self._is_unread = True
+        self._on_unread()
--- a/sumacpost/server/close_reason.py
+++ b/sumacpost/server/close_reason.py
@@ -19,3 +19,12 @@
     DRAIN_IDLE = "drain_idle"  # idle during a drain
     DRAIN_NO_REQUEST = "drain_no_request"  # no complete request arrived during a drain
     DRAIN_DEADLINE = "drain_deadline"  # the process is about to exit
+
+    @property
+    def permits_unsent_responses(self) -> bool:
+        """Whether responses may be unsent, as no client is left that would read them."""
+        return self in (
+            CloseReason.CLIENT_DISCONNECTED,
+            CloseReason.INVALID_INPUT,
+            CloseReason.OUTPUT_UNREAD,
+        )
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -6,20 +6,20 @@
 import socket
 import time
 from collections import deque
-from enum import Enum, auto
 from typing import cast
 
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
-from sumacpost.http_message import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from sumacpost.policy.connection_rules import (
     CloseDenialReason,
     ConnectionSnapshot,
     close_denial_reason,
     is_last_response,
 )
+from sumacpost.server.client_output import ClientOutput
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_registry import ConnectionRegistry
+from sumacpost.server.connection_state import ConnectionState
 from sumacpost.server.input_buffer import InputBuffer
 from sumacpost.server.request_handler import RequestHandler
 from sumacpost.server.request_reader import RequestMessage, RequestReader
@@ -28,26 +28,7 @@
 
 # With this many responses pending on a connection, further input is buffered without being parsed.
 MAX_PIPELINED = 8
-# Limit of the input that is buffered without being parsed: one more request of any permitted size.
-# If the input exceeds the limit, the connection ends.
-MAX_BUFFERED_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
 
-
-class ConnectionState(Enum):
-    """Whether a connection still accepts requests."""
-
-    READING = auto()
-    FINISHING = auto()  # the socket is not read any more; requests already read are answered
-    CLOSING = auto()  # further input is discarded; the connection ends after pending responses
-
-
-# With more unsent output than this, no further input is parsed, and the output counts as held.
-OUTPUT_HIGH_WATER_BYTES = 16 * 1024
-
-# Close reasons that permit unsent responses, as no client is left that would read them.
-_REASONS_WITHOUT_READER = frozenset(
-    (CloseReason.CLIENT_DISCONNECTED, CloseReason.INVALID_INPUT, CloseReason.OUTPUT_UNREAD)
-)
 # Enum members as module constants: up to Python 3.11, each access through the class costs a call.
 _READING = ConnectionState.READING
 _FINISHING = ConnectionState.FINISHING
@@ -78,11 +59,11 @@
         self._finish_reason = CloseReason.DRAIN_DEADLINE
         self._pending_responses: deque[PendingResponse] = deque()
         self._input = InputBuffer()
-        self._buffer_overflowed = False  # the buffered input has exceeded MAX_BUFFERED_BYTES
+        self._buffer_overflowed = False  # the input has exceeded the limit of its buffer
         self._unread_age_s = unread_age_s
         self._parsing = False
         self._held_bytes = 0  # as last reported
-        self._writing_paused = False  # the client does not read its responses fast enough
+        self._output = ClientOutput(self._on_output_unread)
         self._transport: asyncio.Transport
 
     # ---- event loop callbacks
@@ -91,7 +72,7 @@
         """Store the transport and register the connection."""
         # A cast, because uvloop's transport does not inherit from asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=OUTPUT_HIGH_WATER_BYTES)
+        self._output.open(self._transport)
         self._registry.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -105,20 +86,18 @@
         self._input.append(time.monotonic() - self._unread_age_s, data)
         self._unread_age_s = 0.0
         self.advance()
-        if self._input.size > MAX_BUFFERED_BYTES:
+        if self._input.overflowed:
             self._buffer_overflowed = True
-            self._close_reason = CloseReason.INVALID_INPUT
-            self._reject(429)
+            self._refuse(429, "too much input is waiting")
         self._handler.memory.enforce()
 
     def pause_writing(self) -> None:
         """Stop parsing, because the client does not read its responses."""
-        self._writing_paused = True
-        self._count_memory()
+        self._output.pause()
 
     def resume_writing(self) -> None:
         """Resume parsing, because the client reads its responses again."""
-        self._writing_paused = False
+        self._output.resume()
         self.advance()
 
     def connection_lost(self, _exc: Exception | None) -> None:
@@ -127,26 +106,14 @@
         self._registry.connection_closed(self)
         unsent = self._pending_responses
         self._pending_responses = deque()
-        for response in unsent:
-            self._handler.cancel(response)
-        if unsent and self._close_reason not in _REASONS_WITHOUT_READER:
-            self._handler.recorder.record_violation(
-                "closed_with_response_owed",
-                self._transport.get_extra_info("peername"),
-                "reason=%s owed=%d",
-                self._close_reason.value,
-                len(unsent),
-            )
-        self._handler.recorder.record(
-            EventKind.CLIENT_CONNECTION_CLOSED,
-            self._close_reason.value,
+        self._handler.end_connection(
             self._transport.get_extra_info("peername"),
-            "responses_owed=%d incomplete_bytes=%d",
-            len(unsent),
+            self._close_reason,
+            unsent,
             self._reader.incomplete_bytes,
         )
         self._reader.close()
-        self._writing_paused = False
+        self._output.resume()
         self._count_memory()
 
     # ---- requests and responses
@@ -159,7 +126,7 @@
         while (
             self._input
             and self._state is not _CLOSING
-            and not self._writing_paused
+            and not self._output.paused
             and len(self._pending_responses) < MAX_PIPELINED
         ):
             self._parse_next()
@@ -173,14 +140,14 @@
         """Reject the incomplete or waiting input, or abort if unread responses hold more."""
         if self._state is _CLOSING or self._output_bytes() > self._input_bytes():
             self.abort(CloseReason.OUTPUT_UNREAD)
-            self._writing_paused = False  # the output is discarded, though not at once
+            self._output.resume()  # the output is discarded, though not at once
             self._count_memory()
             return
-        self._close_reason = CloseReason.INVALID_INPUT
-        self._handler.recorder.record(
-            EventKind.REQUEST_REFUSED, "429", "", "error=%s", "incomplete input holds memory"
-        )
-        self._reject(429)
+        self._refuse(429, "incomplete input holds memory that is needed")
+
+    def _on_output_unread(self) -> None:
+        self._count_memory()
+        self._handler.memory.enforce()
 
     def _count_memory(self) -> None:
         """Report what the connection holds; output counts once the client reads too slowly."""
@@ -193,10 +160,10 @@
         return self._reader.held_bytes + self._input.held_bytes
 
     def _output_bytes(self) -> int:
-        unsent = self._transport.get_write_buffer_size() if self._writing_paused else 0
+        unread = self._output.unread_bytes
         if len(self._pending_responses) > 1:  # complete ones may wait for the first
-            unsent += sum(len(response.body) for response in self._pending_responses)
-        return unsent
+            unread += sum(response.held_bytes for response in self._pending_responses)
+        return unread
 
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
@@ -219,11 +186,7 @@
         try:
             self._reader.feed(data)
         except RequestError as error:
-            self._close_reason = CloseReason.INVALID_INPUT
-            self._handler.recorder.record(
-                EventKind.REQUEST_REFUSED, str(error.status), "", "error=%s", str(error)
-            )
-            self._reject(error.status)
+            self._refuse(error.status, str(error))
         finally:
             self._parsing = False
 
@@ -240,6 +203,12 @@
             self._discard_input()
         self._handler.handle(message, response)
 
+    def _refuse(self, status: int, error: str) -> None:
+        """Record why the input can't be handled, and reject it."""
+        self._close_reason = CloseReason.INVALID_INPUT
+        self._handler.recorder.record(EventKind.REQUEST_REFUSED, str(status), "", "error=%s", error)
+        self._reject(status)
+
     def _reject(self, status: int) -> None:
         """Send an error response for input that can't be handled; the connection ends after it.
 
@@ -266,19 +235,11 @@
                 self._handler.draining,
                 bool(self._pending_responses or self._input),
             )
-            self._write(response.head, response.body, is_last)
+            self._output.write(response.head, response.body, is_last)
             if is_last:
                 self._end_after_last_response()
         return wrote
 
-    def _write(self, head: bytes, body: bytes, is_last: bool) -> None:
-        head += b"\r\nConnection: close\r\n\r\n" if is_last else b"\r\n\r\n"
-        if len(body) > MAX_BODY_BYTES:
-            self._transport.write(head)
-            self._transport.write(body)  # written separately: joining would copy a large body
-        else:
-            self._transport.write(head + body)
-
     def _update_registry(self, wrote: bool) -> None:
         """Report to the registry what the connection is waiting for now."""
         if self._pending_responses:
--- a/sumacpost/server/input_buffer.py
+++ b/sumacpost/server/input_buffer.py
@@ -5,6 +5,10 @@
 from collections import deque
 from dataclasses import dataclass
 
+from sumacpost.http_message import MAX_BODY_BYTES, MAX_HEAD_BYTES
+
+# Limit of the input that is buffered without being parsed: one more request of any permitted size.
+MAX_BUFFERED_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
 # Pieces received within this time are joined, so that single bytes don't cost an object each. The
 # age of the later bytes is overestimated by this much at most.
 JOIN_WINDOW_S = 0.01
@@ -44,6 +48,11 @@
     def __bool__(self) -> bool:
         return bool(self._pieces)
 
+    @property
+    def overflowed(self) -> bool:
+        """Whether the buffer contains more than MAX_BUFFERED_BYTES."""
+        return self.size > MAX_BUFFERED_BYTES
+
     @property
     def held_bytes(self) -> int:
         """The memory of the input, in bytes."""
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
+from sumacpost.address import Address
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
 from sumacpost.ingress import Ingress
 from sumacpost.policy.shutdown import ShutdownSchedule
+from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.request import RequestParser
 from sumacpost.server.request_reader import RequestMessage
 from sumacpost.server.response import PendingResponse
@@ -51,7 +55,30 @@
             )
             response.send(error.status, error.reason.encode(), _PLAIN_TEXT)
 
-    def cancel(self, response: PendingResponse) -> None:
+    def end_connection(
+        self,
+        peer: Address,
+        reason: CloseReason,
+        unsent: Collection[PendingResponse],
+        incomplete_bytes: int,
+    ) -> None:
+        """Cancel the requests whose responses are unsent, and record the end of a connection."""
+        for response in unsent:
+            self._cancel(response)
+        if unsent and not reason.permits_unsent_responses:
+            self.recorder.record_violation(
+                "closed_with_response_owed", peer, "reason=%s owed=%d", reason.value, len(unsent)
+            )
+        self.recorder.record(
+            EventKind.CLIENT_CONNECTION_CLOSED,
+            reason.value,
+            peer,
+            "responses_owed=%d incomplete_bytes=%d",
+            len(unsent),
+            incomplete_bytes,
+        )
+
+    def _cancel(self, response: PendingResponse) -> None:
         """Cancel the request of a disconnected client if its response is still pending."""
         if response.head is None and response.request is not None:
             self._ingress.cancel_request(response.request)
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -33,6 +33,11 @@
         self.head: bytes | None = None
         self.body = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory of the content, in bytes; 0 before it is available."""
+        return 0 if self.head is None else len(self.head) + len(self.body)
+
     def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
         """Set the final response; it is written after those before it on the connection.
 
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -20,7 +20,7 @@
 from sumacpost.discovery.start_times import StartTimeConverter
 from sumacpost.discovery.watch import DiscoveryWatch
 from sumacpost.errors import ConfigError
-from sumacpost.ingress import Ingress, max_connections_per_side
+from sumacpost.ingress import Ingress
 from sumacpost.server.request import RequestParser
 from sumacpost.server.server import Server
 from sumacpost.supervisor import SupervisedTask
@@ -64,7 +64,7 @@
         self._ingress = Ingress(config)
         self._ingress.update_endpoints(config.initial_endpoints, config.initial_addresses)
         self._server = Server(
-            self._ingress, RequestParser(config.settings), max_connections_per_side(config)
+            self._ingress, RequestParser(config.settings), config.max_connections_per_side
         )
         self._discovery = DiscoveryWatch(
             config.discovery,
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -7,7 +7,8 @@
 import pytest
 
 from sumacpost.ingress import CLIENT_DEADLINE_MARGIN_MS
-from sumacpost.server.connection import MAX_PIPELINED, ClientConnection, ConnectionState
+from sumacpost.server.connection import MAX_PIPELINED, ClientConnection
+from sumacpost.server.connection_state import ConnectionState
 from tests.support.event_loop import run, until
 from tests.support.http_client import LONG_TIMEOUT, Client, request
 from tests.support.ingress import RunningIngress, running_ingress
@@ -117,11 +118,11 @@
             number = 0
             while not (
                 ingress.server.connections.open
-                and (connection := next(iter(ingress.server.connections.open)))._writing_paused
+                and (connection := next(iter(ingress.server.connections.open)))._output.paused
             ):
                 client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
                 number += 1
-                await until(lambda: not connection._pending_responses or connection._writing_paused)
+                await until(lambda: not connection._pending_responses or connection._output.paused)
                 await asyncio.sleep(0)
             before = ingress.requests_received
             client.write(request("vat-filing", number, Request_Timeout=LONG_TIMEOUT))
