--- a/sumacpost/diagnostics/event_recorder.py
+++ b/sumacpost/diagnostics/event_recorder.py
@@ -21,6 +21,8 @@
 MAX_KEPT_EVENTS = 512  # about 1 to 2 s of events at a busy ingress
 MAX_KEPT_CHARACTERS = 128  # kept of each subject or value; the longest valid id of a request
 
+_NUMBER_TYPES = frozenset((int, float))
+
 EventValue = int | float | str
 """A value of an event: data without references to other objects of the program."""
 
@@ -99,14 +101,14 @@
         *values: EventValue,
     ) -> None:
         """Count and keep an event, and log it if live logging is on."""
-        event = RecordedEvent(
-            time.monotonic(),
-            kind,
-            reason,
-            _kept_subject(subject),
-            detail,
-            tuple(map(_kept_value, values)),
-        )
+        # Ids and numbers are kept as they are, without a call for each.
+        if type(subject) is not bytes or len(subject) > MAX_KEPT_CHARACTERS:
+            subject = _kept_subject(subject)
+        for value in values:
+            if type(value) not in _NUMBER_TYPES:
+                values = tuple(map(_kept_value, values))
+                break
+        event = RecordedEvent(time.monotonic(), kind, reason, subject, detail, values)
         self.counts[kind, reason] += 1
         self._recent.append(event)
         if self.logs_live:
@@ -164,9 +166,7 @@
 
 def _kept_value(value: EventValue) -> EventValue:
     """Return what is kept of a value: a number, or text of limited length."""
-    if type(value) is int or type(value) is float:
-        return value
-    return str(value)[:MAX_KEPT_CHARACTERS]
+    return value if type(value) in _NUMBER_TYPES else str(value)[:MAX_KEPT_CHARACTERS]
 
 
 def _log_with_age(event: RecordedEvent) -> None:
--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -53,14 +53,16 @@
         "_message",
         "_on_body",
         "_parser",
+        "on_header",
     )
 
     def __init__(self, max_body_bytes: int, on_body: Callable[[bytes], None] | None = None) -> None:
         self._max_body_bytes = max_body_bytes
         self._on_body = on_body
+        self._message = PartialMessage(max_body_bytes)
+        self.on_header = self._message.add_header  # a callback of the parser, called most often
         self._parser = httptools.HttpResponseParser(self)
         self._complete: Response | None = None
-        self._message = PartialMessage(max_body_bytes)
         self._headers: dict[bytes, bytes] = {}
         self._ends_with_connection = False  # the body has no stated length
 
@@ -81,6 +83,8 @@
         is unknown what they belong to. Raise ResponseError if a response is invalid or exceeds the
         limits.
         """
+        if len(data) <= SLICE_BYTES:
+            return self._feed_slice(data)
         for start in range(0, len(data), SLICE_BYTES):
             response = self._feed_slice(data[start : start + SLICE_BYTES])
             if response is not None:
@@ -131,10 +135,6 @@
         if self._complete is not None:
             raise _TrailingDataError
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._message.add_header(name, value)
-
     def on_headers_complete(self) -> None:
         """Check the framing of the body; a body without framing ends with the connection.
 
--- a/sumacpost/http_message.py
+++ b/sumacpost/http_message.py
@@ -51,6 +51,7 @@
 
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self._max_body_bytes = max_body_bytes
+        self._body = bytearray()
         self.reset()
 
     def reset(self) -> None:
@@ -62,7 +63,8 @@
         """Drop all parts but the count of the bytes of the head, as after an interim response."""
         self.in_head = True
         self.headers: list[Header] = []
-        self._body = bytearray()
+        if self._body:
+            self._body = bytearray()
         self._body_bytes = 0
         self._framing_bytes = 0
 
@@ -116,6 +118,8 @@
 
     def take_body(self) -> bytes:
         """Remove and return the body."""
+        if not self._body:
+            return b""
         body = bytes(self._body)
         self._body = bytearray()
         return body
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -18,6 +18,7 @@
 )
 from sumacpost.server.client_output import ClientOutput
 from sumacpost.server.close_reason import CloseReason
+from sumacpost.server.connection_memory import ConnectionMemory
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.connection_state import ConnectionState
 from sumacpost.server.input_buffer import InputBuffer
@@ -62,8 +63,10 @@
         self._buffer_overflowed = False  # the input has exceeded the limit of its buffer
         self._unread_age_s = unread_age_s
         self._parsing = False
-        self._held_bytes = 0  # as last reported
         self._output = ClientOutput(self._on_output_unread)
+        self._memory = ConnectionMemory(
+            handler.memory, self, self._reader, self._input, self._output, self._pending_responses
+        )
         self._transport: asyncio.Transport
 
     # ---- event loop callbacks
@@ -89,7 +92,7 @@
         if self._input.overflowed:
             self._buffer_overflowed = True
             self._refuse(429, "too much input is waiting")
-        self._handler.memory.enforce()
+        self._memory.enforce_limit()
 
     def pause_writing(self) -> None:
         """Stop parsing, because the client does not read its responses."""
@@ -104,8 +107,8 @@
         """Cancel the requests whose responses are pending, and record the end of the connection."""
         self._discard_input()
         self._registry.connection_closed(self)
-        unsent = self._pending_responses
-        self._pending_responses = deque()
+        unsent = list(self._pending_responses)
+        self._pending_responses.clear()
         self._handler.end_connection(
             self._transport.get_extra_info("peername"),
             self._close_reason,
@@ -114,7 +117,7 @@
         )
         self._reader.close()
         self._output.resume()
-        self._count_memory()
+        self._memory.update()
 
     # ---- requests and responses
 
@@ -134,36 +137,21 @@
         if self._state is _FINISHING and not (self._pending_responses or self._input):
             self._end_after_input(self._finish_reason)
         self._update_registry(wrote)
-        self._count_memory()
+        self._memory.update()
 
     def release_memory(self) -> None:
         """Reject the incomplete or waiting input, or abort if unread responses hold more."""
-        if self._state is _CLOSING or self._output_bytes() > self._input_bytes():
+        if self._state is _CLOSING or self._memory.output_bytes > self._memory.input_bytes:
             self.abort(CloseReason.OUTPUT_UNREAD)
             self._output.resume()  # the output is discarded, though not at once
-            self._count_memory()
+            self._memory.update()
             return
         self._refuse(429, "incomplete input holds memory that is needed")
 
     def _on_output_unread(self) -> None:
-        self._count_memory()
-        self._handler.memory.enforce()
-
-    def _count_memory(self) -> None:
-        """Report what the connection holds; output counts once the client reads too slowly."""
-        held = self._input_bytes() + self._output_bytes()
-        if held != self._held_bytes:
-            self._held_bytes = held
-            self._handler.memory.set_held(self, held)
-
-    def _input_bytes(self) -> int:
-        return self._reader.held_bytes + self._input.held_bytes
-
-    def _output_bytes(self) -> int:
-        unread = self._output.unread_bytes
-        if len(self._pending_responses) > 1:  # complete ones may wait for the first
-            unread += sum(response.held_bytes for response in self._pending_responses)
-        return unread
+        """Count output that the client has not read in time."""
+        self._memory.update()
+        self._memory.enforce_limit()
 
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
--- /dev/null
+++ b/sumacpost/server/connection_memory.py
@@ -0,0 +1,68 @@
+"""The memory that one client connection makes the ingress hold."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from sumacpost.memory_budget import MemoryBudget, MemoryHolder
+from sumacpost.server.client_output import ClientOutput
+from sumacpost.server.input_buffer import InputBuffer
+from sumacpost.server.request_reader import RequestReader
+from sumacpost.server.response import PendingResponse
+
+
+class ConnectionMemory:
+    """Reports to the budget what a connection holds: its input, and responses that wait.
+
+    The arguments are the parts of the connection. Requests that are accepted are not counted here.
+    """
+
+    __slots__ = ("_budget", "_holder", "_input", "_output", "_reader", "_reported", "_responses")
+
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        holder: MemoryHolder,
+        reader: RequestReader,
+        waiting_input: InputBuffer,
+        output: ClientOutput,
+        responses: Collection[PendingResponse],
+    ) -> None:
+        self._budget = budget
+        self._holder = holder
+        self._reader = reader
+        self._input = waiting_input
+        self._output = output
+        self._responses = responses
+        self._reported = 0
+
+    @property
+    def input_bytes(self) -> int:
+        """The memory of input that is incomplete, or waits to be parsed."""
+        partial_bytes = self._reader.held_bytes if self._reader.has_partial_message else 0
+        return partial_bytes + self._input.held_bytes
+
+    @property
+    def output_bytes(self) -> int:
+        """The memory of responses that the client leaves unread, or that wait for another."""
+        waiting_bytes = 0
+        if len(self._responses) > 1:
+            waiting_bytes = sum(response.held_bytes for response in self._responses)
+        return self._output.unread_bytes + waiting_bytes
+
+    def update(self) -> None:
+        """Report what the connection holds, if that has changed."""
+        may_hold = (
+            self._reader.has_partial_message
+            or self._input
+            or self._output.paused
+            or len(self._responses) > 1
+        )
+        held = self.input_bytes + self.output_bytes if may_hold else 0
+        if held != self._reported:
+            self._reported = held
+            self._budget.set_held(self._holder, held)
+
+    def enforce_limit(self) -> None:
+        """Keep the limit of the budget, at the cost of this or other connections."""
+        self._budget.enforce()
--- a/sumacpost/server/request_reader.py
+++ b/sumacpost/server/request_reader.py
@@ -53,13 +53,15 @@
         "_target",
         "has_partial_message",
         "incomplete_bytes",
+        "on_header",
     )
 
     def __init__(self, on_request: Callable[[RequestMessage], None]) -> None:
         self._on_request = on_request
+        self._message = PartialMessage()
+        self.on_header = self._message.add_header  # a callback of httptools, called most often
         self._parser = httptools.HttpRequestParser(self)
         self._discarded = False
-        self._message = PartialMessage()
         self._missing_body_bytes = 0  # by the Content-Length of the partial message
         self._target = b""
         self.incomplete_bytes = 0
@@ -90,7 +92,8 @@
         self._message.count_input(len(data))
         try:
             self._parser.feed_data(data)
-            self._message.check_input()
+            if self.has_partial_message:
+                self._message.check_input()
         except httptools.HttpParserUpgrade:
             return  # treated as an ordinary request, after which the connection ends
         except httptools.HttpParserError as error:
@@ -106,6 +109,7 @@
     def discard(self) -> None:
         """Drop the partial message, and ignore all further input.
 
+        has_partial_message and incomplete_bytes still tell what had been received.
         May be called from the callback, while the input that contains the request is being parsed.
         """
         self._discarded = True
@@ -131,10 +135,6 @@
         """Append a piece of the request target."""
         self._target += url
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._message.add_header(name, value)
-
     def on_headers_complete(self) -> None:
         """Check the framing of the body; ambiguous framing could hide a second request in it."""
         self._message.end_head()
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -77,6 +77,7 @@
         self._state = ConnectionState.IDLE
         self._request_started_at = 0.0  # s, on the clock of the event loop
         self._reader = ResponseReader(pool.max_body_bytes)
+        self._holds_memory = False  # for an incomplete response
         self._stall_timer: Timer | None = None
         self._transport: asyncio.Transport
 
@@ -137,6 +138,7 @@
         if response is None:
             # a wrong Content-Length may announce bytes that never arrive on an open connection
             self._stall_timer = Timer(RESPONSE_STALL_TIMEOUT_S, self._on_response_stalled)
+            self._holds_memory = True
             self._pool.memory.set_held(self, self._reader.held_bytes)
             self._pool.memory.enforce()
             return
@@ -172,7 +174,7 @@
             self._state.value,
         )
         self._state = ConnectionState.CLOSED
-        self._pool.memory.set_held(self, 0)
+        self._forget_memory()
         if self._stall_timer is not None:
             self._stall_timer.cancel()
         self._pool.remove_connection(self)
@@ -191,6 +193,11 @@
         """Reject the incomplete response, which holds memory that is needed."""
         self._reject_response("the responses in progress hold too much memory")
 
+    def _forget_memory(self) -> None:
+        if self._holds_memory:
+            self._holds_memory = False
+            self._pool.memory.set_held(self, 0)
+
     def _reject_response(self, error: object) -> None:
         host, port = self._pool.address
         log.warning("response rejected: backend=%s:%d error=%s", host, port, error)
@@ -226,7 +233,7 @@
             self._stall_timer = None
         attempt = self.attempt
         self.attempt = None
-        self._pool.memory.set_held(self, 0)
+        self._forget_memory()
         if reusable:
             self._state = ConnectionState.IDLE
             self._pool.reuse_limit.record_success()
