Leave room for connections in the limits of memory, and smaller least shares

Cause: what connections cost was left to the reserve, and the least shares, 2 MB for messages and 4,096 customers, did not fit such a limit. Change: 5 KB for each descriptor is taken off first (400 idle client connections took 3.7 KB each of a real ingress); the least shares are 1 MB and 1,024 customers. Measured, 5 s each, in MB at most, at limits of 36 and 40 MB: unread responses 32.5 and 32.8, new customers 31.8 and 32.6, held bodies 32.2 and 33.1.

--- a/sumacpost/config.py
+++ b/sumacpost/config.py
@@ -256,7 +256,7 @@
             f" from {MIN_MEMORY_MB} to below {MAX_MEMORY_MB:g}"
         )
     buffer_bytes = int(memory_mb * MB / MAX_BUFFERED_RESPONSES)
-    return _Limits(sockets, max(MAX_BODY_BYTES, buffer_bytes), memory_limits(memory_mb))
+    return _Limits(sockets, max(MAX_BODY_BYTES, buffer_bytes), memory_limits(memory_mb, sockets))
 
 
 def _parse_idle_timeout_s(permissions: JsonObject) -> float:
--- a/sumacpost/policy/memory_limits.py
+++ b/sumacpost/policy/memory_limits.py
@@ -12,13 +12,14 @@
 
 MB = 1024 * 1024
 PROCESS_BYTES = 32 * MB  # of the process without peers: interpreter, libraries, endpoint list
+CONNECTION_BYTES = 5 * 1024  # of a connection between messages
 # Fraction of the rest that peers may use. The other half allows for fragmentation, for copies while
-# a message is passed on, and for connections and events.
+# a message is passed on, and for events.
 PEER_FRACTION = 0.5
-MIN_PEER_BYTES = 2 * MB
+MIN_PEER_BYTES = MB
 CUSTOMER_FRACTION = 0.125  # of the same rest; for the state of customers
 CUSTOMER_BYTES = 1024  # of one customer, with a short return queue
-MIN_CUSTOMERS = 4096
+MIN_CUSTOMERS = 1024
 REQUEST_FRACTION = 0.5  # of what peers may use; for accepted requests
 
 Holder = TypeVar("Holder")
@@ -39,9 +40,9 @@
     customers: int = MIN_CUSTOMERS
 
 
-def memory_limits(memory_mb: float) -> MemoryLimits:
-    """Return the limits of an ingress whose process may use `memory_mb` MB."""
-    free_bytes = memory_mb * MB - PROCESS_BYTES
+def memory_limits(memory_mb: float, sockets: int) -> MemoryLimits:
+    """Return the limits of an ingress that may use `memory_mb` MB and `sockets` descriptors."""
+    free_bytes = memory_mb * MB - PROCESS_BYTES - sockets * CONNECTION_BYTES
     total = max(MIN_PEER_BYTES, int(free_bytes * PEER_FRACTION))
     customers = max(MIN_CUSTOMERS, int(free_bytes * CUSTOMER_FRACTION / CUSTOMER_BYTES))
     return MemoryLimits(total, int(total * REQUEST_FRACTION), customers)
--- a/sumacpost/upstream/pool_manager.py
+++ b/sumacpost/upstream/pool_manager.py
@@ -55,7 +55,7 @@
         self.on_attempt_ended = on_attempt_ended
         self.may_write = may_write
         self.recorder = recorder or EventRecorder()
-        self.memory = memory or MemoryBudget(memory_limits(DEFAULT_MEMORY_MB))
+        self.memory = memory or MemoryBudget(memory_limits(DEFAULT_MEMORY_MB, max_connections))
         self.reuse_limit = ReuseLimit(backend_idle_timeout_s)
         self.open_connections = 0  # including those that are being established
         self._max_connections = max_connections
