Count only the parsers that a test of failed polls leaves behind itself

Cause: the test counted all parsers of its process, and other tests leave some where their lists can't be read (ijson's decoders are not freed unless they are closed). Change: those from before the test are left out.

--- a/tests/discovery/test_list_memory.py
+++ b/tests/discovery/test_list_memory.py
@@ -82,7 +82,11 @@
         ) as ingress:
             await until(lambda: len(ingress.discovery.requests) > 3)
             gc.collect()
-            parsers = [held for held in gc.get_objects() if isinstance(held, EndpointListParser)]
-            assert len(parsers) <= 1  # of the poll in progress
+            assert len(live_parsers() - parsers_before) <= 1  # of the poll in progress
 
+    parsers_before = live_parsers()  # other tests of the same process may have left some
     run(test())
+
+
+def live_parsers() -> set[EndpointListParser]:
+    return {held for held in gc.get_objects() if isinstance(held, EndpointListParser)}
