--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -53,14 +53,17 @@
         "_message",
         "_on_body",
         "_parser",
+        "on_body",
         "on_header",
     )
 
     def __init__(self, max_body_bytes: int, on_body: Callable[[bytes], None] | None = None) -> None:
         self._max_body_bytes = max_body_bytes
-        self._on_body = on_body
+        self._on_body = on_body or _ignore
         self._message = PartialMessage(max_body_bytes)
-        self.on_header = self._message.add_header  # a callback of the parser, called most often
+        # The callbacks that the parser calls most often.
+        self.on_header = self._message.add_header
+        self.on_body = self._message.add_body if on_body is None else self._pass_body
         self._parser = httptools.HttpResponseParser(self)
         self._complete: Response | None = None
         self._headers: dict[bytes, bytes] = {}
@@ -160,11 +163,8 @@
         else:
             self._ends_with_connection = status not in (204, 304)
 
-    def on_body(self, data: bytes) -> None:
-        """Store a part of the body, or pass it to the on_body callback."""
-        if self._on_body is None:
-            self._message.add_body(data)
-            return
+    def _pass_body(self, data: bytes) -> None:
+        """Pass a part of the body to the caller's callback."""
         self._message.count_body(len(data))
         if self._parser.get_status_code() == HTTP_OK:
             self._on_body(data)
@@ -193,6 +193,10 @@
             )
 
 
+def _ignore(_data: bytes) -> None:
+    pass
+
+
 def _join_repeated(headers: list[Header]) -> dict[bytes, bytes]:
     """Return the headers by name, with the values of a repeated one joined by commas."""
     by_name = dict(headers)
--- a/sumacpost/http_message.py
+++ b/sumacpost/http_message.py
@@ -113,8 +113,11 @@
 
     def add_body(self, data: bytes) -> None:
         """Append a piece of the body."""
-        self.count_body(len(data))
+        # As count_body, but without a call for each piece, which may be a single byte.
+        self._framing_bytes = 0
         self._body += data
+        if len(self._body) > self._max_body_bytes:
+            raise MessageLimitError(MessagePart.BODY, f"exceeds {self._max_body_bytes} bytes")
 
     def take_body(self) -> bytes:
         """Remove and return the body."""
