Soak: tell a logged traceback with what failed and its error

Change: the detail of the violation has the line before, the innermost frames and the error. Result: as strict: the same lines are violations. A test pins the text.

--- a/fleetlab/soak/process_oracles.py
+++ b/fleetlab/soak/process_oracles.py
@@ -11,6 +11,8 @@
 # Connections of a process to discovery and the counter, which are not always open.
 AUXILIARY_CONNECTIONS = 2
 
+MAX_TRACEBACK_LINES = 8  # of the innermost frames in the detail of a violation
+
 _FAULT_PATTERN = re.compile(
     r"rule violated|event failed|supervised task failed|Traceback|left without a response"
 )
@@ -72,8 +74,23 @@
 
 
 def check_logs(evidence: Evidence) -> Iterable[Violation]:
-    """Check that no ingress logs an internal error or a rule violation that it detected itself."""
+    """Check that no ingress logs an internal error or a rule violation that it detected itself.
+
+    The detail of a violation is the line, and for a traceback the line before it and the error.
+    """
     for ingress, text in evidence.logs.items():
-        for line in text.splitlines():
+        lines = text.splitlines()
+        for number, line in enumerate(lines):
             if _FAULT_PATTERN.search(line):
-                yield Violation("logged_fault", ingress, line)
+                detail = _describe_traceback(lines, number) if "Traceback" in line else line
+                yield Violation("logged_fault", ingress, detail)
+
+
+def _describe_traceback(lines: list[str], start: int) -> str:
+    """Return what a traceback says, on one line: what failed, its innermost frames, the error."""
+    end = start + 1
+    while end < len(lines) and lines[end].startswith(" "):
+        end += 1
+    first = max(start + 1, end - MAX_TRACEBACK_LINES)
+    parts = [*lines[max(0, start - 1) : start + 1], *lines[first : end + 1]]
+    return " | ".join(part.strip() for part in parts)
--- a/tests/soak/test_oracles.py
+++ b/tests/soak/test_oracles.py
@@ -9,6 +9,7 @@
 
 from fleetlab.soak.evidence import Evidence
 from fleetlab.soak.oracles import find_violations
+from fleetlab.soak.process_oracles import check_logs
 from fleetlab.soak.records import (
     AttemptResult,
     BackendStart,
@@ -327,3 +328,14 @@
     assert find_violations(evidence_of_run) == []
     assert evidence_of_run.bound_ratios["told_too_much"] == pytest.approx(0.01 / 0.2)
     assert evidence_of_run.bound_ratios["late"] == 0.0  # answered before its deadline
+
+
+def test_a_logged_traceback_is_told_with_what_failed_and_its_error() -> None:
+    # Guards against a violation that can't be traced, as the logs of a run in CI are removed.
+    lines = ["12:00 ERROR Exception in callback f()", "Traceback (most recent call last):"]
+    frames = [f'  File "x.py", line {number}' for number in range(30)]
+    text = "\n".join([*lines, *frames, "AssertionError: why", "12:01 INFO next"])
+    (violation,) = check_logs(evidence(log=text))
+    assert violation.detail.startswith("12:00 ERROR Exception in callback f() | Traceback")
+    assert violation.detail.endswith("line 29 | AssertionError: why")
+    assert "line 21" not in violation.detail
