Refuse to write an attempt that has ended, instead of failing on its lost request

ConnectionPool._serve_waiting asks for each attempt of a copy of its list, and the answer for one may end another of the same request; _may_write then failed on the assertion that the attempt has a request, in a callback of the event loop, whose log line has a traceback. Change: _may_write answers no for an ended attempt first, as it did before further down. Test: fails on the code before with that AssertionError.

--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -300,6 +300,8 @@
         request is cancelled if the client has disconnected: in a late iteration of the event loop a
         timer may run before the end of the client's connection is read.
         """
+        if attempt.ended:  # with another attempt of its request, since its pool listed it
+            return False
         assert isinstance(attempt.owner, ProxiedRequest)
         pending = attempt.owner
         # A request without a timer has just arrived; its client was checked on arrival.
--- a/tests/test_attempt_rules.py
+++ b/tests/test_attempt_rules.py
@@ -116,3 +116,19 @@
             assert forwarded_timeout_s(data) <= 60.0 - DELAY_S
 
     run(test())
+
+
+def test_an_attempt_that_has_ended_may_not_be_written() -> None:
+    # Guards against an error where a pool asks for an attempt that has ended with its request.
+    async def test() -> None:
+        async with running_ingress(never_respond) as ingress:
+            client = await ingress.client()
+            client.write(request())
+            await ingress.wait_for_requests(1)
+            (pending,) = ingress.instance._pending.values()
+            (attempt,) = pending.attempts
+            client.disconnect("closed")
+            await until(lambda: attempt.ended)
+            assert not ingress.instance._may_write(attempt)
+
+    run(test())
