--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from contextlib import suppress
@@ -21,6 +22,8 @@
 
 BACKLOG_FILLERS = 4  # connections that fill the queue of a listener with a backlog of 0
 MAX_SERVICE_TIME_S = 0.05  # longest service time of a behaviour that is not late
+PORT_WAIT_S = 5.0  # longest wait for the port of a backend that starts again
+PORT_RETRY_S = 0.05
 PIECE_PAUSE_S = 0.02  # pause between the two pieces of a response in pieces
 
 
@@ -72,11 +75,22 @@
     _address: tuple[str, int] = ("127.0.0.1", 0)
 
     async def start(self) -> None:
-        """Listen on a port assigned by the system, and on the same port at later starts."""
+        """Listen on a port assigned by the system, and on the same port at later starts.
+
+        While the backend did not listen, the system may have given its port to a connection of any
+        process. Wait for its end; raise OSError if that takes longer than PORT_WAIT_S.
+        """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _Connection(self), *self._address, reuse_address=True
-        )
+        give_up_at = loop.time() + PORT_WAIT_S
+        while self._server is None:
+            try:
+                self._server = await loop.create_server(
+                    lambda: _Connection(self), *self._address, reuse_address=True
+                )
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or loop.time() >= give_up_at:
+                    raise
+                await asyncio.sleep(PORT_RETRY_S)
         self._address = self._server.sockets[0].getsockname()[:2]
         self.endpoint = format_address(self._address)
 
