Ignore signals up to the end of the process, not only in its main thread

While the interpreter ends it restores the default actions, and SIGINT then ends the process.

Change: the signals are ignored, which holds for all threads; the interpreter leaves an ignored signal alone.

--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -253,9 +253,18 @@
         loop.add_signal_handler(signal.SIGUSR2, service.toggle_event_log)
 
     await serve(config, stop, attach)
-    # When the loop closes, it restores the default action of each signal. A signal that arrives
-    # after that would end the process as if it had crashed.
-    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    _ignore_signals()
+
+
+def _ignore_signals() -> None:
+    """Ignore the handled signals until the process has exited.
+
+    The interpreter restores the default action of handled signals before it exits, and a signal
+    that arrives after that would end the process as if it had crashed. Blocking the signals would
+    not prevent this: other threads, such as the event loop's resolvers, would receive them.
+    """
+    for signum in HANDLED_SIGNALS:
+        signal.signal(signum, signal.SIG_IGN)
 
 
 def main() -> int:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator, Generator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -45,12 +45,14 @@
 
 
 @asynccontextmanager
-async def logging_program(config_file: Path) -> AsyncIterator[LoggingProgram]:
-    """Run the ingress with this configuration file; kill it if it has not exited at the end."""
+async def logging_program(config_file: Path, *arguments: str) -> AsyncIterator[LoggingProgram]:
+    """Run the ingress with this configuration file; kill it if it has not exited at the end.
+
+    arguments: those of the interpreter; by default they start the installed program.
+    """
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        "-m",
-        "sumacpost",
+        *(arguments or ("-m", "sumacpost")),
         cwd=ROOT,
         stderr=asyncio.subprocess.PIPE,
         env=os.environ | {"RELAY_CONFIG": str(config_file)},
@@ -87,6 +89,39 @@
     run(test())
 
 
+# The ingress in a process with a second thread, as the event loop starts them to resolve addresses.
+PROGRAM_WITH_THREAD = """
+import sys, threading, time
+from sumacpost.service import main
+threading.Thread(target=time.sleep, args=(60,), daemon=True).start()
+sys.exit(main())
+"""
+
+
+def send_until_exit(pid: int, signum: signal.Signals) -> None:
+    """Send a signal again and again until the process has been waited for."""
+    with suppress(ProcessLookupError):
+        while True:
+            os.kill(pid, signum)
+
+
+def test_signals_up_to_the_very_end_of_the_process_leave_its_exit_status_0(tmp_path: Path) -> None:
+    # Guards against an exit by SIGINT where another thread receives it after the drain.
+    config_file = tmp_path / "config.json"
+    config_file.write_text(json.dumps(MINIMAL_CONFIG))
+
+    async def test() -> None:
+        async with logging_program(config_file, "-c", PROGRAM_WITH_THREAD) as program:
+            await program.read_log_until(b"serving: name=")
+            sender = asyncio.create_task(
+                asyncio.to_thread(send_until_exit, program.process.pid, signal.SIGINT)
+            )
+            assert await program.process.wait() == 0
+            await sender
+
+    run(test())
+
+
 def test_reload_moves_discovery_and_counter_and_loses_no_counter_call() -> None:
     settings = {"extra": SETTINGS["extra"] | {"count_wait": 5000.0}}
 
