--- a/fleetlab/stand_in.py
+++ b/fleetlab/stand_in.py
@@ -65,6 +65,18 @@
         writer.close()
 
 
+def reserve_port(port: int = 0) -> socket.socket:
+    """Bind a loopback port without listening, so that the system assigns it to no other socket.
+
+    Connections are refused until another socket listens on the port. That socket needs
+    SO_REUSEADDR, which the listeners of an event loop have. Port 0: one chosen by the system.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((LOOPBACK, port))
+    return reserved
+
+
 def reset_connection(transport: asyncio.Transport) -> None:
     """Close a connection with a reset."""
     sock: socket.socket | None = transport.get_extra_info("socket")
--- a/tests/discovery/test_idle_clients.py
+++ b/tests/discovery/test_idle_clients.py
@@ -9,13 +9,14 @@
 
 import pytest
 
+from fleetlab.stand_in import reserve_port
 from tests.discovery.faults import DRAIN_LIMIT_S, FAULTS, FaultInjector, collect_failures, end_fault
 from tests.support.configuration import SETTINGS
 from tests.support.discovery_agent import DiscoveryAgent, endpoint_entry, endpoint_list
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, request, send_once
 from tests.support.ingress import running_ingress
-from tests.support.peers import Peer, reserve_port, respond
+from tests.support.peers import Peer, respond
 from tests.support.program import end_program, start_program
 
 
--- a/tests/test_closed_streams.py
+++ b/tests/test_closed_streams.py
@@ -16,11 +16,11 @@
 
 import pytest
 
+from fleetlab.stand_in import reserve_port
 from tests.support.configuration import MINIMAL_CONFIG
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, send_once
 from tests.support.paths import ROOT
-from tests.support.peers import reserve_port
 from tests.support.program import end_program
 
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -10,12 +10,13 @@
 from pathlib import Path
 from typing import Any
 
+from fleetlab.stand_in import reserve_port
 from tests.support.configuration import SETTINGS
 from tests.support.counter_calls import read_counter_call
 from tests.support.discovery_agent import DiscoveryAgent, endpoint_entry, endpoint_list
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, send_once
-from tests.support.peers import Peer, Script, never_respond, reserve_port, respond
+from tests.support.peers import Peer, Script, never_respond, respond
 from tests.support.program import end_program, start_program
 
 READY_S = 10.0
