Soak: date an attempt by the latest time at which its bytes may have come

Cause: TCP_INFO gives the age of the last data by a clock that advances in ticks of 4 ms here, so the age is up to a tick too large.

Change: the age is taken a tick smaller, by the resolution that the system states for that clock. Attempts are so dated up to a tick late, which the bounds, all with 50 ms of slack, judge more strictly, not less.

--- a/fleetlab/stand_in.py
+++ b/fleetlab/stand_in.py
@@ -6,11 +6,14 @@
 import os
 import socket
 import struct
+import time
 from contextlib import suppress
 
 LOOPBACK = "127.0.0.1"
 # The field tcpi_last_data_recv of TCP_INFO, at an offset of 52 bytes: ms since data was received.
 TCP_INFO_LAST_DATA_RECV = struct.Struct("=52xI")
+_CLOCK_MONOTONIC_COARSE = 6  # the clock that the system's timers use; Python has no name for it
+_TICK_S = time.clock_getres(_CLOCK_MONOTONIC_COARSE)
 LINGER_RESET = struct.pack("ii", 1, 0)  # for SO_LINGER: closing sends a reset
 
 
@@ -86,10 +89,11 @@
 
 
 def last_data_age_s(transport: asyncio.Transport) -> float:
-    """Return the time in s since the system last received data on a connection.
+    """Return the time in s since the system last received data on a connection, rounded down.
 
-    A lagging event loop reads and accepts late; this value shows when the data arrived. Return 0 if
-    the system does not report it.
+    A lagging event loop reads and accepts late; this value shows when the data arrived. The system
+    measures the time with a clock that advances in ticks, so up to one tick is too much. Return 0
+    if the system does not report it.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
@@ -99,7 +103,7 @@
         (age_ms,) = TCP_INFO_LAST_DATA_RECV.unpack(info)
     except (OSError, struct.error):
         return 0.0
-    return float(age_ms) / 1000
+    return max(0.0, age_ms / 1000 - _TICK_S)
 
 
 def write_immediately(transport: asyncio.Transport, data: bytes, half_close: bool = False) -> None:
