Parse the input of all connections in turns, a few in each iteration of the event loop

Cause: all requests of one read, and all chunks of one read of a response, were parsed and handled in one callback, and each such peer had one in each iteration, so that timers and all others waited about a second.

Change: TurnScheduler gives connections to clients and backends turns of one slice of input, eight in an iteration over all, first come, first served. Little input is still parsed where it is read. What waits for its turn keeps the time at which it was received; above 80 KB of it reading is paused, and not refused as input beyond the pending responses is. A drain answers it. The rest of a body of known length is one slice, as it is only copied. The input of a client connection becomes a part of its own, ClientInput.

--- a/fleetlab/stand_in.py
+++ b/fleetlab/stand_in.py
@@ -103,7 +103,7 @@
         (age_ms,) = TCP_INFO_LAST_DATA_RECV.unpack(info)
     except (OSError, struct.error):
         return 0.0
-    return max(0.0, age_ms / 1000 - _TICK_S)
+    return max(0.0, float(age_ms) / 1000 - _TICK_S)
 
 
 def write_immediately(transport: asyncio.Transport, data: bytes, half_close: bool = False) -> None:
--- a/sumacpost/http1.py
+++ b/sumacpost/http1.py
@@ -47,6 +47,7 @@
 
     __slots__ = (
         "_complete",
+        "_content_length",
         "_ends_with_connection",
         "_headers",
         "_max_body_bytes",
@@ -67,6 +68,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._complete: Response | None = None
         self._headers: dict[bytes, bytes] = {}
+        self._content_length = 0
         self._ends_with_connection = False  # the body has no stated length
 
     @property
@@ -79,6 +81,14 @@
         """The memory of the partial response, in bytes."""
         return self._message.held_bytes
 
+    @property
+    def slice_bytes(self) -> int:
+        """How many bytes may be fed before other connections should have their turn.
+
+        The rest of a body of known length is only copied, however long it is.
+        """
+        return max(SLICE_BYTES, self._content_length - self._message.body_bytes)
+
     def feed(self, data: bytes) -> Response | None:
         """Return the response that these bytes complete, or None if they complete none.
 
@@ -182,6 +192,7 @@
         self._complete = Response(status, self._headers, self._message.take_body(), keep_alive)
         self._message.reset()
         self._headers = {}
+        self._content_length = 0
         self._ends_with_connection = False
 
     def _check_content_length(self, length: bytes) -> None:
@@ -191,6 +202,7 @@
                 f"response body: Content-Length {length[:MAX_QUOTED_BYTES]!r} is not a number"
                 f" of at most {self._max_body_bytes}"
             )
+        self._content_length = int(length)
 
 
 def _ignore(_data: bytes) -> None:
--- a/sumacpost/http_message.py
+++ b/sumacpost/http_message.py
@@ -78,6 +78,11 @@
             + self._body.__alloc__()
         )
 
+    @property
+    def body_bytes(self) -> int:
+        """The length of the body so far, whether or not it is kept."""
+        return self._body_bytes or len(self._body)
+
     def count_input(self, size: int) -> None:
         """Count bytes that are about to be parsed."""
         if self.in_head:
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -41,9 +41,10 @@
 from sumacpost.response_headers import forwarded_headers, retry_after_header
 from sumacpost.server.request import Request
 from sumacpost.timer import Timer
+from sumacpost.turn_scheduler import TurnScheduler
 from sumacpost.upstream.attempt import Attempt
 from sumacpost.upstream.load_report import LoadReportReader, read_billed_units
-from sumacpost.upstream.pool_manager import PoolManager
+from sumacpost.upstream.pool_manager import PoolManager, UpstreamLimits
 
 log = logging.getLogger(__name__)
 
@@ -70,15 +71,19 @@
         self.ready = False  # True once a backend has been listed
         self.recorder = EventRecorder()
         self.memory = MemoryBudget(config.memory_limits)
+        self.turns = TurnScheduler()
         self.pool_manager = PoolManager(
-            max_connections=config.max_connections_per_side,
-            connect_timeout_s=config.connect_timeout_s,
-            backend_idle_timeout_s=config.backend_idle_timeout_s,
+            UpstreamLimits(
+                max_connections=config.max_connections_per_side,
+                connect_timeout_s=config.connect_timeout_s,
+                backend_idle_timeout_s=config.backend_idle_timeout_s,
+                max_body_bytes=config.max_response_bytes,
+            ),
             on_attempt_ended=self._on_attempt_ended,
-            max_body_bytes=config.max_response_bytes,
             may_write=self._may_write,
             recorder=self.recorder,
             memory=self.memory,
+            turns=self.turns,
         )
         self.counter: CounterClient | None = None
         if settings.counter:
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import time
 from collections import deque
 from typing import cast
 
@@ -16,14 +15,14 @@
     close_denial_reason,
     is_last_response,
 )
+from sumacpost.server.client_input import ClientInput
 from sumacpost.server.client_output import ClientOutput
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_memory import ConnectionMemory
 from sumacpost.server.connection_registry import ConnectionRegistry
 from sumacpost.server.connection_state import ConnectionState
-from sumacpost.server.input_buffer import InputBuffer
 from sumacpost.server.request_handler import RequestHandler
-from sumacpost.server.request_reader import RequestMessage, RequestReader
+from sumacpost.server.request_reader import RequestMessage
 from sumacpost.server.response import PendingResponse
 from sumacpost.server.socket_state import has_unread_input, peer_has_disconnected
 
@@ -53,19 +52,17 @@
         self._sock = sock
         self._registry = registry
         self._handler = handler
-        self._reader = RequestReader(self._on_request)
         self._state = _READING
         # The close reason until the ingress closes the connection.
         self._close_reason = CloseReason.CLIENT_DISCONNECTED
         self._finish_reason = CloseReason.DRAIN_DEADLINE
         self._pending_responses: deque[PendingResponse] = deque()
-        self._input = InputBuffer()
+        self._input = ClientInput(sock, self._on_request, unread_age_s)
         self._buffer_overflowed = False  # the input has exceeded the limit of its buffer
-        self._unread_age_s = unread_age_s
         self._parsing = False
         self._output = ClientOutput(self._on_output_unread)
         self._memory = ConnectionMemory(
-            handler.memory, self, self._reader, self._input, self._output, self._pending_responses
+            handler.memory, self, self._input, self._output, self._pending_responses
         )
         self._transport: asyncio.Transport
 
@@ -75,23 +72,24 @@
         """Store the transport and register the connection."""
         # A cast, because uvloop's transport does not inherit from asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        self._input.open(self._transport)
         self._output.open(self._transport)
         self._registry.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
-        """Buffer the input, and parse as much of it as the pending responses allow.
+        """Buffer the input, and parse it in turns as far as the pending responses allow.
 
         Pending responses never pause reading from the socket: the event loop detects a disconnected
         client only by reading to the end of the input.
         """
         if self._state is _CLOSING:
             return
-        self._input.append(time.monotonic() - self._unread_age_s, data)
-        self._unread_age_s = 0.0
-        self.advance()
-        if self._input.overflowed:
-            self._buffer_overflowed = True
-            self._refuse(429, "too much input is waiting")
+        self._input.receive(data)
+        if self._may_parse():
+            self._handler.turns.request_turns(self)
+        if self._input:
+            self._limit_input()
+            self._update(wrote=False)
         self._memory.enforce_limit()
 
     def pause_writing(self) -> None:
@@ -113,9 +111,9 @@
             self._transport.get_extra_info("peername"),
             self._close_reason,
             unsent,
-            self._reader.incomplete_bytes,
+            self._input.incomplete_bytes,
         )
-        self._reader.close()
+        self._input.close()
         self._output.resume()
         self._memory.update()
 
@@ -126,18 +124,18 @@
         if self._parsing:
             return  # responses that are ready immediately are written after parsing
         wrote = self._write_due_responses()
-        while (
-            self._input
-            and self._state is not _CLOSING
-            and not self._output.paused
-            and len(self._pending_responses) < MAX_PIPELINED
-        ):
-            self._parse_next()
-            wrote = self._write_due_responses() or wrote
-        if self._state is _FINISHING and not (self._pending_responses or self._input):
-            self._end_after_input(self._finish_reason)
-        self._update_registry(wrote)
-        self._memory.update()
+        if self._may_parse():
+            self._handler.turns.request_turns(self)
+        self._update(wrote)
+
+    def take_turn(self) -> bool:
+        """Parse a part of the input and write responses; return whether more can be parsed now."""
+        if not self._may_parse():
+            return False
+        self._parse_part()
+        self._update(self._write_due_responses())
+        self._limit_input()
+        return self._may_parse()
 
     def release_memory(self) -> None:
         """Reject the incomplete or waiting input, or abort if unread responses hold more."""
@@ -163,21 +161,40 @@
             ConnectionSnapshot(
                 responses_owed=len(self._pending_responses),
                 buffered_bytes=self._input.size,
-                has_partial_message=self._reader.has_partial_message,
+                has_partial_message=self._input.has_partial_message,
                 has_unread_input=has_unread_input(self._sock),
             )
         )
 
-    def _parse_next(self) -> None:
-        data = self._input.take(self._reader.slice_bytes)
+    def _may_parse(self) -> bool:
+        """Return whether there is input that may be parsed now."""
+        return bool(
+            self._input
+            and self._state is not _CLOSING
+            and not self._output.paused
+            and len(self._pending_responses) < MAX_PIPELINED
+        )
+
+    def _parse_part(self) -> None:
         self._parsing = True
         try:
-            self._reader.feed(data)
+            self._input.parse_part()
         except RequestError as error:
             self._refuse(error.status, str(error))
         finally:
             self._parsing = False
 
+    def _limit_input(self) -> None:
+        """Limit the input that waits: for its turn by pausing, and otherwise by refusing it."""
+        if self._may_parse():
+            if self._state is _READING:
+                self._input.control_reading()
+        elif self._input.overflowed:
+            self._buffer_overflowed = True
+            self._refuse(429, "too much input is waiting")
+        else:
+            self._input.resume_reading()
+
     def _on_request(self, message: RequestMessage) -> None:
         """Pass a complete request to the handler; called by the reader."""
         if self._state is _CLOSING:
@@ -228,13 +245,20 @@
                 self._end_after_last_response()
         return wrote
 
+    def _update(self, wrote: bool) -> None:
+        """End the connection if all is done; report what it waits for and holds otherwise."""
+        if self._state is _FINISHING and not (self._pending_responses or self._input):
+            self._end_after_input(self._finish_reason)
+        self._update_registry(wrote)
+        self._memory.update()
+
     def _update_registry(self, wrote: bool) -> None:
         """Report to the registry what the connection is waiting for now."""
         if self._pending_responses:
             self._registry.mark_busy(self)
         elif self._state is _CLOSING:
             return
-        elif self._reader.has_partial_message:
+        elif self._input.has_partial_message or self._input:
             if wrote or self in self._registry.idle:
                 self._registry.mark_waiting(self)
         elif wrote:
@@ -244,7 +268,7 @@
 
     def on_request_timeout(self, reason: CloseReason) -> None:
         """Reject an incomplete request with status 408, or close a connection without one."""
-        if self._reader.has_partial_message and self._state is not _CLOSING:
+        if self._input.has_partial_message and self._state is not _CLOSING:
             self._close_reason = reason
             self._reject(408)
         else:
@@ -256,12 +280,12 @@
             return
         self._state = _FINISHING
         self._finish_reason = reason
-        self._transport.pause_reading()
+        self._input.stop_reading()
         self.advance()
 
     def _end_after_input(self, reason: CloseReason) -> None:
         """End a connection without pending responses; reject an incomplete request."""
-        if self._reader.has_partial_message:
+        if self._input.has_partial_message:
             self.on_request_timeout(reason)
         else:
             self._close_reason = reason
@@ -298,8 +322,7 @@
 
     def _discard_input(self) -> None:
         self._state = _CLOSING
-        self._input.clear()
-        self._reader.discard()
+        self._input.discard()
 
     def _end_after_last_response(self) -> None:
         """End the connection after its last response.
@@ -312,7 +335,7 @@
             self._close_reason = CloseReason.RESPONSE_WAS_LAST
         self._discard_input()
         self._registry.mark_closing(self)
-        if self._reader.incomplete_bytes or self._buffer_overflowed:
+        if self._input.incomplete_bytes or self._buffer_overflowed:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
         else:
--- a/sumacpost/server/connection_memory.py
+++ b/sumacpost/server/connection_memory.py
@@ -5,9 +5,8 @@
 from collections.abc import Collection
 
 from sumacpost.memory_budget import MemoryBudget, MemoryHolder
+from sumacpost.server.client_input import ClientInput
 from sumacpost.server.client_output import ClientOutput
-from sumacpost.server.input_buffer import InputBuffer
-from sumacpost.server.request_reader import RequestReader
 from sumacpost.server.response import PendingResponse
 
 
@@ -17,21 +16,19 @@
     The arguments are the parts of the connection. Requests that are accepted are not counted here.
     """
 
-    __slots__ = ("_budget", "_holder", "_input", "_output", "_reader", "_reported", "_responses")
+    __slots__ = ("_budget", "_holder", "_input", "_output", "_reported", "_responses")
 
     def __init__(
         self,
         budget: MemoryBudget,
         holder: MemoryHolder,
-        reader: RequestReader,
-        waiting_input: InputBuffer,
+        client_input: ClientInput,
         output: ClientOutput,
         responses: Collection[PendingResponse],
     ) -> None:
         self._budget = budget
         self._holder = holder
-        self._reader = reader
-        self._input = waiting_input
+        self._input = client_input
         self._output = output
         self._responses = responses
         self._reported = 0
@@ -39,8 +36,7 @@
     @property
     def input_bytes(self) -> int:
         """The memory of input that is incomplete, or waits to be parsed."""
-        partial_bytes = self._reader.held_bytes if self._reader.has_partial_message else 0
-        return partial_bytes + self._input.held_bytes
+        return self._input.held_bytes
 
     @property
     def output_bytes(self) -> int:
@@ -53,7 +49,7 @@
     def update(self) -> None:
         """Report what the connection holds, if that has changed."""
         may_hold = (
-            self._reader.has_partial_message
+            self._input.has_partial_message
             or self._input
             or self._output.paused
             or len(self._responses) > 1
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -24,6 +24,7 @@
     Attributes:
         recorder: records events of requests and connections.
         memory: counts what the connections hold.
+        turns: divides the iterations of the event loop among the connections.
         draining: whether the drain has started.
     """
 
@@ -32,6 +33,7 @@
         self._parser = parser
         self.recorder = ingress.recorder
         self.memory = ingress.memory
+        self.turns = ingress.turns
         self.draining = False
 
     def handle(self, message: RequestMessage, response: PendingResponse) -> None:
--- a/sumacpost/upstream/connection.py
+++ b/sumacpost/upstream/connection.py
@@ -13,9 +13,11 @@
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
 from sumacpost.errors import ResponseError
 from sumacpost.http1 import Response, ResponseReader
+from sumacpost.http_message import SLICE_BYTES
 from sumacpost.memory_budget import MemoryBudget
 from sumacpost.model import Outcome
 from sumacpost.timer import Timer
+from sumacpost.turn_scheduler import TurnScheduler
 from sumacpost.upstream.attempt import Attempt, AttemptState, classify_response
 from sumacpost.upstream.reuse_limit import ReuseLimit
 
@@ -55,6 +57,7 @@
     reuse_limit: ReuseLimit
     recorder: EventRecorder
     memory: MemoryBudget
+    turns: TurnScheduler
 
     def add_idle(self, connection: BackendConnection) -> None:
         """Add a connection that is free for another attempt."""
@@ -77,6 +80,8 @@
         self._state = ConnectionState.IDLE
         self._request_started_at = 0.0  # s, on the clock of the event loop
         self._reader = ResponseReader(pool.max_body_bytes)
+        self._unparsed = b""  # while there are such bytes, reading is paused
+        self._parsed_bytes = 0  # how many of them have been parsed
         self._holds_memory = False  # for an incomplete response
         self._stall_timer: Timer | None = None
         self._transport: asyncio.Transport
@@ -121,9 +126,40 @@
         return False  # closed, or unexpected bytes without a request
 
     def data_received(self, data: bytes) -> None:
-        """Parse more of the response, and end the attempt once the response is complete."""
+        """Parse more of the response, in turns if there is much of it."""
         if self._state is ConnectionState.CLOSED:
             return
+        if len(data) <= SLICE_BYTES and not self._unparsed:
+            self._parse(data)
+            return
+        self._unparsed = self._unparsed[self._parsed_bytes :] + data
+        self._parsed_bytes = 0
+        self._transport.pause_reading()  # the end of the stream may be read only after these bytes
+        self._pool.turns.request_turns(self)
+
+    def take_turn(self) -> bool:
+        """Parse a slice of the response; return whether there is more."""
+        if not self._unparsed:
+            return False
+        end = self._parsed_bytes + self._reader.slice_bytes
+        data = self._unparsed[self._parsed_bytes : end]
+        self._parsed_bytes = end
+        if end >= len(self._unparsed):
+            self._forget_unparsed()
+            self._transport.resume_reading()
+        self._parse(data)
+        return bool(self._unparsed)
+
+    def _forget_unparsed(self) -> None:
+        self._unparsed = b""
+        self._parsed_bytes = 0
+
+    def abort(self) -> None:
+        """Close the connection, and fail its attempt."""
+        self._fail(CloseReason.INVALID_RESPONSE)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse some bytes, and end the attempt once the response is complete."""
         try:
             response = self._reader.feed(data)
         except ResponseError as error:
@@ -139,11 +175,15 @@
             # a wrong Content-Length may announce bytes that never arrive on an open connection
             self._stall_timer = Timer(RESPONSE_STALL_TIMEOUT_S, self._on_response_stalled)
             self._holds_memory = True
-            self._pool.memory.set_held(self, self._reader.held_bytes)
+            held_bytes = self._reader.held_bytes + len(self._unparsed)
+            self._pool.memory.set_held(self, held_bytes)
             self._pool.memory.enforce()
             return
-        # a response received before the whole request was written rules out reuse
-        reusable = response.keep_alive and self._state is ConnectionState.WRITTEN
+        # a response received before the whole request was written rules out reuse, and so do bytes
+        # after the response
+        reusable = (
+            response.keep_alive and self._state is ConnectionState.WRITTEN and not self._unparsed
+        )
         self._end_attempt(classify_response(response), response, reusable)
         self._pool.memory.enforce()  # the response may wait for its client
 
@@ -174,6 +214,7 @@
             self._state.value,
         )
         self._state = ConnectionState.CLOSED
+        self._forget_unparsed()
         self._forget_memory()
         if self._stall_timer is not None:
             self._stall_timer.cancel()
--- a/sumacpost/upstream/pool.py
+++ b/sumacpost/upstream/pool.py
@@ -14,6 +14,7 @@
 from sumacpost.http1 import Response
 from sumacpost.memory_budget import MemoryBudget
 from sumacpost.model import Outcome
+from sumacpost.turn_scheduler import TurnScheduler
 from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback, AttemptState
 from sumacpost.upstream.connection import BackendConnection, CloseReason
 from sumacpost.upstream.reuse_limit import ReuseLimit
@@ -32,6 +33,7 @@
     reuse_limit: ReuseLimit
     recorder: EventRecorder
     memory: MemoryBudget
+    turns: TurnScheduler
     on_attempt_ended: AttemptEndedCallback
     may_write: Callable[[Attempt], bool]
 
@@ -52,6 +54,7 @@
         self.reuse_limit = owner.reuse_limit
         self.recorder = owner.recorder
         self.memory = owner.memory
+        self.turns = owner.turns
         self.idle: deque[BackendConnection] = deque()  # least recently used first
         self.waiting: deque[Attempt] = deque()  # in order of arrival
         self._owner = owner
--- a/sumacpost/upstream/pool_manager.py
+++ b/sumacpost/upstream/pool_manager.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from sumacpost.address import Address
 from sumacpost.diagnostics.event_recorder import EventRecorder
@@ -17,6 +18,7 @@
     UpdateKind,
 )
 from sumacpost.policy.memory_limits import memory_limits
+from sumacpost.turn_scheduler import TurnScheduler
 from sumacpost.upstream.attempt import Attempt, AttemptEndedCallback, AttemptState
 from sumacpost.upstream.connection import CloseReason
 from sumacpost.upstream.pool import ConnectionPool
@@ -29,36 +31,53 @@
     return True
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLimits:
+    """The limits of the connections to backends.
+
+    Attributes:
+        max_connections: limit on the connections to all backends together, including those that are
+            being established.
+        connect_timeout_s: the time within which a connection has to be established, in seconds.
+        backend_idle_timeout_s: the time after which backends close idle connections, in seconds.
+        max_body_bytes: limit on the body of a response, in bytes.
+    """
+
+    max_connections: int
+    connect_timeout_s: float
+    backend_idle_timeout_s: float
+    max_body_bytes: int = MAX_BODY_BYTES
+
+
 class PoolManager:
     """The connection pools of all backends that the policy may choose.
 
-    max_connections limits the connections to all backends together, including those that are being
-    established. backend_idle_timeout_s is the time after which backends close idle connections, in
-    seconds. on_attempt_ended is called with each attempt, its outcome, and the response if there is
-    one. may_write is called before a waiting attempt is written; if it returns False, it has ended
-    the attempt or arranged for its end.
+    on_attempt_ended is called with each attempt, its outcome, and the response if there is one.
+    may_write is called before a waiting attempt is written; if it returns False, it has ended the
+    attempt or arranged for its end.
     """
 
     def __init__(
         self,
-        max_connections: int,
-        connect_timeout_s: float,
-        backend_idle_timeout_s: float,
+        limits: UpstreamLimits,
         on_attempt_ended: AttemptEndedCallback,
-        max_body_bytes: int = MAX_BODY_BYTES,
         may_write: Callable[[Attempt], bool] = _allow_all,
         recorder: EventRecorder | None = None,
         memory: MemoryBudget | None = None,
+        turns: TurnScheduler | None = None,
     ) -> None:
-        self.connect_timeout_s = connect_timeout_s
-        self.max_body_bytes = max_body_bytes
+        self.connect_timeout_s = limits.connect_timeout_s
+        self.max_body_bytes = limits.max_body_bytes
         self.on_attempt_ended = on_attempt_ended
         self.may_write = may_write
         self.recorder = recorder or EventRecorder()
-        self.memory = memory or MemoryBudget(memory_limits(DEFAULT_MEMORY_MB, max_connections))
-        self.reuse_limit = ReuseLimit(backend_idle_timeout_s)
+        self.memory = memory or MemoryBudget(
+            memory_limits(DEFAULT_MEMORY_MB, limits.max_connections)
+        )
+        self.turns = turns or TurnScheduler()
+        self.reuse_limit = ReuseLimit(limits.backend_idle_timeout_s)
         self.open_connections = 0  # including those that are being established
-        self._max_connections = max_connections
+        self._max_connections = limits.max_connections
         self._pools: dict[BackendId, ConnectionPool] = {}
 
     def update_address(
--- a/tests/fleetlab/test_stand_in.py
+++ b/tests/fleetlab/test_stand_in.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from typing import cast
 
 from fleetlab.stand_in import LOOPBACK, last_data_age_s
 from tests.support.event_loop import run
@@ -28,7 +29,7 @@
             writer.write(b"x")
             await writer.drain()
             await asyncio.sleep(PAUSE_S)
-            age_s = last_data_age_s(receiver.transport)
+            age_s = last_data_age_s(cast(asyncio.Transport, receiver.transport))
             assert age_s <= time.monotonic() - sent_at
         for each in (writer, receiver):
             each.close()
--- a/tests/support/attempts.py
+++ b/tests/support/attempts.py
@@ -5,7 +5,7 @@
 from sumacpost.http1 import Response
 from sumacpost.model import Outcome
 from sumacpost.upstream.attempt import Attempt
-from sumacpost.upstream.pool_manager import PoolManager
+from sumacpost.upstream.pool_manager import PoolManager, UpstreamLimits
 from tests.support.event_loop import until
 
 PAYLOAD = b"POST /vat-filing HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
@@ -22,9 +22,7 @@
     def __init__(self, port: int, max_connections: int = 10, idle_timeout_s: float = 30.0) -> None:
         self.ended_attempts: list[tuple[Attempt, Outcome, Response | None]] = []
         self.pool_manager = PoolManager(
-            max_connections=max_connections,
-            connect_timeout_s=0.25,
-            backend_idle_timeout_s=idle_timeout_s,
+            UpstreamLimits(max_connections, 0.25, idle_timeout_s),
             on_attempt_ended=lambda *end: self.ended_attempts.append(end),
         )
         self.pool_manager.update_address(1, ("127.0.0.1", port))
