Spend fewer calls on a request that is parsed where it is read

Cause: the checks of the turns, and the properties through which ClientInput was asked, cost calls for each request. Change: ClientInput extends InputBuffer, its reader is read directly, and what concerns paused or waiting input is looked at only where there is some.

--- a/sumacpost/server/client_input.py
+++ b/sumacpost/server/client_input.py
@@ -17,60 +17,35 @@
 RESUME_READING_BYTES = MAX_BUFFERED_BYTES // 4
 
 
-class ClientInput:
+class ClientInput(InputBuffer):
     """Buffers the bytes that are read from a client, and parses them in parts.
 
     on_request is called with each complete request. unread_age_s is how long the first input has
     already been waiting in the socket, in seconds.
+
+    Attributes:
+        reader: reads the requests; knows about a partial one.
     """
 
+    __slots__ = ("_paused_at", "_sock", "_transport", "_unread_age_s", "reader")
+
     def __init__(
         self,
         sock: socket.socket,
         on_request: Callable[[RequestMessage], None],
         unread_age_s: float,
     ) -> None:
+        super().__init__()
+        self.reader = RequestReader(on_request)
         self._sock = sock
-        self._reader = RequestReader(on_request)
-        self._buffer = InputBuffer()
         self._unread_age_s = unread_age_s
         self._paused_at: float | None = None  # monotonic seconds
         self._transport: asyncio.Transport
 
-    def __bool__(self) -> bool:
-        """Whether there are bytes that have not been parsed."""
-        return bool(self._buffer)
-
-    @property
-    def size(self) -> int:
-        """The number of bytes that have not been parsed."""
-        return self._buffer.size
-
-    @property
-    def overflowed(self) -> bool:
-        """Whether there is more than may wait for the responses to earlier requests."""
-        return self._buffer.overflowed
-
-    @property
-    def received_at(self) -> float:
-        """When the bytes parsed last were received, in monotonic seconds."""
-        return self._buffer.received_at
-
-    @property
-    def has_partial_message(self) -> bool:
-        """Whether a request has begun and is not complete."""
-        return self._reader.has_partial_message
-
-    @property
-    def incomplete_bytes(self) -> int:
-        """How many bytes have been parsed after the part that completed the last request."""
-        return self._reader.incomplete_bytes
-
     @property
-    def held_bytes(self) -> int:
-        """The memory of all bytes, and of the partial request, in bytes."""
-        partial_bytes = self._reader.held_bytes if self._reader.has_partial_message else 0
-        return partial_bytes + self._buffer.held_bytes
+    def reading_paused(self) -> bool:
+        """Whether reading is paused because much input waits for its turn."""
+        return self._paused_at is not None
 
     def open(self, transport: asyncio.Transport) -> None:
         """Set the transport that the bytes are read from."""
@@ -78,12 +53,12 @@
 
     def receive(self, data: bytes) -> None:
         """Buffer the bytes of one read."""
-        self._buffer.append(time.monotonic() - self._unread_age_s, data)
+        self.append(time.monotonic() - self._unread_age_s, data)
         self._unread_age_s = 0.0
 
     def parse_part(self) -> None:
         """Parse a limited part of the bytes; raise RequestError if they are invalid."""
-        self._reader.feed(self._buffer.take(self._reader.slice_bytes))
+        self.reader.feed(self.take(self.reader.slice_bytes))
 
     def control_reading(self) -> None:
         """Pause reading while much input waits for its turn; resume it afterwards.
@@ -91,10 +66,10 @@
         A client that sends on and on could otherwise fill the buffer faster than it is parsed.
         """
         if self._paused_at is None:
-            if self._buffer.size > PAUSE_READING_BYTES:
+            if self.size > PAUSE_READING_BYTES:
                 self._paused_at = time.monotonic()
                 self._transport.pause_reading()
-        elif self._buffer.size < RESUME_READING_BYTES:
+        elif self.size < RESUME_READING_BYTES:
             self.resume_reading()
 
     def resume_reading(self) -> None:
@@ -114,10 +89,10 @@
 
     def discard(self) -> None:
         """Drop all bytes, and ignore those that follow; reading goes on."""
-        self._buffer.clear()
-        self._reader.discard()
+        self.clear()
+        self.reader.discard()
         self.resume_reading()
 
     def close(self) -> None:
         """Drop everything; call it when the connection has ended."""
-        self._reader.close()
+        self.reader.close()
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -85,9 +85,8 @@
         if self._state is _CLOSING:
             return
         self._input.receive(data)
-        if self._may_parse():
-            self._handler.turns.request_turns(self)
-        if self._input:
+        self._handler.turns.request_turns(self)
+        if self._input.size:
             self._limit_input()
             self._update(wrote=False)
         self._memory.enforce_limit()
@@ -111,7 +110,7 @@
             self._transport.get_extra_info("peername"),
             self._close_reason,
             unsent,
-            self._input.incomplete_bytes,
+            self._input.reader.incomplete_bytes,
         )
         self._input.close()
         self._output.resume()
@@ -124,7 +123,7 @@
         if self._parsing:
             return  # responses that are ready immediately are written after parsing
         wrote = self._write_due_responses()
-        if self._may_parse():
+        if self._input.size:
             self._handler.turns.request_turns(self)
         self._update(wrote)
 
@@ -134,6 +133,8 @@
             return False
         self._parse_part()
         self._update(self._write_due_responses())
+        if not (self._input.size or self._input.reading_paused):
+            return False
         self._limit_input()
         return self._may_parse()
 
@@ -161,15 +162,15 @@
             ConnectionSnapshot(
                 responses_owed=len(self._pending_responses),
                 buffered_bytes=self._input.size,
-                has_partial_message=self._input.has_partial_message,
+                has_partial_message=self._input.reader.has_partial_message,
                 has_unread_input=has_unread_input(self._sock),
             )
         )
 
     def _may_parse(self) -> bool:
         """Return whether there is input that may be parsed now."""
-        return bool(
-            self._input
+        return (
+            self._input.size > 0
             and self._state is not _CLOSING
             and not self._output.paused
             and len(self._pending_responses) < MAX_PIPELINED
@@ -238,7 +239,7 @@
             is_last = is_last_response(
                 response.keep_alive,
                 self._handler.draining,
-                bool(self._pending_responses or self._input),
+                bool(self._pending_responses or self._input.size),
             )
             self._output.write(response.head, response.body, is_last)
             if is_last:
@@ -247,7 +248,7 @@
 
     def _update(self, wrote: bool) -> None:
         """End the connection if all is done; report what it waits for and holds otherwise."""
-        if self._state is _FINISHING and not (self._pending_responses or self._input):
+        if self._state is _FINISHING and not (self._pending_responses or self._input.size):
             self._end_after_input(self._finish_reason)
         self._update_registry(wrote)
         self._memory.update()
@@ -258,7 +259,7 @@
             self._registry.mark_busy(self)
         elif self._state is _CLOSING:
             return
-        elif self._input.has_partial_message or self._input:
+        elif self._input.reader.has_partial_message or self._input.size:
             if wrote or self in self._registry.idle:
                 self._registry.mark_waiting(self)
         elif wrote:
@@ -268,7 +269,7 @@
 
     def on_request_timeout(self, reason: CloseReason) -> None:
         """Reject an incomplete request with status 408, or close a connection without one."""
-        if self._input.has_partial_message and self._state is not _CLOSING:
+        if self._input.reader.has_partial_message and self._state is not _CLOSING:
             self._close_reason = reason
             self._reject(408)
         else:
@@ -285,7 +286,7 @@
 
     def _end_after_input(self, reason: CloseReason) -> None:
         """End a connection without pending responses; reject an incomplete request."""
-        if self._input.has_partial_message:
+        if self._input.reader.has_partial_message:
             self.on_request_timeout(reason)
         else:
             self._close_reason = reason
@@ -335,7 +336,7 @@
             self._close_reason = CloseReason.RESPONSE_WAS_LAST
         self._discard_input()
         self._registry.mark_closing(self)
-        if self._input.incomplete_bytes or self._buffer_overflowed:
+        if self._input.reader.incomplete_bytes or self._buffer_overflowed:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
         else:
--- a/sumacpost/server/connection_memory.py
+++ b/sumacpost/server/connection_memory.py
@@ -16,7 +16,7 @@
     The arguments are the parts of the connection. Requests that are accepted are not counted here.
     """
 
-    __slots__ = ("_budget", "_holder", "_input", "_output", "_reported", "_responses")
+    __slots__ = ("_budget", "_holder", "_input", "_output", "_reader", "_reported", "_responses")
 
     def __init__(
         self,
@@ -29,6 +29,7 @@
         self._budget = budget
         self._holder = holder
         self._input = client_input
+        self._reader = client_input.reader
         self._output = output
         self._responses = responses
         self._reported = 0
@@ -36,7 +37,8 @@
     @property
     def input_bytes(self) -> int:
         """The memory of input that is incomplete, or waits to be parsed."""
-        return self._input.held_bytes
+        partial_bytes = self._reader.held_bytes if self._reader.has_partial_message else 0
+        return partial_bytes + self._input.held_bytes
 
     @property
     def output_bytes(self) -> int:
@@ -49,7 +51,7 @@
     def update(self) -> None:
         """Report what the connection holds, if that has changed."""
         may_hold = (
-            self._input.has_partial_message
+            self._reader.has_partial_message
             or self._input
             or self._output.paused
             or len(self._responses) > 1
--- a/sumacpost/turn_scheduler.py
+++ b/sumacpost/turn_scheduler.py
@@ -49,11 +49,11 @@
         """Give a connection turns until its input is parsed.
 
         The first turns are given at once, unless other connections are waiting or the turns of this
-        iteration have been used up.
+        iteration have been used up. Raise whatever these turns raise.
         """
         while self._immediate_turns and not self._queue:
             self._immediate_turns -= 1
-            if not _take_turn(connection):
+            if not connection.take_turn():
                 return
         if connection not in self._queued:
             self._enqueue(connection)
