Handle replies of the counter in turns, and decode them without copying the rest

Cause, as for requests: all replies of one read were handled in one callback. After a pause of the counter there may be 1,000 of them, and each may let the gateway decide on a request. Besides, each reply copied what was left.

Change: CounterConnection takes turns of eight replies. While some wait, reading is paused, and the timer of late calls waits for them. ReplyDecoder keeps a position in what it has received. Result: of the new tests, the one on many replies failed before; the one on their deadlines guards the new code.

--- a/sumacpost/counter/client.py
+++ b/sumacpost/counter/client.py
@@ -11,6 +11,7 @@
 from sumacpost.counter.connection import CounterCall, CounterConnection, ReplyLatency
 from sumacpost.counter.resp import encode_addget
 from sumacpost.model import CounterReplied, Outcome
+from sumacpost.turn_scheduler import TurnScheduler
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +35,9 @@
         address: Address | None,
         timeout_s: float,
         on_reply: Callable[[CounterReplied], None],
+        turns: TurnScheduler | None = None,
     ) -> None:
+        self._turns = turns or TurnScheduler()
         self._address = address
         self._timeout_s = timeout_s
         self._on_reply = on_reply
@@ -85,7 +88,11 @@
 
     def _new_connection(self) -> CounterConnection:
         return CounterConnection(
-            self._timeout_s, self._reply_latency, self._conclude, self._on_connection_lost
+            self._timeout_s,
+            self._reply_latency,
+            self._conclude,
+            self._on_connection_lost,
+            self._turns,
         )
 
     def _replace_connection(self, connection: CounterConnection) -> None:
--- a/sumacpost/counter/connection.py
+++ b/sumacpost/counter/connection.py
@@ -17,11 +17,13 @@
 from sumacpost.counter.resp import ErrorReply, Reply, ReplyDecoder, TotalReply
 from sumacpost.errors import CounterProtocolError
 from sumacpost.model import CounterReplied, Outcome
-from sumacpost.timer import Timer
+from sumacpost.timer import READ_DELAY_S, Timer
+from sumacpost.turn_scheduler import TurnScheduler
 
 log = logging.getLogger(__name__)
 
 MAX_UNREPLIED_CALLS = 1000  # calls without a reply on one connection
+REPLIES_PER_TURN = 8  # handled in one turn: each may let the gateway decide on a request
 STABLE_AFTER_S = 0.2  # a connection older than this is replaced immediately when it is lost
 TIMER_TOLERANCE_S = 0.0005  # deadlines that are this close are handled by the same timer
 
@@ -77,8 +79,10 @@
         reply_latency: ReplyLatency,
         on_concluded: Callable[[CounterCall, Outcome, float], None],
         on_lost: Callable[[CounterConnection], None],
+        turns: TurnScheduler,
     ) -> None:
         self._timeout_s = timeout_s
+        self._turns = turns
         self._reply_latency = reply_latency
         self._on_concluded = on_concluded
         self._on_lost = on_lost
@@ -93,6 +97,8 @@
         self._timer: Timer | None = None
         self._has_replied = False
         self._retired = False
+        self._has_unhandled_replies = False
+        self._reading_paused = False  # while replies that have been read wait for their turn
         # Outcome of the calls that are still in _waiting when the connection closes.
         self._loss_outcome = Outcome.TIMEOUT
 
@@ -159,6 +165,10 @@
         added may be reported as lost.
         """
         self._timer = None
+        if self._reading_paused:
+            # The calls that seem late may have their replies.
+            self._timer = Timer(READ_DELAY_S, self._check_deadlines)
+            return
         now = self._loop.time() + TIMER_TOLERANCE_S
         if self._has_stalled_reply(now):
             # The counter has processed the call whose reply has begun, and has added the amount
@@ -208,19 +218,45 @@
         self._transport = cast(asyncio.Transport, transport)  # uvloop's transport is no subclass
 
     def data_received(self, data: bytes) -> None:
-        """Match replies to calls; close the connection after invalid data."""
+        """Match replies to calls, in turns if there are many; close after invalid data."""
         if self._transport is None or self._transport.is_closing():
             return
         self._decoder.receive_data(data)
+        self._has_unhandled_replies = True
+        self._turns.request_turns(self)
+        if self._transport is not None and self._has_unhandled_replies:
+            self._reading_paused = True
+            self._transport.pause_reading()  # the end must not be read before the replies
+
+    def take_turn(self) -> bool:
+        """Match some replies to calls; return whether there may be more."""
+        if self._transport is None or self._transport.is_closing():
+            return False
         try:
-            while (reply := self._decoder.next_reply()) is not None:
+            for _ in range(REPLIES_PER_TURN):
+                reply = self._decoder.next_reply()
+                if reply is None:
+                    self._resume_reading()
+                    self._close_if_retired()
+                    return False
                 self._handle_reply(reply)
         except CounterProtocolError as error:
             log.warning("counter connection failed: error=%s", error)
             self._has_replied = self._has_replied or bool(self._unreplied)
+            self.abort()
+            return False
+        return True
+
+    def _resume_reading(self) -> None:
+        self._has_unhandled_replies = False
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Close the connection; the calls on it are lost."""
+        if self._transport is not None:
             self._transport.abort()
-        else:
-            self._close_if_retired()
 
     def _handle_reply(self, reply: Reply) -> None:
         """Match a reply to the oldest call; raise CounterProtocolError if there is no call."""
--- a/sumacpost/counter/resp.py
+++ b/sumacpost/counter/resp.py
@@ -74,29 +74,32 @@
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._position = 0  # of the first byte that has not been decoded
 
     @property
     def has_partial_reply(self) -> bool:
-        """Whether the buffer contains an incomplete reply."""
-        return bool(self._buffer)
+        """Whether there are bytes that have not been decoded."""
+        return self._position < len(self._buffer)
 
     def receive_data(self, data: bytes) -> None:
         """Append bytes received from the connection."""
-        self._buffer += data
+        self._buffer = self._buffer[self._position :] + data
+        self._position = 0
 
     def next_reply(self) -> Reply | None:
         """Return the next complete reply, or None if more data is needed.
 
         Raise CounterProtocolError as soon as the data can't become a valid reply.
         """
-        if not self._buffer:
+        if not self.has_partial_reply:
             return None
-        match = _REPLY.match(self._buffer)
+        match = _REPLY.match(self._buffer, self._position)
         if match is None:
-            if _INCOMPLETE_REPLY.fullmatch(self._buffer) is None:
-                raise CounterProtocolError(f"invalid reply {self._buffer[:MAX_QUOTED_BYTES]!r}")
+            if _INCOMPLETE_REPLY.fullmatch(self._buffer, self._position) is None:
+                quoted = self._buffer[self._position : self._position + MAX_QUOTED_BYTES]
+                raise CounterProtocolError(f"invalid reply {quoted!r}")
             return None
-        self._buffer = self._buffer[match.end() :]
+        self._position = match.end()
         return _parse_reply(match)
 
 
--- a/sumacpost/ingress.py
+++ b/sumacpost/ingress.py
@@ -88,7 +88,7 @@
         self.counter: CounterClient | None = None
         if settings.counter:
             timeout_s = settings.counter_timeout_ms / 1000
-            self.counter = CounterClient(config.counter, timeout_s, self._handle)
+            self.counter = CounterClient(config.counter, timeout_s, self._handle, self.turns)
         self._clock = Clock()
         self._request_recorder = RequestRecorder(self.recorder, self._clock)
         self._gateway = Gateway(settings, config.seed, config.memory_limits.customers)
--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from sumacpost.counter.connection import REPLIES_PER_TURN
 from sumacpost.model import Outcome
+from sumacpost.turn_scheduler import TURNS_PER_ITERATION
 from tests.support.counter_calls import (
     RecordedCounterClient,
     read_counter_call,
@@ -258,3 +260,46 @@
             assert peer.connections == 1
 
     run(test())
+
+
+def test_many_replies_at_once_are_not_handled_in_one_callback() -> None:
+    # Guards against an event loop that is held up by a counter that answers after a pause.
+    count = 400
+
+    async def test() -> None:
+        async with scripted_counter(never_respond) as (peer, recorded):
+            for name in range(count):
+                recorded.client.call(name, 1.0, TTL_MS)
+            await until(lambda: len(peer.requests) == count)
+            connection = recorded.client._connection
+            assert connection is not None
+            connection.data_received(b"$1\r\n1\r\n" * count)
+            assert 0 < len(recorded.replies) < count / 2
+            outcomes = await recorded.outcomes(count)
+            assert outcomes == [(name, Outcome.OK, 1.0) for name in range(count)]
+            # Reading goes on.
+            recorded.client.call(7, 1.0, TTL_MS)
+            await until(lambda: len(peer.requests) == count + 1)
+            peer.writers[0].write(b"$1\r\n2\r\n")
+            assert (await recorded.outcomes(count + 1))[-1] == (7, Outcome.OK, 2.0)
+
+    run(test())
+
+
+def test_replies_that_wait_for_their_turn_are_not_late() -> None:
+    # Guards against calls that time out although their replies have been read.
+    count = 4 * REPLIES_PER_TURN * TURNS_PER_ITERATION
+
+    async def test() -> None:
+        async with scripted_counter(never_respond, timeout_s=0.1) as (peer, recorded):
+            for name in range(count):
+                recorded.client.call(name, 1.0, TTL_MS)
+            await until(lambda: len(peer.requests) == count)
+            connection = recorded.client._connection
+            assert connection is not None
+            connection.data_received(b"$1\r\n1\r\n" * count)
+            time.sleep(0.2)  # the timer of the calls is due before the next turns
+            outcomes = await recorded.outcomes(count)
+            assert {outcome.outcome for outcome in outcomes} == {Outcome.OK}
+
+    run(test())
