Lab: measure the callbacks of the ingress by name; give four turns in an iteration

Cause: nothing showed how long a callback of the event loop takes beside hostile peers, or which one it is.

Found with it: eight turns of the shortest requests took up to 7.3 ms (limit 192 MB, one core shared with the peers). Over 5 ms remains one step at the end of the process, 9 to 26 ms where each request was of another customer: the drain reports the use of all customers to the counter.

--- a/fleetlab/memory/command.py
+++ b/fleetlab/memory/command.py
@@ -6,9 +6,11 @@
 from typing import TypedDict, Unpack
 
 import click
+import msgspec
 from rich.console import Console
 from rich.table import Table
 
+from fleetlab.callback_monitor import SLOW_CALLBACK_S, CallbackTimes
 from fleetlab.command_options import OUT_OPTION, SECONDS_RANGE, SEED_OPTION
 from fleetlab.interrupts import run_interruptible
 from fleetlab.memory.hostile_backends import BackendKind
@@ -19,6 +21,8 @@
 MAX_CLIENTS = 2000
 MIN_MEMORY_MB = 24
 MAX_MEMORY_MB = 2048
+CALLBACK_TIMES_FILE = "callbacks.json"
+SHOWN_CALLBACKS = 12
 
 
 class _MemoryOptions(TypedDict):
@@ -61,10 +65,20 @@
     "--seconds", default=8.0, type=SECONDS_RANGE, help="Time for which the peers are hostile."
 )
 @SEED_OPTION
-def memory(out: Path, clients: str, backends: str, **options: Unpack[_MemoryOptions]) -> None:
+@click.option(
+    "--callbacks", is_flag=True, help="Measure the callbacks of the ingress's event loop as well."
+)
+def memory(
+    out: Path, clients: str, backends: str, callbacks: bool, **options: Unpack[_MemoryOptions]
+) -> None:
     """Measure the memory of one real ingress beside hostile peers; fail if it exceeds the limit."""
     out.mkdir(parents=True, exist_ok=True)
-    run = MemoryRun(clients=ClientKind(clients), backends=BackendKind(backends), **options)
+    run = MemoryRun(
+        clients=ClientKind(clients),
+        backends=BackendKind(backends),
+        callback_times=(out / CALLBACK_TIMES_FILE).absolute() if callbacks else None,
+        **options,
+    )
     figures = run_interruptible(measure(run))
     axis = f"memory-{clients}-{backends}"
     append_result(
@@ -84,5 +98,19 @@
     for name, value in figures.items():
         table.add_row(name, "-" if value is None else f"{value:,.1f}")
     Console().print(table)
+    if run.callback_times is not None:
+        Console().print(_callback_table(run.callback_times))
     if figures["over_limit"]:
         raise click.ClickException(f"the memory exceeded the limit of {run.memory_mb} MB")
+
+
+def _callback_table(times_file: Path) -> Table:
+    """Return the callbacks with the longest processor times."""
+    times = msgspec.json.decode(times_file.read_bytes(), type=dict[str, CallbackTimes])
+    slowest = sorted(times.items(), key=lambda item: -item[1].longest_ms)[:SHOWN_CALLBACKS]
+    table = Table("callback", "longest ms", f"over {SLOW_CALLBACK_S * 1000:.0f} ms", "calls")
+    for name, callback in slowest:
+        table.add_row(
+            name, f"{callback.longest_ms:.2f}", str(callback.slow_calls), str(callback.calls)
+        )
+    return table
--- a/fleetlab/memory/hostile_clients.py
+++ b/fleetlab/memory/hostile_clients.py
@@ -23,6 +23,7 @@
 READ_BYTES = 64 * 1024
 
 _GET = b"GET /r0/1 HTTP/1.1\r\n"
+_GET_UNKNOWN = b"GET /none HTTP/1.1\r\n\r\n"
 _POST = b"POST /book/1 HTTP/1.1\r\n"
 _CHUNKED_POST = _POST + b"Transfer-Encoding: chunked\r\n\r\n"
 _ids = itertools.count(1)
@@ -38,6 +39,7 @@
     HELD_CHUNKS = "held-chunks"  # in chunks of two bytes, almost complete, then nothing
     TRAILERS = "trailers"  # a complete body, followed by short trailers without end
     PIPELINED = "pipelined"  # hundreds of requests at once, of no existing class, answers unread
+    AT_ONCE = "at-once"  # hundreds of requests at once, of no existing class, again and again
     SINGLE_BYTES = "single-bytes"  # byte by byte, while responses are owed
     BODIES = "bodies"  # valid requests with the longest body, eight at once
     UNREAD_RESPONSES = "unread-responses"  # valid requests whose responses are never read
@@ -72,6 +74,9 @@
 
     async def _use_connection(self) -> None:
         reader, writer = await asyncio.open_connection(*self._address)
+        if self._kind is ClientKind.AT_ONCE:
+            await _send_again_and_again(reader, writer)
+            return
         reading = asyncio.create_task(_discard(reader)) if self._kind.reads else None
         try:
             async for piece in _pieces(self._kind):
@@ -88,6 +93,21 @@
             writer.transport.abort()
 
 
+async def _send_again_and_again(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send many requests at once, and the same again when all responses have been read."""
+    try:
+        while True:
+            writer.write(_GET_UNKNOWN * PIPELINED_REQUESTS)
+            missing = PIPELINED_REQUESTS
+            while missing:
+                data = await reader.read(READ_BYTES)
+                if not data:
+                    return
+                missing -= data.count(b"HTTP/1.1 4")
+    finally:
+        writer.transport.abort()
+
+
 async def _discard(reader: asyncio.StreamReader) -> None:
     with suppress(OSError):
         while await reader.read(READ_BYTES):
@@ -130,7 +150,7 @@
     ClientKind.TRAILERS: lambda: (
         _CHUNKED_POST + b"1\r\nx\r\n0\r\n" + b"X:\r\n" * (TRAILER_BYTES // 4)
     ),
-    ClientKind.PIPELINED: lambda: b"GET /none HTTP/1.1\r\n\r\n" * PIPELINED_REQUESTS,
+    ClientKind.PIPELINED: lambda: _GET_UNKNOWN * PIPELINED_REQUESTS,
     ClientKind.BODIES: lambda: _valid_requests(b"slow", REQUESTS_AT_ONCE, HELD_BODY_BYTES),
     ClientKind.UNREAD_RESPONSES: lambda: _valid_requests(b"large", PIPELINED_REQUESTS),
     ClientKind.LONG_TARGETS: lambda: (
--- a/fleetlab/memory/run.py
+++ b/fleetlab/memory/run.py
@@ -27,6 +27,11 @@
 USUAL_RATE = 50.0  # requests per second
 ESTIMATED_RUN_MB = 1200.0
 
+# The program that measures its callbacks, and the variable that names its file of times. It loads
+# the ingress, so the lab starts it and does not import it.
+MONITORED_INGRESS = "fleetlab.monitored_ingress"
+TIMES_FILE_VARIABLE = "CALLBACK_TIMES"
+
 _KEYED_CLASS: JsonObject = {
     "name": "book",
     "aim": 1000.0,
@@ -50,6 +55,7 @@
     sockets: int = 1024
     seconds: float = 8.0  # for which the hostile peers are active
     seed: int = 0
+    callback_times: Path | None = None  # the file for the times of the ingress's callbacks, if any
 
 
 async def measure(run: MemoryRun) -> Figures:
@@ -84,7 +90,12 @@
     with tempfile.TemporaryDirectory(prefix="fleetlab-") as folder:
         path = Path(folder) / "config.json"
         path.write_text(_config_text(run, discovery.address, counter.address))
-        ingress = await processes.start("sumacpost", {"RELAY_CONFIG": str(path)})
+        environment = {"RELAY_CONFIG": str(path)}
+        if run.callback_times is not None:
+            environment[TIMES_FILE_VARIABLE] = str(run.callback_times)
+        ingress = await processes.start(
+            "sumacpost" if run.callback_times is None else MONITORED_INGRESS, environment
+        )
         address = await wait_for_address(ingress)
     usual = LoadGenerator(address, USUAL_RATE, run.seed, gateway_spread=1)
     load = asyncio.create_task(usual.run(CALM_S + run.seconds + RECOVERY_S))
--- a/sumacpost/turn_scheduler.py
+++ b/sumacpost/turn_scheduler.py
@@ -15,7 +15,7 @@
 
 # How many turns are given in one iteration of the event loop, to all connections together. A turn
 # of the costliest input takes about half a millisecond.
-TURNS_PER_ITERATION = 8
+TURNS_PER_ITERATION = 4
 
 
 class TurnTaker(Protocol):
