Limit turns by their time, so that usual requests seldom wait for an iteration of their own

Cause: a fixed number of turns in an iteration is much for the costliest input and little for usual requests. Once four connections had waited, those read next had to as well, so that 94 of 100 requests of a busy ingress went through the queue, which costs calls, and every fifth an iteration of the event loop.

Change: turns are given for 2 ms in a callback, whatever they are, and for 5 ms in all as input is read. The clock is an argument; tests count turns with one of their own.

--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -7,9 +7,7 @@
 
 import pytest
 
-from sumacpost.counter.connection import REPLIES_PER_TURN
 from sumacpost.model import Outcome
-from sumacpost.turn_scheduler import TURNS_PER_ITERATION
 from tests.support.counter_calls import (
     RecordedCounterClient,
     read_counter_call,
@@ -19,6 +17,7 @@
 from tests.support.http_client import request
 from tests.support.ingress import running_ingress
 from tests.support.peers import Peer, never_respond, respond, send_bytes
+from tests.support.turns import limit_turns
 
 CUSTOMER = 7
 OTHER_CUSTOMER = 8
@@ -273,6 +272,7 @@
             await until(lambda: len(peer.requests) == count)
             connection = recorded.client._connection
             assert connection is not None
+            limit_turns(recorded.client._turns)
             connection.data_received(b"$1\r\n1\r\n" * count)
             assert 0 < len(recorded.replies) < count / 2
             outcomes = await recorded.outcomes(count)
@@ -288,7 +288,7 @@
 
 def test_replies_that_wait_for_their_turn_are_not_late() -> None:
     # Guards against calls that time out although their replies have been read.
-    count = 4 * REPLIES_PER_TURN * TURNS_PER_ITERATION
+    count = 400
 
     async def test() -> None:
         async with scripted_counter(never_respond, timeout_s=0.1) as (peer, recorded):
@@ -297,6 +297,7 @@
             await until(lambda: len(peer.requests) == count)
             connection = recorded.client._connection
             assert connection is not None
+            limit_turns(recorded.client._turns)
             connection.data_received(b"$1\r\n1\r\n" * count)
             time.sleep(0.2)  # the timer of the calls is due before the next turns
             outcomes = await recorded.outcomes(count)
--- a/tests/server/test_input_turns.py
+++ b/tests/server/test_input_turns.py
@@ -10,6 +10,7 @@
 from tests.support.http_client import HEALTH_REQUEST, Client, request
 from tests.support.ingress import RunningIngress, running_ingress
 from tests.support.peers import respond
+from tests.support.turns import limit_turns
 
 UNKNOWN_CLASS = b"GET /nothing HTTP/1.1\r\nHost: service.internal\r\n\r\n"
 AT_ONCE = 300
@@ -31,6 +32,7 @@
             client = await ingress.client()
             await until(lambda: len(ingress.server.connections.open) == 1)
             (connection,) = ingress.server.connections.open
+            limit_turns(ingress.instance.turns)
             connection.data_received(UNKNOWN_CLASS * AT_ONCE)
             assert 0 < refused_requests(ingress) < AT_ONCE / 2
             statuses = await read_statuses(client, AT_ONCE)
@@ -46,6 +48,7 @@
             bad_client, usual_client = await ingress.client(), await ingress.client()
             await until(lambda: len(ingress.server.connections.open) == 2)
             bad, usual = ingress.server.connections.open
+            limit_turns(ingress.instance.turns)
             bad.data_received(UNKNOWN_CLASS * AT_ONCE)
             usual.data_received(request("vat-filing", 1))
             while not ingress.instance._pending:
--- a/tests/upstream/test_response_turns.py
+++ b/tests/upstream/test_response_turns.py
@@ -12,6 +12,7 @@
 from tests.support.attempts import AttemptRecorder
 from tests.support.event_loop import run, until
 from tests.support.peers import Peer, never_respond
+from tests.support.turns import limit_turns
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 BYTE_CHUNK = b"1\r\nx\r\n"
@@ -25,6 +26,7 @@
         backend = Peer(never_respond)
         await backend.start()
         attempts = AttemptRecorder(backend.port)
+        limit_turns(attempts.pool_manager.turns)
         attempt = attempts.start()
         await until(lambda: len(backend.requests) == 1)
         connection = attempt.connection
