Test the wait for the counter with a customer whose name does not change meanwhile

Cause: the reply, 0.6 s later, is for the previous name then, and such a reply is ignored by design, as test_replies_for_the_previous_name_and_without_a_call_are_ignored has it. The test is about replies that come after the configured time-out, and took the time of day into it by mistake.

Change: the test asks for a customer whose name lasts for another half minute; what it asserts is the same.

--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -9,10 +9,12 @@
 from sumacpost.model import Action, AddToCounter, CheckHealth, CounterReplied, Event, Send
 from sumacpost.policy.gateway import Gateway
 from sumacpost.policy.load_balancing import LoadBalancer
+from sumacpost.policy.quota import CustomerQuota
+from sumacpost.policy.quota_sync import NAME_TTL_MS
 from tests.support.configuration import SETTINGS
 from tests.support.event_loop import run
 from tests.support.http_client import HEALTH_REQUEST, request
-from tests.support.ingress import running_ingress
+from tests.support.ingress import RunningIngress, running_ingress
 from tests.support.peers import OK_RESPONSE, Peer, never_respond, respond, send_bytes
 
 
@@ -144,6 +146,21 @@
     run(test())
 
 
+def customer_with_lasting_name(ingress: RunningIngress) -> int:
+    """Return the number of a customer whose name in the counter stays the same during a test.
+
+    Names change once a minute, at a time of each customer, and a reply for the name before is
+    ignored: see test_replies_for_the_previous_name_and_without_a_call_are_ignored.
+    """
+    now = ingress.instance._clock.now()
+
+    def age_ms(number: int) -> float:
+        customer = CustomerQuota(ingress.gateway.settings.plans[0], 1, now, number)
+        return ingress.gateway.quota_sync.current_name(now, customer).age_ms
+
+    return next(number for number in range(1, 100) if age_ms(number) < NAME_TTL_MS / 2)
+
+
 def test_counter_reply_is_awaited_beyond_the_configured_timeout() -> None:
     """Calls that time out too early must not admit requests over quota.
 
@@ -164,7 +181,10 @@
         ) as ingress:
             response = await ingress.send(
                 request(
-                    Plan="basis", Request_Timeout="25.000", Quota_Info="units=3,spread=3,first=0"
+                    Plan="basis",
+                    Account=f"{customer_with_lasting_name(ingress):016x}",
+                    Request_Timeout="25.000",
+                    Quota_Info="units=3,spread=3,first=0",
                 )
             )
             assert response.status == 429
