Lab: tell the time of the garbage collector beside that of the callbacks

A callback that takes long may have been interrupted by a collection; the monitor showed no difference.

--- a/fleetlab/callback_monitor.py
+++ b/fleetlab/callback_monitor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import gc
 import time
 from collections.abc import Callable
 from contextvars import Context
@@ -50,6 +51,7 @@
     def __init__(self) -> None:
         self.times: dict[str, CallbackTimes] = {}
         self._nested = False
+        self._collection_started_at = 0.0
 
     def call(self, name: str, callback: Callback, *args: object) -> object:
         """Call a callback and add its time; a call within another one belongs to that."""
@@ -76,6 +78,18 @@
             if method is not None:
                 setattr(protocol, name, self._wrap(method))
 
+    def monitor_garbage_collector(self) -> None:
+        """Measure collections as well, by generation; their time is part of a callback's too."""
+        gc.callbacks.append(self._on_collection)
+
+    def _on_collection(self, phase: str, info: dict[str, int]) -> None:
+        now = time.thread_time()
+        if phase == "start":
+            self._collection_started_at = now
+        else:
+            name = f"garbage collector, generation {info['generation']}"
+            self._add(name, now - self._collection_started_at)
+
     def _wrap(self, method: Callback) -> Callback:
         @functools.wraps(method)
         def measured(*args: object) -> object:
--- a/fleetlab/monitored_ingress.py
+++ b/fleetlab/monitored_ingress.py
@@ -33,6 +33,7 @@
 def run() -> int:
     """Run the ingress, write the times, and return its exit status."""
     monitor = CallbackMonitor()
+    monitor.monitor_garbage_collector()
     for protocol in PROTOCOLS:
         monitor.monitor_protocol(protocol)
     uvloop.run = functools.partial(uvloop.run, loop_factory=monitor.new_event_loop)
