Soak: slow agents of discovery, and an oracle for drains that are not heard of

Cause: no run of the soak had an agent that answers late, and its drain rule starts when a response has told of a change, so an ingress that hears of nothing broke no rule.

Change: seeds from 8000 on delay the responses of all agents by 0.2 to 4 s, by the same or by another time every 1.7 s, while half of the backends drain up to the end. drain_not_heard_of counts from the change of the list, by 6 s and the grace.

--- a/fleetlab/soak/attempt_oracles.py
+++ b/fleetlab/soak/attempt_oracles.py
@@ -11,12 +11,16 @@
 
 from fleetlab.soak.evidence import PAUSE_ALLOWANCE_S, SLACK_S, Evidence, Violation, may_have_run
 from fleetlab.soak.records import Attempt, BackendStart, Effect
+from fleetlab.soak.schedule import FaultKind
 from fleetlab.soak.site import SoakSite
 
 # Latest start of an attempt, measured from the time at which its client disconnected.
 MAX_SEND_AFTER_DISCONNECT_S = 0.1
 # Permitted excess of a forwarded Request-Timeout over the time that the client has left.
 FORWARDED_TIMEOUT_SLACK_S = 0.15
+# A change has to be known this long after discovery had it and could be reached, however slow its
+# responses are.
+CHANGE_KNOWN_S = 6.0
 # The slow-start rule allows a larger margin in windows with fewer expected requests than this.
 SMALL_WINDOW_REQUESTS = 30
 # The slow-start rule applies where a larger share of the requests came from notified ingresses.
@@ -151,6 +155,33 @@
             yield Violation("sent_to_draining", attempt.request_id, detail)
 
 
+def check_drains_heard_of(evidence: Evidence) -> Iterable[Violation]:
+    """Check that a drain is known in time where discovery is slow, but can always be reached.
+
+    The grace starts CHANGE_KNOWN_S after the change of the list, whether or not a response has told
+    of it. Only runs with slow agents are checked, which have no other faults of the agents.
+    """
+    if FaultKind.LIST_SLOW.value not in evidence.record.faults:
+        return
+    allowed_s = CHANGE_KNOWN_S + evidence.site.drain_grace_s + SLACK_S + PAUSE_ALLOWANCE_S
+    ingress_of = {request.request_id: request.ingress for request in evidence.record.requests}
+    states_by_backend: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for change in sorted(evidence.record.list_changes, key=lambda change: change.at):
+        if not change.ingress:
+            states_by_backend[change.backend].append((change.at, change.state))
+    for attempt in evidence.record.attempts:
+        changes = states_by_backend[attempt.backend]
+        changed_at, state = _last_state(changes, attempt.first_byte_at)
+        if state == "active":
+            continue
+        after_s = attempt.first_byte_at - changed_at
+        interval = (changed_at, attempt.first_byte_at)
+        ingress = ingress_of.get(attempt.request_id, "")
+        if not evidence.check_bound("drain_not_heard_of", after_s, allowed_s, ingress, interval):
+            detail = f"{after_s:.3f} s after the list had {state}: {attempt}"
+            yield Violation("drain_not_heard_of", attempt.request_id, detail)
+
+
 def _last_state(states: Sequence[tuple[float, str]], at: float) -> tuple[float, str]:
     """Return time and value of the last state change up to the given time; active without one."""
     return next(
--- a/fleetlab/soak/endpoint_list.py
+++ b/fleetlab/soak/endpoint_list.py
@@ -60,6 +60,7 @@
         self.ingress = ingress
         self.fault = AgentFault.NONE
         self.unbounded = False  # whether responses have no stated length
+        self.delay_s = 0.0  # from the time at which a response is due until it is sent
         self.address = ""
         self._shared = shared
         self.notifications: list[ListChange] = []
@@ -114,6 +115,8 @@
         changes = None if known_version is None else self._shared.list.encode_changes(known_version)
         delivered = self._shared.changes_since(known_version if changes is not None else None)
         body = changes if changes is not None else self._shared.list.encode_full()
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         # An ingress that has moved to a new agent has closed its end and is not notified here.
         if writer.transport.is_closing() or reader.at_eof():
             return False
--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -200,6 +200,12 @@
             await asyncio.sleep(fault.seconds)
             agent.unbounded = False
             return
+        if fault.kind is FaultKind.LIST_SLOW:
+            agent.delay_s = fault.gap_s
+            await asyncio.sleep(fault.seconds)
+            if agent.delay_s == fault.gap_s:  # otherwise the next delay has begun
+                agent.delay_s = 0.0
+            return
         agent.set_fault(_LIST_FAULTS[fault.kind])
         await asyncio.sleep(fault.seconds)
         agent.set_fault(AgentFault.NONE)
--- a/fleetlab/soak/oracles.py
+++ b/fleetlab/soak/oracles.py
@@ -5,6 +5,7 @@
 from fleetlab.soak.attempt_oracles import (
     check_attempts_after_disconnect,
     check_draining_backends,
+    check_drains_heard_of,
     check_executions,
     check_forwarded_timeouts,
     check_slow_start,
@@ -33,6 +34,7 @@
     check_attempts_after_disconnect,
     check_forwarded_timeouts,
     check_draining_backends,
+    check_drains_heard_of,
     check_slow_start,
     check_bad_clients,
     check_unbounded_responses,
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -15,7 +15,12 @@
 from fleetlab.soak.evidence import Evidence
 from fleetlab.soak.run import SoakResult, run_plan
 from fleetlab.soak.schedule import SoakPlan, make_plan
-from fleetlab.soak.stress_plans import make_pause_plan, make_shutdown_plan, make_slow_start_plan
+from fleetlab.soak.stress_plans import (
+    make_pause_plan,
+    make_shutdown_plan,
+    make_slow_discovery_plan,
+    make_slow_start_plan,
+)
 from fleetlab.soak.system_schedule import (
     make_counter_path_plan,
     make_system_fault_plan,
@@ -32,6 +37,7 @@
 FIRST_WRONG_CLOCK_SEED = 5000
 FIRST_CLIENTS_DISCONNECT_SEED = 6000
 FIRST_COUNTER_PATH_SEED = 7000
+FIRST_SLOW_DISCOVERY_SEED = 8000
 STRESS_INGRESSES = (4, 16)  # range for stress plans, few enough for many clients at each
 MAX_SHOWN_VIOLATIONS = 3
 
@@ -61,17 +67,16 @@
     Seeds below FIRST_SLOW_START_SEED get the faults of `make_plan`: all kinds except system faults,
     counter faults and late resets by backends. The thousand seeds from FIRST_SYSTEM_FAULT_SEED on
     include system faults as well; so do the thousand from FIRST_CLIENTS_DISCONNECT_SEED on, whose
-    clients disconnect before the processes are terminated, and all seeds from
-    FIRST_COUNTER_PATH_SEED on, whose path to the counter fails at times. The other ranges stress
-    one rule each.
+    clients disconnect before the processes are terminated, and those from FIRST_COUNTER_PATH_SEED
+    on, whose path to the counter fails at times. The other ranges stress one rule each.
     """
     if seed < FIRST_SLOW_START_SEED:
         return make_plan(seed, ingresses or draw_ingresses(seed), seconds)
     if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED:
         return make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if seed >= FIRST_COUNTER_PATH_SEED:
+    if FIRST_COUNTER_PATH_SEED <= seed < FIRST_SLOW_DISCOVERY_SEED:
         return make_counter_path_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if seed >= FIRST_CLIENTS_DISCONNECT_SEED:
+    if FIRST_CLIENTS_DISCONNECT_SEED <= seed < FIRST_COUNTER_PATH_SEED:
         plan = make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
         return replace(plan, clients_disconnect_first=True)
     drawn_ingresses = Random(seed).randint(*STRESS_INGRESSES)
@@ -81,6 +86,8 @@
         make = make_shutdown_plan
     elif seed < FIRST_SYSTEM_FAULT_SEED:
         make = make_pause_plan
+    elif seed >= FIRST_SLOW_DISCOVERY_SEED:
+        make = make_slow_discovery_plan
     else:
         make = make_wrong_clock_plan
     return make(seed, ingresses or drawn_ingresses, seconds)
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -55,6 +55,7 @@
     LIST_RESET = "list_reset"  # connections to the agent are reset
     LIST_TORN = "list_torn"  # half of the body of each response, then a close
     LIST_UNBOUNDED = "list_unbounded"  # responses without a stated length
+    LIST_SLOW = "list_slow"  # each response is sent `gap_s` after it is due
     COUNTER_DELAYED = "counter_delayed"  # each chunk is delayed
     COUNTER_SILENT = "counter_silent"
     COUNTER_RESET = "counter_reset"
@@ -110,7 +111,7 @@
             value, and a drain lasts half of this value longer than the drain grace. For a clock
             step: the step, in seconds.
         signals: the signals of a restart or reload, in order.
-        gap_s: the time between two signals, in seconds.
+        gap_s: the time between two signals, or the delay of a slow list, in seconds.
     """
 
     at_s: float
--- a/fleetlab/soak/stress_plans.py
+++ b/fleetlab/soak/stress_plans.py
@@ -28,6 +28,10 @@
 # Fraction of the ingresses that keep the restarts, kills, reloads, pauses and discovery faults that
 # are drawn for them. The silent agents of SILENT_INGRESS_SHARE are chosen separately.
 DISTURBED_INGRESS_SHARE = 0.25
+MAX_LIST_DELAY_S = 4.0  # longest delay of a response of a slow agent
+# How long the delay of a slow agent stays the same, in a plan in which it changes.
+LIST_DELAY_PERIOD_S = 1.7
+SLOW_DISCOVERY_GRACE_S = 0.4  # short, so that a drain that is not heard of is seen in a short run
 # Choices for the longest deadline, short so that a pause often extends past a deadline.
 PAUSE_DEADLINES_S = (0.3, 0.6)
 PAUSE_INTERVAL_S = 0.6  # mean time between two pauses of an ingress
@@ -159,6 +163,28 @@
     return _make_plan(seed, site, backends, seconds, clients, faults)
 
 
+def make_slow_discovery_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
+    """Return a plan whose agents answer late, by the same or by another time again and again.
+
+    Most backends drain, and are listed as draining up to the end of the run.
+    """
+    random = Random(f"slow discovery {seed}")
+    site = replace(draw_site(random, ingresses), drain_grace_s=SLOW_DISCOVERY_GRACE_S)
+    backends = random.randint(6, 8)
+    period_s = random.choice((LIST_DELAY_PERIOD_S, seconds))
+    faults = []
+    for target in range(ingresses):
+        at_s = FAULT_FREE_S / 2
+        while at_s < seconds:
+            delay_s = random.uniform(0.2, MAX_LIST_DELAY_S)
+            faults.append(PlannedFault(at_s, FaultKind.LIST_SLOW, target, period_s, gap_s=delay_s))
+            at_s += period_s
+    for target in random.sample(range(backends), backends // 2):
+        at_s = random.uniform(FAULT_FREE_S, FAULT_FREE_S + 0.5)
+        faults.append(PlannedFault(at_s, FaultKind.BACKEND_DRAINS, target, 2 * seconds))
+    return _make_plan(seed, site, backends, seconds, max(2, CLIENTS // ingresses), faults)
+
+
 def _make_plan(
     seed: int,
     site: SoakSite,
--- a/tests/soak/test_oracles.py
+++ b/tests/soak/test_oracles.py
@@ -133,6 +133,15 @@
             ],
         ),
     ),
+    "a drain is not heard of from a slow agent": (
+        "drain_not_heard_of",
+        lambda: evidence(
+            served_request(),
+            attempts=[attempt(10.01)],
+            list_changes=[ListChange("", "s-1", "leaving", 3.0)],
+            faults={"list_slow": 1},
+        ),
+    ),
     "a draining backend receives an attempt while another process waited for a processor": (
         "sent_to_draining",
         lambda: evidence(
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -9,6 +9,7 @@
 from fleetlab.soak.runs import (
     FIRST_PAUSE_SEED,
     FIRST_SHUTDOWN_SEED,
+    FIRST_SLOW_DISCOVERY_SEED,
     FIRST_SLOW_START_SEED,
     plan_for_seed,
 )
@@ -62,3 +63,15 @@
     plan = plan_for_seed(FIRST_PAUSE_SEED + 1, 6, 12.0)
     pauses = [fault.target for fault in plan.faults if fault.kind is FaultKind.PAUSE]
     assert all(pauses.count(ingress) > 5 for ingress in range(6))
+
+
+def test_slow_discovery_seed_delays_all_agents_and_drains_backends_up_to_the_end() -> None:
+    """Guards against drains that end before it shows whether the ingresses have heard of them."""
+    for seed in range(FIRST_SLOW_DISCOVERY_SEED + 1, FIRST_SLOW_DISCOVERY_SEED + 9):
+        plan = plan_for_seed(seed, 6, 10.0)
+        slow = [fault for fault in plan.faults if fault.kind is FaultKind.LIST_SLOW]
+        assert {fault.target for fault in slow} == set(range(6))
+        assert all(0.2 <= fault.gap_s <= 4.0 for fault in slow)
+        drains = [fault for fault in plan.faults if fault.kind is FaultKind.BACKEND_DRAINS]
+        assert len(drains) == plan.backends // 2
+        assert all(fault.at_s + fault.seconds / 2 > plan.seconds for fault in drains)
