--- a/fleetlab/soak/stress_plans.py
+++ b/fleetlab/soak/stress_plans.py
@@ -166,7 +166,7 @@
 def make_slow_discovery_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
     """Return a plan whose agents answer late, by the same or by another time again and again.
 
-    Most backends drain, and are listed as draining up to the end of the run.
+    Half of the backends drain, and are listed as draining up to the end of the run.
     """
     random = Random(f"slow discovery {seed}")
     site = replace(draw_site(random, ingresses), drain_grace_s=SLOW_DISCOVERY_GRACE_S)
--- a/tests/counter/test_client.py
+++ b/tests/counter/test_client.py
@@ -261,19 +261,24 @@
     run(test())
 
 
+async def call_and_reply_at_once(peer: Peer, recorded: RecordedCounterClient, count: int) -> None:
+    """Make calls that the peer leaves without a reply, then pass on all replies as one read."""
+    for name in range(count):
+        recorded.client.call(name, 1.0, TTL_MS)
+    await until(lambda: len(peer.requests) == count)
+    connection = recorded.client._connection
+    assert connection is not None
+    limit_turns(recorded.client._turns)
+    connection.data_received(b"$1\r\n1\r\n" * count)
+
+
 def test_many_replies_at_once_are_not_handled_in_one_callback() -> None:
     # Guards against an event loop that is held up by a counter that answers after a pause.
     count = 400
 
     async def test() -> None:
         async with scripted_counter(never_respond) as (peer, recorded):
-            for name in range(count):
-                recorded.client.call(name, 1.0, TTL_MS)
-            await until(lambda: len(peer.requests) == count)
-            connection = recorded.client._connection
-            assert connection is not None
-            limit_turns(recorded.client._turns)
-            connection.data_received(b"$1\r\n1\r\n" * count)
+            await call_and_reply_at_once(peer, recorded, count)
             assert 0 < len(recorded.replies) < count / 2
             outcomes = await recorded.outcomes(count)
             assert outcomes == [(name, Outcome.OK, 1.0) for name in range(count)]
@@ -292,13 +297,7 @@
 
     async def test() -> None:
         async with scripted_counter(never_respond, timeout_s=0.1) as (peer, recorded):
-            for name in range(count):
-                recorded.client.call(name, 1.0, TTL_MS)
-            await until(lambda: len(peer.requests) == count)
-            connection = recorded.client._connection
-            assert connection is not None
-            limit_turns(recorded.client._turns)
-            connection.data_received(b"$1\r\n1\r\n" * count)
+            await call_and_reply_at_once(peer, recorded, count)
             time.sleep(0.2)  # the timer of the calls is due before the next turns
             outcomes = await recorded.outcomes(count)
             assert {outcome.outcome for outcome in outcomes} == {Outcome.OK}
--- a/tests/server/test_input_turns.py
+++ b/tests/server/test_input_turns.py
@@ -6,6 +6,7 @@
 
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.server.client_input import PAUSE_READING_BYTES
+from sumacpost.server.connection import ClientConnection
 from tests.support.event_loop import run, until
 from tests.support.http_client import HEALTH_REQUEST, Client, request
 from tests.support.ingress import RunningIngress, running_ingress
@@ -21,6 +22,14 @@
     return sum(count for (kind, _), count in counts.items() if kind is EventKind.REQUEST_REFUSED)
 
 
+async def open_connection(ingress: RunningIngress) -> tuple[Client, ClientConnection]:
+    """Return the client's and the ingress's end of a new connection, the only one."""
+    client = await ingress.client()
+    await until(lambda: len(ingress.server.connections.open) == 1)
+    (connection,) = ingress.server.connections.open
+    return client, connection
+
+
 async def read_statuses(client: Client, count: int) -> list[int]:
     return [(await client.read_response()).status for _ in range(count)]
 
@@ -29,9 +38,7 @@
     # Guards against an event loop that is held up by all requests that a client sends at once.
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            client = await ingress.client()
-            await until(lambda: len(ingress.server.connections.open) == 1)
-            (connection,) = ingress.server.connections.open
+            client, connection = await open_connection(ingress)
             limit_turns(ingress.instance.turns)
             connection.data_received(UNKNOWN_CLASS * AT_ONCE)
             assert 0 < refused_requests(ingress) < AT_ONCE / 2
@@ -80,9 +87,7 @@
     # Guards against requests that are forwarded for a client that has gone.
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            client = await ingress.client()
-            await until(lambda: len(ingress.server.connections.open) == 1)
-            (connection,) = ingress.server.connections.open
+            client, connection = await open_connection(ingress)
             requests = UNKNOWN_CLASS * (2 * PAUSE_READING_BYTES // len(UNKNOWN_CLASS))
             client.writer.transport.abort()
             connection.data_received(requests + request("vat-filing", 1))
@@ -96,9 +101,7 @@
     # Guards against a drain that closes a connection whose requests have been read.
     async def test() -> None:
         async with running_ingress(respond()) as ingress:
-            client = await ingress.client()
-            await until(lambda: len(ingress.server.connections.open) == 1)
-            (connection,) = ingress.server.connections.open
+            client, connection = await open_connection(ingress)
             connection.data_received(UNKNOWN_CLASS * AT_ONCE)
             ingress.stop.set()
             assert await read_statuses(client, AT_ONCE) == [404] * AT_ONCE
