--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -615,6 +615,34 @@
     return base
 
 
+async def start_backends(
+    record: Record, respond: Respond, count: int = 10
+) -> tuple[list[Backend], Discovery]:
+    """Start backends in two zones, and the agent that lists them."""
+    backends = [Backend(f"b{n}", respond, record, zone="zone-" + "ab"[n % 2]) for n in range(count)]
+    for backend in backends:
+        await backend.start()
+    discovery = Discovery(backends, record)
+    await discovery.start()
+    return backends, discovery
+
+
+def config(
+    discovery: Discovery, settings_: Json, limits: Json, counter: Counter | None = None
+) -> Json:
+    """Return the configuration of an ingress, without its address."""
+    document: Json = {
+        "discovery": f"{LOOPBACK}:{discovery.port}",
+        "seed": f"{settings_['index'] + 1:x}",
+        "limits": {"cores": 1.0} | limits,
+        "known": discovery.known(),
+        "settings": settings_,
+    }
+    if counter is not None:
+        document["counter"] = f"{LOOPBACK}:{counter.port}"
+    return document
+
+
 # ---- running a case
 
 
