Review case 7: a drain is not kept after discovery was crowded and then down

Cause: after late answers an ingress opens another poll only every 1.3 s, whatever the grace of a drain, so it may notice the return of a silent agent after the grace.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Run the case; see claim.txt. TROUBLE=0: without the disruption.
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.." || exit 2
+test -x .venv/bin/python || exit 2
+PYTHONPATH="$here/.." PYTHONDONTWRITEBYTECODE=1 exec .venv/bin/python "$here/case.py"
