--- a/review/7/case.py
+++ b/review/7/case.py
@@ -171,4 +171,4 @@
 
 
 if __name__ == "__main__":
-    lab.run_case(Path(__file__).resolve().parent, run)
+    lab.run_case(Path(__file__).resolve().parent / "record.txt", run)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -182,4 +182,4 @@
 
 
 if __name__ == "__main__":
-    lab.run_case(Path(__file__).resolve().parent, run)
+    lab.run_case(Path(__file__).resolve().parent / "record.txt", run)
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -42,10 +42,10 @@
 
 
 class Record:
-    """What was sent, answered and run, in `record.txt` of the case's folder."""
+    """What was sent, answered and run, in the file `record.txt` of the case's folder."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._started_at = time.monotonic()
         self.line(f"disruption: {'yes' if TROUBLE else 'no (TROUBLE=0)'}")
 
@@ -649,13 +649,13 @@
 Case = Callable[[Record, Path], Coroutine[Any, Any, int]]
 
 
-def run_case(folder: Path, case: Case, limit_s: float = 110.0) -> None:
-    """Run a case in a temporary folder and exit with its result."""
+def run_case(record_path: Path, case: Case, limit_s: float = 110.0) -> None:
+    """Run a case in a temporary folder, write its record and exit with its result."""
     if not (ROOT / ".venv" / "bin" / "python").exists():
         print("the build of the deploy file has not run")
         sys.exit(CANNOT_RUN)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
-    record = Record(folder)
+    record = Record(record_path)
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
     result = CANNOT_RUN
 
