Overdue attempts: a slow backend is judged by its own usual service time

What callers saw: at a backend whose requests take 600 ms beside ones that take 50 ms, each attempt counted as overdue after 114 ms (in the test), so it was hedged and cancelled while the backend was as fast as ever, its inflation rose by each such cancellation, and the work was done twice.

Cause: FleetEstimate.overdue_after_ms used the expected time of a request by the mean of all backends, the same mean over unlike ones as in slow start.

Change: the time is multiplied by the backend's service time (or that of its type) relative to the fleet's. Up to a ratio of 1.25, the usual difference of equal backends, nothing changes.

--- a/sumacpost/policy/backend_history.py
+++ b/sumacpost/policy/backend_history.py
@@ -105,6 +105,11 @@
         """Whether there were enough observations of warm backends."""
         return self.from_warm and self.observations >= MIN_SERVICE_OBSERVATIONS
 
+    @property
+    def is_block_full(self) -> bool:
+        """Whether a backend of its own can be told from others by it, whatever their work."""
+        return self.from_warm and self.observations >= self._block_size
+
     @property
     def is_typical(self) -> bool:
         """Whether there were enough to tell that backends of the type may be as slow."""
--- a/sumacpost/policy/capacity_estimate.py
+++ b/sumacpost/policy/capacity_estimate.py
@@ -11,7 +11,6 @@
 
 from sumacpost.model import Endpoint, Settings, SizeMeaning
 from sumacpost.policy.backend_history import (
-    HISTORY_BLOCK_SIZE,
     MAX_THROUGHPUT_PER_S,
     MIN_SERVICE_OBSERVATIONS,
     BackendHistory,
@@ -149,21 +148,24 @@
         return max(reported_per_s / 1000, self._cores_per_ms(endpoint, gateways))
 
     def slowness(self, endpoint: Endpoint) -> float:
-        """Return the service time of a backend relative to that of the fleet, 1 at least.
+        """Return the service time of a warm backend relative to that of the fleet, 1 at least.
 
-        It is 1 as long as too few responses of warm backends have come.
+        It is 1 up to the usual difference of equal backends, and as long as too few responses of
+        warm backends have come.
         """
+        fleet_ms = self._fleet_service.time.mean_ms
+        service = self._service_of(endpoint)
+        if service is None or not self._fleet_service.is_typical:
+            return 1.0
+        return max(1.0, OVERLOAD_SAFETY_FRACTION * service.time.mean_ms / fleet_ms)
+
+    def _service_of(self, endpoint: Endpoint) -> WarmServiceTime | None:
+        """Return the service time of the backend or else of its type; None if it is not known."""
         history = self._histories.get(endpoint)
+        if history is not None and history.service.is_block_full:
+            return history.service
         kind = self._kinds.get(endpoint.kind)
-        if not self._fleet_service.is_known:
-            return 1.0
-        if history is not None and history.service.is_known:
-            service = history.service
-        elif kind is not None and kind.service.is_known:
-            service = kind.service
-        else:
-            return 1.0
-        return max(1.0, service.time.mean_ms / self._fleet_service.time.mean_ms)
+        return kind.service if kind is not None and kind.service.is_typical else None
 
     def _size(self, endpoint: Endpoint) -> float:
         """Return the size of a backend relative to others, or 1 if listed sizes don't say it."""
@@ -258,7 +260,7 @@
         service_ms = self._of_kind_service_ms(endpoint.kind, gateways)
         kind_ms = self._kinds[endpoint.kind].service.time.mean_ms
         history = self._histories.get(endpoint)
-        if history is not None and history.service.observations >= HISTORY_BLOCK_SIZE:
+        if history is not None and history.service.is_block_full:
             is_slower = history.service.time.mean_ms * OVERLOAD_SAFETY_FRACTION > kind_ms
             return history.service.time.upper_bound_ms(gateways) if is_slower else service_ms
         bounds = self._bounds.get(endpoint.kind, KindBounds())
--- a/sumacpost/policy/fleet_estimate.py
+++ b/sumacpost/policy/fleet_estimate.py
@@ -67,10 +67,16 @@
         weight = max(UNIT_WEIGHT, 1 / (self._requests_sent + 1))
         self.long_term_mean_work_ms += (work_ms - self.long_term_mean_work_ms) * weight
 
-    def overdue_after_ms(self, now: float, work_ms: float, outstanding_requests: float) -> float:
-        """Return the time in ms until an attempt is overdue; fleet inflation lengthens it."""
+    def overdue_after_ms(
+        self, now: float, backend: Backend, work_ms: float, outstanding_requests: float
+    ) -> float:
+        """Return the time in ms until an attempt is overdue.
+
+        Fleet inflation lengthens it, and so does the usual service time of a slow backend.
+        """
         inflation = max(1.0, self.inflation.current(now))
-        return OVERDUE_FACTOR * inflation * (self.mean_work_ms * outstanding_requests + work_ms)
+        expected_ms = self.mean_work_ms * outstanding_requests + work_ms
+        return OVERDUE_FACTOR * inflation * self.capacity.slowness(backend.endpoint) * expected_ms
 
     def apply_load_report(self, now: float, backend: Backend, report: tuple[float, ...]) -> None:
         """Update the capacity of a backend from the throughput and utilization of a report."""
--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -200,7 +200,7 @@
         number = request.event.request
         outstanding_requests = self.load_balancer.outstanding_requests(now, backend)
         overdue_after_ms = self.estimate.overdue_after_ms(
-            now, request.work_ms, outstanding_requests
+            now, backend, request.work_ms, outstanding_requests
         )
         attempt = InFlightAttempt(
             now,
