Soak: backends that differ in size, speed and machine type, from seed 9000 on

Change: plans of seeds from 9000 on have machines with cores that serve in order and slow down after a start, of three types (1 and 8 cores and others, 5 to 80 requests a second), under each meaning of `weights`, with and without load reports; half of them start cold. The rule on slow start counts with each backend's own capacity. plan_for_seed is a table of ranges now.

--- a/fleetlab/soak/attempt_oracles.py
+++ b/fleetlab/soak/attempt_oracles.py
@@ -25,7 +25,6 @@
 SMALL_WINDOW_REQUESTS = 30
 # The slow-start rule applies where a larger share of the requests came from notified ingresses.
 NOTIFIED_SHARE = 2 / 3
-MEAN_SERVICE_TIME_S = 0.025  # mean service time of the soak's backends
 
 
 def check_executions(evidence: Evidence) -> Iterable[Violation]:
@@ -253,7 +252,7 @@
                 break  # the backend is at full capacity before the window ends
             last = bisect_right(times, window_end)
             notified = notified_counts[last] - notified_counts[first]
-            limit = _window_limit(site, window_end - start.at)
+            limit = _window_limit(site, start, window_end)
             windows.append(_StartWindow(last - first, notified, limit))
         yield start, windows
 
@@ -281,15 +280,16 @@
     return received
 
 
-def _window_limit(site: SoakSite, age_s: float) -> float:
-    """Return the most requests allowed in a window; age_s: the backend's age at the window's end.
+def _window_limit(site: SoakSite, start: BackendStart, window_end: float) -> float:
+    """Return the most requests that a started backend may get in a window that ends at this time.
 
     The limit is the number of requests of mean service time that overloads the backend, plus a
     statistical margin of two standard deviations plus 2, or of three plus 3 for small windows.
     """
+    age_s = window_end - start.at
     capacity = min(
         1.0, site.initial_capacity + (1 - site.initial_capacity) * age_s / site.slow_start_s
     )
-    requests = capacity / MEAN_SERVICE_TIME_S * site.overload_factor * site.overload_window_s
+    requests = capacity * start.requests_per_s * site.overload_factor * site.overload_window_s
     margin = 3 * sqrt(requests) + 3 if requests < SMALL_WINDOW_REQUESTS else 2 * sqrt(requests) + 2
     return requests + margin
--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -11,7 +11,8 @@
 from typing import cast
 
 from fleetlab.soak.behaviour import LATE, UNBOUNDED, Behaviour, Chooser
-from fleetlab.soak.records import Attempt, AttemptResult
+from fleetlab.soak.machine import Machine
+from fleetlab.soak.records import MEAN_SERVICE_TIME_S, Attempt, AttemptResult
 from fleetlab.stand_in import (
     LOOPBACK,
     format_address,
@@ -22,7 +23,7 @@
 )
 
 BACKLOG_FILLERS = 4  # connections that fill the queue of a listener with a backlog of 0
-MAX_SERVICE_TIME_S = 0.05  # longest service time of a behaviour that is not late
+MAX_SERVICE_TIME_S = 2 * MEAN_SERVICE_TIME_S  # longest service time of a behaviour that is not late
 PIECE_PAUSE_S = 0.02  # pause between the two pieces of a response in pieces
 
 
@@ -59,6 +60,7 @@
         connections: the open connections.
         unreachable: whether the backend is cut off: open connections are silent, and new ones are
             not established.
+        machine: its cores; None if it serves any number of requests at once.
     """
 
     uid: str
@@ -69,6 +71,7 @@
     endpoint: str = ""
     connections: dict[_Connection, None] = field(default_factory=dict)
     unreachable: bool = False
+    machine: Machine | None = None
     _server: asyncio.Server | None = None
     _backlog_sockets: list[socket.socket] = field(default_factory=list)
     # Keeps the port while the backend does not listen: without it, the system could assign the port
@@ -138,6 +141,8 @@
     async def restart(self) -> None:
         """Listen again as a new incarnation, without memory of earlier requests."""
         self.incarnation += 1
+        if self.machine is not None:
+            self.machine.start_cold()
         await self.start()
 
 
@@ -219,14 +224,21 @@
         self._backend.attempts.append(self._attempt)
         if behaviour is Behaviour.HANG:
             return
-        random = self._backend.random
-        delay_s = (
-            random.uniform(0.5, 1.5)
-            if behaviour in LATE
-            else random.uniform(0.0, MAX_SERVICE_TIME_S)
-        )
+        delay_s = self._draw_delay_s(behaviour)
+        if delay_s is None:
+            self._respond(self._attempt, Behaviour.NOT_STARTED)
+            return
         asyncio.get_running_loop().call_later(delay_s, self._respond, self._attempt, behaviour)
 
+    def _draw_delay_s(self, behaviour: Behaviour) -> float | None:
+        """Return the time until the response in seconds, or None if the machine is too busy."""
+        random = self._backend.random
+        if behaviour in LATE:
+            return random.uniform(0.5, 1.5)
+        if self._backend.machine is None:
+            return random.uniform(0.0, MAX_SERVICE_TIME_S)
+        return self._backend.machine.reserve()
+
     def _respond(self, attempt: Attempt, behaviour: Behaviour) -> None:
         if (
             attempt is not self._attempt
@@ -267,8 +279,10 @@
         half = len(body) // 2
         if behaviour in (Behaviour.SERVE, Behaviour.SLOW, Behaviour.SERVE_AND_CLOSE):
             closing = behaviour is Behaviour.SERVE_AND_CLOSE
-            connection = b"Connection: close\r\n" if closing else b""
-            self._transport.write(_head_with_length(body, connection) + body)
+            headers = b"Connection: close\r\n" if closing else b""
+            if self._backend.machine is not None:
+                headers += self._backend.machine.load_report()
+            self._transport.write(_head_with_length(body, headers) + body)
             self._finish_attempt(attempt, AttemptResult.SERVED)
             if closing:
                 self._transport.close()
--- a/fleetlab/soak/faults.py
+++ b/fleetlab/soak/faults.py
@@ -27,6 +27,7 @@
 from fleetlab.soak.schedule import FaultKind, PlannedFault
 from fleetlab.soak.site import SoakSite
 from fleetlab.system_faults.control import SystemFault
+from fleetlab.versioned_list import JsonObject
 
 OLD_AGENT_CLOSE_DELAY_S = 1.5  # time from SIGHUP to the close of the previous agent
 CROWD_SIZE = 60  # number of idle connections in a crowd
@@ -267,5 +268,9 @@
         await asyncio.sleep(self.random.uniform(0.2, 1.0))
         await backend.restart()
         started = BackendStart(backend.uid, backend.incarnation, time.monotonic())
+        listed: JsonObject = {"boot_ms": round(time.time() * 1000)}
+        if backend.machine is not None:
+            started.requests_per_s = backend.machine.spec.requests_per_s
+            listed["capacity_hint"] = backend.machine.spec.size
         self.record.backend_starts.append(started)
-        self.shared.set_state(fault.target, "active", boot_ms=round(time.time() * 1000))
+        self.shared.set_state(fault.target, "active", **listed)
--- a/fleetlab/soak/records.py
+++ b/fleetlab/soak/records.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+MEAN_SERVICE_TIME_S = 0.025  # mean service time of backends that have no machine of their own
+
 
 class Effect(Enum):
     """The effect of repeating a request, by request class; the values are those of the settings."""
@@ -177,11 +179,13 @@
         backend: the uid of the backend.
         incarnation: the number of restarts, including this one.
         at: the time just before the backend was listed as ready.
+        requests_per_s: the capacity when it is warm, in requests of mean work per second.
     """
 
     backend: str
     incarnation: int
     at: float
+    requests_per_s: float = 1 / MEAN_SERVICE_TIME_S
 
 
 class ProcessWait(msgspec.Struct):
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -23,6 +23,7 @@
 from fleetlab.soak.evidence import Evidence, Violation
 from fleetlab.soak.faults import FaultInjector, Node
 from fleetlab.soak.ingress_process import IngressProcess
+from fleetlab.soak.machine import Machine
 from fleetlab.soak.oracles import find_violations
 from fleetlab.soak.population import ClientMix, Population
 from fleetlab.soak.records import RunRecord
@@ -128,6 +129,11 @@
         )
         for backend, entry in zip(self._backends, entries, strict=True):
             backend.uid = str(entry["uid"])
+        for backend, entry, spec in zip(self._backends, entries, self._plan.machines, strict=False):
+            entry |= {"model": spec.model, "capacity_hint": spec.listed_size}
+            backend.machine = Machine(
+                spec, self._random, self._site.initial_capacity, self._site.slow_start_s
+            )
         self._shared = SharedList(entries)
 
     async def _start_counter(self, resources: AsyncExitStack) -> str:
--- a/fleetlab/soak/runs.py
+++ b/fleetlab/soak/runs.py
@@ -5,9 +5,11 @@
 import shutil
 import tempfile
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from random import Random
+from typing import NamedTuple
 
 import msgspec
 
@@ -26,6 +28,7 @@
     make_system_fault_plan,
     make_wrong_clock_plan,
 )
+from fleetlab.soak.unlike_backends_plan import make_unlike_backends_plan
 
 MIN_INGRESSES = 10
 MAX_INGRESSES = 40
@@ -38,10 +41,41 @@
 FIRST_CLIENTS_DISCONNECT_SEED = 6000
 FIRST_COUNTER_PATH_SEED = 7000
 FIRST_SLOW_DISCOVERY_SEED = 8000
+FIRST_UNLIKE_BACKENDS_SEED = 9000
 STRESS_INGRESSES = (4, 16)  # range for stress plans, few enough for many clients at each
 MAX_SHOWN_VIOLATIONS = 3
 
 
+class _SeedRange(NamedTuple):
+    """The plans of the seeds from the first one on, up to the next range.
+
+    Attributes:
+        first_seed: the lowest seed.
+        make: returns the plan for a seed, a number of ingresses and a duration in seconds.
+        few_ingresses: whether the number of ingresses is drawn from STRESS_INGRESSES.
+        clients_disconnect_first: see SoakPlan.
+    """
+
+    first_seed: int
+    make: Callable[[int, int, float], SoakPlan]
+    few_ingresses: bool
+    clients_disconnect_first: bool = False
+
+
+_SEED_RANGES = (  # highest seeds first
+    _SeedRange(FIRST_UNLIKE_BACKENDS_SEED, make_unlike_backends_plan, True),
+    _SeedRange(FIRST_SLOW_DISCOVERY_SEED, make_slow_discovery_plan, True),
+    _SeedRange(FIRST_COUNTER_PATH_SEED, make_counter_path_plan, False),
+    _SeedRange(FIRST_CLIENTS_DISCONNECT_SEED, make_system_fault_plan, False, True),
+    _SeedRange(FIRST_WRONG_CLOCK_SEED, make_wrong_clock_plan, True),
+    _SeedRange(FIRST_SYSTEM_FAULT_SEED, make_system_fault_plan, False),
+    _SeedRange(FIRST_PAUSE_SEED, make_pause_plan, True),
+    _SeedRange(FIRST_SHUTDOWN_SEED, make_shutdown_plan, True),
+    _SeedRange(FIRST_SLOW_START_SEED, make_slow_start_plan, True),
+    _SeedRange(0, make_plan, False),
+)
+
+
 async def run_seed(out: Path, seed: int, ingresses: int, seconds: float) -> SoakResult:
     """Carry out the run of a seed and append its result to soak.jsonl in the output folder.
 
@@ -70,27 +104,13 @@
     clients disconnect before the processes are terminated, and those from FIRST_COUNTER_PATH_SEED
     on, whose path to the counter fails at times. The other ranges stress one rule each.
     """
-    if seed < FIRST_SLOW_START_SEED:
-        return make_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if FIRST_SYSTEM_FAULT_SEED <= seed < FIRST_WRONG_CLOCK_SEED:
-        return make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if FIRST_COUNTER_PATH_SEED <= seed < FIRST_SLOW_DISCOVERY_SEED:
-        return make_counter_path_plan(seed, ingresses or draw_ingresses(seed), seconds)
-    if FIRST_CLIENTS_DISCONNECT_SEED <= seed < FIRST_COUNTER_PATH_SEED:
-        plan = make_system_fault_plan(seed, ingresses or draw_ingresses(seed), seconds)
+    seed_range = next(found for found in _SEED_RANGES if seed >= found.first_seed)
+    if not ingresses and seed_range.few_ingresses:
+        ingresses = Random(seed).randint(*STRESS_INGRESSES)
+    plan = seed_range.make(seed, ingresses or draw_ingresses(seed), seconds)
+    if seed_range.clients_disconnect_first:
         return replace(plan, clients_disconnect_first=True)
-    drawn_ingresses = Random(seed).randint(*STRESS_INGRESSES)
-    if seed < FIRST_SHUTDOWN_SEED:
-        make = make_slow_start_plan
-    elif seed < FIRST_PAUSE_SEED:
-        make = make_shutdown_plan
-    elif seed < FIRST_SYSTEM_FAULT_SEED:
-        make = make_pause_plan
-    elif seed >= FIRST_SLOW_DISCOVERY_SEED:
-        make = make_slow_discovery_plan
-    else:
-        make = make_wrong_clock_plan
-    return make(seed, ingresses or drawn_ingresses, seconds)
+    return plan
 
 
 def draw_ingresses(seed: int) -> int:
--- a/fleetlab/soak/schedule.py
+++ b/fleetlab/soak/schedule.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from random import Random
 
+from fleetlab.soak.machine import MachineSpec
 from fleetlab.soak.records import Effect
 from fleetlab.soak.site import SoakClass, SoakSite
 
@@ -143,6 +144,7 @@
         faults: the faults of the run; each is carried out at its own time.
         clients_disconnect_first: whether the clients disconnect before the processes are
             terminated.
+        machines: the machine of each backend; () if all serve any number of requests at once.
     """
 
     seed: int
@@ -156,6 +158,7 @@
     faults: tuple[PlannedFault, ...]
     # Excluded from the repr, whose hash the tests pin for listed seeds.
     clients_disconnect_first: bool = field(default=False, repr=False)
+    machines: tuple[MachineSpec, ...] = field(default=(), repr=False)
 
 
 def make_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
--- a/fleetlab/soak/site.py
+++ b/fleetlab/soak/site.py
@@ -4,13 +4,14 @@
 
 import copy
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fleetlab.site import config_text
 from fleetlab.soak.records import Effect
 from fleetlab.versioned_list import JsonObject
 
 SIGKILL_GRACE_S = 0.7  # time added to the longest deadline for the earliest SIGKILL
+REPORT_FIELDS = ("throughput", "utilization")  # values of a load report
 MAX_COUNTED_DEADLINE_S = 3.0  # longer deadlines do not postpone the earliest SIGKILL
 
 
@@ -40,6 +41,9 @@
         overload_window_s: the time for which that load has to last, in seconds.
         hedging: whether a request may have two attempts in flight.
         sockets: the socket limit of an ingress.
+        size_meaning: the setting that says what the sizes in the endpoint list mean.
+        machine_types: the names of the machine types; () for those of the fictitious site.
+        load_reports: whether responses have load reports.
     """
 
     classes: tuple[SoakClass, ...]
@@ -53,6 +57,10 @@
     overload_window_s: float = 3.0
     hedging: bool = True
     sockets: int = 1024
+    # Excluded from the repr, whose hash the tests pin for listed seeds.
+    size_meaning: str = field(default="off", repr=False)
+    machine_types: tuple[str, ...] = field(default=(), repr=False)
+    load_reports: bool = field(default=False, repr=False)
 
     @property
     def kill_after_s(self) -> float:
@@ -88,6 +96,11 @@
             "most_tries": 5,
         }
         settings["safety"] |= self._safety()
+        settings["weights"] = self.size_meaning
+        if self.machine_types:
+            settings["machine_types"] = list(self.machine_types)
+        if self.load_reports:
+            settings["telemetry"] = {"via": "inline", "fields": list(REPORT_FIELDS)}
         return config | {
             "settings": settings,
             "limits": {"sockets": self.sockets, "memory_mb": 64},
--- a/fleetlab/soak/stress_plans.py
+++ b/fleetlab/soak/stress_plans.py
@@ -52,14 +52,14 @@
     )
     backends = random.randint(6, 8)
     faults = [
-        *_draw_replacements(random, backends, ingresses, seconds, site.drain_grace_s),
-        *_draw_disturbances(random, ingresses, seconds),
+        *draw_replacements(random, backends, ingresses, seconds, site.drain_grace_s),
+        *draw_disturbances(random, ingresses, seconds),
     ]
     clients = max(2, CLIENTS // ingresses)
-    return _make_plan(seed, site, backends, seconds, clients, faults)
+    return make_stress_plan(seed, site, backends, seconds, clients, faults)
 
 
-def _draw_replacements(
+def draw_replacements(
     random: Random, backends: int, ingresses: int, seconds: float, grace_s: float
 ) -> list[PlannedFault]:
     """Draw replacements of half of the backends; some ingresses are notified of them late."""
@@ -81,7 +81,8 @@
     return faults
 
 
-def _draw_disturbances(random: Random, ingresses: int, seconds: float) -> list[PlannedFault]:
+def draw_disturbances(random: Random, ingresses: int, seconds: float) -> list[PlannedFault]:
+    """Draw the faults of a part of the ingresses."""
     faults = draw_ingress_faults(random, ingresses, seconds, crowd=False)
     disturbed = random.sample(range(ingresses), _share_of(ingresses, DISTURBED_INGRESS_SHARE))
     return [fault for fault in faults if fault.target in disturbed]
@@ -111,7 +112,7 @@
         at_s = FAULT_FREE_S + wave * max(0.0, seconds - FAULT_FREE_S - 1) / WAVES
         faults += _draw_hanging_backends(random, backends, at_s)
         faults += _draw_restarts(random, shuffled[wave::WAVES], at_s)
-    return _make_plan(seed, site, backends, seconds, random.randint(4, 6), faults)
+    return make_stress_plan(seed, site, backends, seconds, random.randint(4, 6), faults)
 
 
 def _draw_hanging_backends(random: Random, backends: int, at_s: float) -> list[PlannedFault]:
@@ -160,7 +161,7 @@
             pause_s = random.uniform(0.05, MAX_PAUSE_S)
             faults.append(PlannedFault(at_s, FaultKind.PAUSE, target, pause_s))
     clients = max(2, CLIENTS // ingresses)
-    return _make_plan(seed, site, backends, seconds, clients, faults)
+    return make_stress_plan(seed, site, backends, seconds, clients, faults)
 
 
 def make_slow_discovery_plan(seed: int, ingresses: int, seconds: float) -> SoakPlan:
@@ -182,10 +183,10 @@
     for target in random.sample(range(backends), backends // 2):
         at_s = random.uniform(FAULT_FREE_S, FAULT_FREE_S + 0.5)
         faults.append(PlannedFault(at_s, FaultKind.BACKEND_DRAINS, target, 2 * seconds))
-    return _make_plan(seed, site, backends, seconds, max(2, CLIENTS // ingresses), faults)
+    return make_stress_plan(seed, site, backends, seconds, max(2, CLIENTS // ingresses), faults)
 
 
-def _make_plan(
+def make_stress_plan(
     seed: int,
     site: SoakSite,
     backends: int,
@@ -193,6 +194,7 @@
     clients: int,
     faults: list[PlannedFault],
 ) -> SoakPlan:
+    """Return a plan with faults in the order of time, without a crowd and a counter."""
     return SoakPlan(
         seed,
         site,
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -11,9 +11,11 @@
     FIRST_SHUTDOWN_SEED,
     FIRST_SLOW_DISCOVERY_SEED,
     FIRST_SLOW_START_SEED,
+    FIRST_UNLIKE_BACKENDS_SEED,
     plan_for_seed,
 )
 from fleetlab.soak.schedule import FaultKind
+from fleetlab.soak.unlike_backends_plan import SIZE_MEANINGS
 
 # Hashes of the plans with 10 ingresses and 10 seconds, taken when the seeds were listed.
 LISTED_PLANS = {
@@ -75,3 +77,19 @@
         drains = [fault for fault in plan.faults if fault.kind is FaultKind.BACKEND_DRAINS]
         assert len(drains) == plan.backends // 2
         assert all(fault.at_s + fault.seconds / 2 > plan.seconds for fault in drains)
+
+
+def test_unlike_backends_seeds_start_small_and_large_ones_under_all_meanings_of_sizes() -> None:
+    """Guards against fleets of one size, where a mean over all backends is right for each."""
+    plans = [plan_for_seed(FIRST_UNLIKE_BACKENDS_SEED + seed, 0, 14.0) for seed in range(1, 25)]
+    assert {plan.site.size_meaning for plan in plans} == set(SIZE_MEANINGS)
+    assert {plan.site.load_reports for plan in plans} == {True, False}
+    started = []
+    for plan in plans:
+        targets = [f.target for f in plan.faults if f.kind is FaultKind.BACKEND_DRAINS]
+        started += [plan.machines[target].cores for target in targets]
+        sizes = [machine.requests_per_s for machine in plan.machines]
+        assert max(sizes) >= 8 * min(sizes)
+        if plan.site.size_meaning == "off":
+            assert {machine.listed_size for machine in plan.machines} == {1.0}
+    assert {1, 8} <= {*started}
