Estimates of types: less memory and work for each response, and one file for what is remembered

The fleet's service time is computed from the types instead of being observed a third time with each response.

--- a/sumacpost/policy/backend_history.py
+++ b/sumacpost/policy/backend_history.py
@@ -1,10 +1,11 @@
-"""What the responses of each backend have shown of its speed, also before its latest start.
+"""What the responses of backends and of machine types have shown of their speed.
 
 A backend keeps its number when its process restarts, so what it did when it was last warm is the
 best knowledge of what it will do when it is warm again.
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from math import inf, sqrt
 
 from sumacpost.model import BackendId, Endpoint
@@ -13,6 +14,7 @@
 MAX_HISTORIES = 1024  # as many as a partition of the endpoint list has backends
 MAX_THROUGHPUT_PER_S = 1e9  # reports of more than this are ignored
 REPORT_DECAY = 0.95  # weight of the earlier reports of a backend when one is added
+KIND_REPORT_DECAY = 0.99  # the same of a machine type
 # Reports are used once there are as many, and those of one backend bound the estimate for other
 # backends of its type once there are more. Reports without throughput are not counted.
 MIN_REPORTS = 3
@@ -147,16 +149,46 @@
         self.reported_at = -inf
         self.service = WarmServiceTime(initial_service_ms, HISTORY_BLOCK_SIZE)
         self._started_at = 0.0
-        self._warming_up = ReportedCapacity(REPORT_DECAY)
+        self._warming_up: ReportedCapacity | None = None
 
     def warming_up(self, started_at: float) -> ReportedCapacity:
         """Return the capacity by the load reports since the start at this time, while not warm."""
-        if started_at != self._started_at:
+        if self._warming_up is None or started_at != self._started_at:
             self._started_at = started_at
             self._warming_up = ReportedCapacity(REPORT_DECAY)
         return self._warming_up
 
 
+class KindEstimate:
+    """What the backends of one machine type do.
+
+    Attributes:
+        reported: the capacity of a warm backend of size 1, by the load reports of all.
+        service: the service time, by the responses of all.
+    """
+
+    __slots__ = ("reported", "service")
+
+    def __init__(self, initial_service_ms: float) -> None:
+        self.reported = ReportedCapacity(KIND_REPORT_DECAY)
+        self.service = WarmServiceTime(initial_service_ms)
+
+
+@dataclass(slots=True)
+class KindBounds:
+    """The extremes among the known backends of one machine type.
+
+    Attributes:
+        lowest_per_s: the lowest capacity of a backend of size 1, in requests per second.
+        slowest_service_ms: the longest service time.
+        smallest_size: the smallest listed size of a backend whose capacity is known.
+    """
+
+    lowest_per_s: float = inf
+    slowest_service_ms: float = 0.0
+    smallest_size: float = inf
+
+
 class HistoryTable:
     """The histories of the backends that responded last; a bounded number of them.
 
--- a/sumacpost/policy/capacity_estimate.py
+++ b/sumacpost/policy/capacity_estimate.py
@@ -6,7 +6,6 @@
 the estimate. Without any of this a backend is taken to have one core, and that to be slow.
 """
 
-from dataclasses import dataclass
 from math import inf
 
 from sumacpost.model import Endpoint, Settings, SizeMeaning
@@ -15,11 +14,12 @@
     MIN_SERVICE_OBSERVATIONS,
     BackendHistory,
     HistoryTable,
-    ReportedCapacity,
+    KindBounds,
+    KindEstimate,
     WarmServiceTime,
 )
+from sumacpost.policy.service_time import ServiceTime
 
-KIND_REPORT_DECAY = 0.99  # weight of the earlier reports of a type when one is added
 # Safety factor on the mean of warm backends of a type: the one warming up may be slower.
 OVERLOAD_SAFETY_FRACTION = 0.8
 OWN_SAFETY_FRACTION = 0.9  # the same on what the backend itself has shown
@@ -31,36 +31,6 @@
 SUMMARY_MS = 200.0  # a summary over all known backends is computed anew after this time
 
 
-class KindEstimate:
-    """What the backends of one machine type do.
-
-    Attributes:
-        reported: the capacity of a warm backend of size 1, by the load reports of all.
-        service: the service time, by the responses of all.
-    """
-
-    __slots__ = ("reported", "service")
-
-    def __init__(self, initial_service_ms: float) -> None:
-        self.reported = ReportedCapacity(KIND_REPORT_DECAY)
-        self.service = WarmServiceTime(initial_service_ms)
-
-
-@dataclass(slots=True)
-class KindBounds:
-    """The extremes among the known backends of one machine type.
-
-    Attributes:
-        lowest_per_s: the lowest capacity of a backend of size 1, in requests per second.
-        slowest_service_ms: the longest service time.
-        smallest_size: the smallest listed size of a backend whose capacity is known.
-    """
-
-    lowest_per_s: float = inf
-    slowest_service_ms: float = 0.0
-    smallest_size: float = inf
-
-
 class CapacityEstimate:
     """The capacities and service times of backends, from responses and load reports.
 
@@ -70,10 +40,9 @@
     def __init__(self, settings: Settings, initial_service_ms: float) -> None:
         self._meaning = settings.size_meaning
         self._sizes_compare = self._meaning in (SizeMeaning.REGISTERED, SizeMeaning.APPROXIMATE)
-        self._initial_service_ms = initial_service_ms
         self._histories = HistoryTable(self._meaning is SizeMeaning.REGISTERED)
         self._kinds: dict[int, KindEstimate] = {}
-        self._fleet_service = WarmServiceTime(initial_service_ms)
+        self._unobserved = ServiceTime(initial_service_ms)  # before any response
         self._bounds: dict[int, KindBounds] = {}  # by machine type
         self._smallest: BackendHistory | None = None  # of a type of known service time
         self._summarized_at = -inf
@@ -112,14 +81,15 @@
         requests: its work, in requests of mean work.
         """
         kind = self._kind_to_update(endpoint)
+        kind.service.observe(is_warm, elapsed_ms, requests)
         history = self._history_to_update(endpoint)
-        for service in (history.service, kind.service, self._fleet_service):
-            service.observe(is_warm, elapsed_ms, requests)
+        history.service.observe(is_warm, elapsed_ms, requests)
 
     def _kind_to_update(self, endpoint: Endpoint) -> KindEstimate:
         kind = self._kinds.get(endpoint.kind)
         if kind is None:
-            kind = KindEstimate(self._fleet_service.time.mean_ms)
+            fleet_ms = self._fleet_service_ms() or self._unobserved.mean_ms
+            kind = KindEstimate(fleet_ms)
             self._kinds[endpoint.kind] = kind
         return kind
 
@@ -153,12 +123,22 @@
         It is 1 up to the usual difference of equal backends, and as long as too few responses of
         warm backends have come.
         """
-        fleet_ms = self._fleet_service.time.mean_ms
         service = self._service_of(endpoint)
-        if service is None or not self._fleet_service.is_typical:
+        fleet_ms = self._fleet_service_ms()
+        if service is None or not fleet_ms:
             return 1.0
         return max(1.0, OVERLOAD_SAFETY_FRACTION * service.time.mean_ms / fleet_ms)
 
+    def _fleet_service_ms(self) -> float:
+        """Return the mean service time of responses of warm backends; 0 if there are too few."""
+        total_ms = 0.0
+        observations = 0
+        for kind in self._kinds.values():
+            if kind.service.is_typical:
+                total_ms += kind.service.time.mean_ms * kind.service.observations
+                observations += kind.service.observations
+        return total_ms / observations if observations else 0.0
+
     def _service_of(self, endpoint: Endpoint) -> WarmServiceTime | None:
         """Return the service time of the backend or else of its type; None if it is not known."""
         history = self._histories.get(endpoint)
@@ -278,15 +258,14 @@
         """
         service = self._kinds[number].service
         service_ms = service.time.upper_bound_ms(gateways)
-        if service.from_warm or not self._fleet_service.from_warm:
+        if service.from_warm or not any(k.service.from_warm for k in self._kinds.values()):
             return service_ms
         return min(service_ms, self._unseen_service_ms(gateways))
 
     def _unseen_service_ms(self, gateways: int) -> float:
         """Return the service time to assume for a type that has not shown it.
 
-        Before any response of a warm backend it is that of the fleet, as all types are equally
-        unknown.
+        Before any response of a warm backend it is that of the slowest type that is warming up.
         """
         known = [
             kind.service.time.upper_bound_ms(gateways)
@@ -295,7 +274,8 @@
         ]
         if known:
             return max(known) / UNSEEN_KIND_FRACTION
-        return self._fleet_service.time.upper_bound_ms(gateways)
+        observed = [kind.service.time.upper_bound_ms(gateways) for kind in self._kinds.values()]
+        return max(observed, default=self._unobserved.upper_bound_ms(gateways))
 
     def _summarize(self, now: float) -> None:
         """Compute the extremes of each type, and the smallest backend, if they are out of date."""
--- a/sumacpost/policy/service_time.py
+++ b/sumacpost/policy/service_time.py
@@ -1,6 +1,5 @@
 """The service time: what a request of mean work takes on an otherwise idle backend."""
 
-from collections import deque
 from math import sqrt
 
 BLOCK_SIZE = 30  # observations averaged in a block
@@ -36,7 +35,7 @@
         self._mean_ms = initial_ms
         self._initial_ms = initial_ms
         self._observations = 1  # number of observations in the mean
-        self._blocks: deque[float] = deque(maxlen=KEPT_BLOCKS)
+        self._blocks: list[float] = []  # oldest first; takes a tenth of the memory of a deque
         self._count = 0  # observations in the current block
         self._elapsed_ms = 0.0
         self._requests = 0.0  # requests of mean work in the current block
@@ -61,6 +60,7 @@
         self._requests += requests
         if self._count == self._block_size:
             self._blocks.append(self._elapsed_ms / self._requests)
+            del self._blocks[:-KEPT_BLOCKS]
             self._mean_ms = sorted(self._blocks)[len(self._blocks) // 4]
             self._observations = self._count
             self._count = 0
