Capacity by `live` sizes: no division by a size of zero, nothing assumed of few reports

What callers saw: nothing yet; found by reading the change once more. Where `weights` is `live`, a listed size of 0 made each request that might go to a starting backend fail with a ZeroDivisionError, and before ten reports of one backend of its type had come, such a backend was taken for nothing.

Cause: CapacityEstimate._remaining_fraction divided by the smallest known size, which is 0 if the list says so and infinite as long as no backend is well known.

Change: sizes are compared only if both are known and positive.

--- a/sumacpost/policy/capacity_estimate.py
+++ b/sumacpost/policy/capacity_estimate.py
@@ -170,9 +170,11 @@
         It is what it can do already, so the capacity of the warm backend is at least as high.
         """
         history = self._histories.get(endpoint)
-        if history is None or not history.warming_up(endpoint.up_since_ms).is_known:
+        if history is None:
             return 0.0
         reported = history.warming_up(endpoint.up_since_ms)
+        if not reported.is_known:
+            return 0.0
         return OWN_SAFETY_FRACTION * reported.lower_bound_per_s(gateways)
 
     def _of_kind_per_s(self, number: int, gateways: int) -> float | None:
@@ -201,11 +203,12 @@
         show that a backend is small, as one that has just started holds hardly any requests, but
         not that it is large.
         """
-        bounds = self._bounds.get(endpoint.kind)
-        if self._meaning is not SizeMeaning.AVAILABLE or bounds is None:
-            return 1.0
+        bounds = self._bounds.get(endpoint.kind, KindBounds())
         history = self._histories.get(endpoint)
         size = endpoint.size if history is None else max(endpoint.size, history.size)
+        is_comparable = size > 0 and 0 < bounds.smallest_size < inf
+        if self._meaning is not SizeMeaning.AVAILABLE or not is_comparable:
+            return 1.0
         return min(1.0, size / bounds.smallest_size)
 
     def _listing_fraction(self) -> float:
