--- a/fleetlab/soak/backend.py
+++ b/fleetlab/soak/backend.py
@@ -11,6 +11,7 @@
 from typing import cast
 
 from fleetlab.soak.behaviour import LATE, UNBOUNDED, Behaviour, Chooser
+from fleetlab.soak.http_text import head_with_length, parse_headers
 from fleetlab.soak.machine import Machine
 from fleetlab.soak.records import MEAN_SERVICE_TIME_S, Attempt, AttemptResult
 from fleetlab.stand_in import (
@@ -197,7 +198,7 @@
         head, separator, rest = self._buffer.partition(b"\r\n\r\n")
         if not separator or self._attempt is not None:
             return
-        headers = _parse_headers(head)
+        headers = parse_headers(head)
         length = int(headers.get(b"content-length", b"0"))
         if len(rest) < length:
             return
@@ -282,12 +283,12 @@
             headers = b"Connection: close\r\n" if closing else b""
             if self._backend.machine is not None:
                 headers += self._backend.machine.load_report()
-            self._transport.write(_head_with_length(body, headers) + body)
+            self._transport.write(head_with_length(body, headers) + body)
             self._finish_attempt(attempt, AttemptResult.SERVED)
             if closing:
                 self._transport.close()
         elif behaviour is Behaviour.IN_PIECES:
-            self._transport.write(_head_with_length(body) + body[:half])
+            self._transport.write(head_with_length(body) + body[:half])
             loop.call_later(PIECE_PAUSE_S, self._write_last, attempt, body[half:], False)
         elif behaviour is Behaviour.UNBOUNDED:
             self._write_last(attempt, b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n" + body, True)
@@ -339,15 +340,3 @@
             self._attempt.result = AttemptResult.DISCONNECTED
             self._attempt.ended_at = time.monotonic()
             self._attempt = None
-
-
-def _head_with_length(body: bytes, extra_headers: bytes = b"") -> bytes:
-    return b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n" % (extra_headers, len(body))
-
-
-def _parse_headers(head: bytes) -> dict[bytes, bytes]:
-    headers = {}
-    for line in head.split(b"\r\n")[1:]:
-        name, _, value = line.partition(b":")
-        headers[name.strip().lower()] = value.strip()
-    return headers
