Test of signals up to the exit: pauses between the signals, three processes in turn

Cause: the test sends SIGINT in a loop without a pause, so the process has a signal to handle at each step, and how far its drain gets in between is left to chance.

Change: 0.1 ms between two signals, and three processes that end in turn instead of one.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator, Generator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -89,6 +90,8 @@
     run(test())
 
 
+PROCESSES = 3  # that are ended in turn: a signal may miss the end of one
+SIGNAL_GAP_S = 0.0001  # short against the end of the interpreter, which takes milliseconds
 # The ingress in a process with a second thread, as the event loop starts them to resolve addresses.
 PROGRAM_WITH_THREAD = """
 import sys, threading, time
@@ -99,10 +102,15 @@
 
 
 def send_until_exit(pid: int, signum: signal.Signals) -> None:
-    """Send a signal again and again until the process has been waited for."""
+    """Send a signal again and again until the process has been waited for.
+
+    Without the pauses the process has a signal to handle at each step, and its end can take longer
+    than the test may.
+    """
     with suppress(ProcessLookupError):
         while True:
             os.kill(pid, signum)
+            time.sleep(SIGNAL_GAP_S)
 
 
 def test_signals_up_to_the_very_end_of_the_process_leave_its_exit_status_0(tmp_path: Path) -> None:
@@ -111,13 +119,14 @@
     config_file.write_text(json.dumps(MINIMAL_CONFIG))
 
     async def test() -> None:
-        async with logging_program(config_file, "-c", PROGRAM_WITH_THREAD) as program:
-            await program.read_log_until(b"serving: name=")
-            sender = asyncio.create_task(
-                asyncio.to_thread(send_until_exit, program.process.pid, signal.SIGINT)
-            )
-            assert await program.process.wait() == 0
-            await sender
+        for _ in range(PROCESSES):
+            async with logging_program(config_file, "-c", PROGRAM_WITH_THREAD) as program:
+                await program.read_log_until(b"serving: name=")
+                sender = asyncio.create_task(
+                    asyncio.to_thread(send_until_exit, program.process.pid, signal.SIGINT)
+                )
+                assert await program.process.wait() == 0
+                await sender
 
     run(test())
 
