Requests that were read outlast every close of their connection; one owner decides

Cause: ConnectionRegistry.eviction_candidate examined the 8 oldest connections without a request, and if all had to stay it returned the oldest one all the same. Beside clients that send hundreds of requests at once the oldest are those whose input has been read and waits to be parsed.

Change: policy/connection_rules.close_action is the owner. Eviction, the idle limit, the time limits, the end of a drain and lingering ask it through ClientConnection.request_close, each for one connection at that moment, and handle that it stays. The listener makes room before it accepts, and pauses if no connection may be closed; what has been busy for a second then ends with the responses to what it has read, so that new clients do not starve. Connections whose input waits are no candidates, and one that has to stay moves behind the others, so a new connection examines 24 at most, and time limits end 64 connections in a callback.

Related paths that had the same cause: a request waiting for its turn was dropped at the time limit for requests; the idle limit closed connections with an unread request; eviction cut off unsent responses and closed incomplete requests without a word (now 408); the time after the last response cut off one still being read. Closes with a read request or an unsent response are logged as violations from now on.

--- a/sumacpost/server/client_input.py
+++ b/sumacpost/server/client_input.py
@@ -25,9 +25,10 @@
 
     Attributes:
         reader: reads the requests; knows about a partial one.
+        stopped: whether further bytes are left in the socket for good.
     """
 
-    __slots__ = ("_paused_at", "_sock", "_transport", "_unread_age_s", "reader")
+    __slots__ = ("_paused_at", "_sock", "_transport", "_unread_age_s", "reader", "stopped")
 
     def __init__(
         self,
@@ -41,6 +42,7 @@
         self._unread_age_s = unread_age_s
         self._paused_at: float | None = None  # monotonic seconds
         self._transport: asyncio.Transport
+        self.stopped = False
 
     @property
     def reading_paused(self) -> bool:
@@ -84,6 +86,7 @@
 
     def stop_reading(self) -> None:
         """Leave further bytes in the socket for good."""
+        self.stopped = True
         self._paused_at = None
         self._transport.pause_reading()
 
--- a/sumacpost/server/client_output.py
+++ b/sumacpost/server/client_output.py
@@ -27,13 +27,29 @@
         self.paused = False
         self._on_unread = on_unread
         self._is_unread = False
+        self._unsent_at_last_check = 0
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    def is_stalled(self) -> bool:
+        """Return whether the kernel has taken nothing since the last call, though bytes are unsent.
+
+        It takes no more while the client reads nothing.
+        """
+        unsent_bytes = self.unsent_bytes
+        stalled = 0 < unsent_bytes == self._unsent_at_last_check
+        self._unsent_at_last_check = unsent_bytes
+        return stalled
+
     @property
     def unread_bytes(self) -> int:
         """The bytes that the client has not read in time."""
-        return self._transport.get_write_buffer_size() if self._is_unread else 0
+        return self.unsent_bytes if self._is_unread else 0
 
     def open(self, transport: asyncio.Transport) -> None:
         """Write to this transport, whose protocol has to call pause and resume."""
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -7,12 +7,14 @@
 from collections import deque
 from typing import cast
 
+from sumacpost.address import Address
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.errors import RequestError
 from sumacpost.policy.connection_rules import (
-    CloseDenialReason,
+    CloseAction,
+    CloseCause,
     ConnectionSnapshot,
-    close_denial_reason,
+    close_action,
     is_last_response,
 )
 from sumacpost.server.client_input import ClientInput
@@ -34,6 +36,11 @@
 _FINISHING = ConnectionState.FINISHING
 _CLOSING = ConnectionState.CLOSING
 
+# What ends a connection because nothing has happened on it for some time.
+_TIMEOUTS = frozenset(
+    (CloseCause.IDLE_TIMEOUT, CloseCause.REQUEST_TIMEOUT, CloseCause.LINGER_TIMEOUT)
+)
+
 
 class ClientConnection(asyncio.Protocol):
     """A client connection; requests may arrive in pieces, pipelined, or chunked."""
@@ -102,20 +109,27 @@
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Cancel the requests whose responses are pending, and record the end of the connection."""
+        unhandled_bytes = self._input.size
         self._discard_input()
         self._registry.connection_closed(self)
         unsent = list(self._pending_responses)
         self._pending_responses.clear()
         self._handler.end_connection(
-            self._transport.get_extra_info("peername"),
+            self._peer,
             self._close_reason,
             unsent,
             self._input.reader.incomplete_bytes,
+            unhandled_bytes,
         )
         self._input.close()
         self._output.resume()
         self._memory.update()
 
+    @property
+    def _peer(self) -> Address:
+        peer: Address = self._transport.get_extra_info("peername")
+        return peer
+
     # ---- requests and responses
 
     def advance(self) -> None:
@@ -156,17 +170,6 @@
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
         return peer_has_disconnected(self._sock)
 
-    def close_denial_reason(self) -> CloseDenialReason | None:
-        """Return why the connection may not be closed now, or None if it may."""
-        return close_denial_reason(
-            ConnectionSnapshot(
-                responses_owed=len(self._pending_responses),
-                buffered_bytes=self._input.size,
-                has_partial_message=self._input.reader.has_partial_message,
-                has_unread_input=has_unread_input(self._sock),
-            )
-        )
-
     def _may_parse(self) -> bool:
         """Return whether there is input that may be parsed now."""
         return (
@@ -238,7 +241,7 @@
             wrote = True
             is_last = is_last_response(
                 response.keep_alive,
-                self._handler.draining,
+                self._handler.draining or self._input.stopped,
                 bool(self._pending_responses or self._input.size),
             )
             self._output.write(response.head, response.body, is_last)
@@ -249,7 +252,7 @@
     def _update(self, wrote: bool) -> None:
         """End the connection if all is done; report what it waits for and holds otherwise."""
         if self._state is _FINISHING and not (self._pending_responses or self._input.size):
-            self._end_after_input(self._finish_reason)
+            self.request_close(CloseCause.LAST_RESPONSE, self._finish_reason)
         self._update_registry(wrote)
         self._memory.update()
 
@@ -260,20 +263,54 @@
         elif self._state is _CLOSING:
             return
         elif self._input.reader.has_partial_message or self._input.size:
-            if wrote or self in self._registry.idle:
+            if wrote or self not in self._registry.waiting:
                 self._registry.mark_waiting(self)
+            self._registry.set_input_waiting(self, self._input.size > 0)
         elif wrote:
             self._registry.mark_idle(self)
 
     # ---- ending the connection
 
-    def on_request_timeout(self, reason: CloseReason) -> None:
-        """Reject an incomplete request with status 408, or close a connection without one."""
-        if self._input.reader.has_partial_message and self._state is not _CLOSING:
-            self._close_reason = reason
-            self._reject(408)
+    def request_close(self, cause: CloseCause, reason: CloseReason) -> bool:
+        """End the connection if the policy permits that now; return whether it ends.
+
+        reason: what is recorded of the end.
+        """
+        snapshot = self._snapshot(cause)
+        match close_action(cause, snapshot):
+            case CloseAction.KEEP:
+                return False
+            case CloseAction.ABORT:
+                self.abort(CloseReason.OUTPUT_UNREAD if snapshot.is_output_stalled else reason)
+                return True
+            case CloseAction.REJECT if cause is CloseCause.EVICTION:
+                self._write_error(408)
+            case CloseAction.REJECT:
+                self._close_reason = reason
+                self._reject(408)
+                return True
+        self._close_reason = reason
+        if cause is CloseCause.LAST_RESPONSE:
+            self._end_after_last_response()
+        elif cause is CloseCause.EVICTION:
+            self._state = _CLOSING
+            self._transport.close()
         else:
-            self.close(reason)
+            self._state = _CLOSING
+            self._registry.mark_closing(self)
+            self._close_transport()
+        return True
+
+    def _snapshot(self, cause: CloseCause) -> ConnectionSnapshot:
+        partial = self._input.reader.has_partial_message and self._state is not _CLOSING
+        return ConnectionSnapshot(
+            responses_owed=len(self._pending_responses),
+            buffered_bytes=self._input.size,
+            has_partial_message=partial,
+            has_unread_input=has_unread_input(self._sock),
+            unsent_bytes=self._output.unsent_bytes,
+            is_output_stalled=cause in _TIMEOUTS and self._output.is_stalled(),
+        )
 
     def finish(self, reason: CloseReason) -> None:
         """Stop reading from the socket, answer the requests already read, then close."""
@@ -284,31 +321,13 @@
         self._input.stop_reading()
         self.advance()
 
-    def _end_after_input(self, reason: CloseReason) -> None:
-        """End a connection without pending responses; reject an incomplete request."""
-        if self._input.reader.has_partial_message:
-            self.on_request_timeout(reason)
-        else:
-            self._close_reason = reason
-            self._end_after_last_response()
-
-    def close(self, reason: CloseReason) -> None:
-        """Close the connection between requests; output already written is still sent."""
-        self._close_reason = reason
-        self._state = _CLOSING
-        self._close_transport()
-
-    def evict(self) -> None:
-        """Close immediately, to make room for another connection.
-
-        Unsent output is discarded, as a client that reads nothing would keep the connection open.
-        """
-        self._close_reason = CloseReason.EVICTED
-        self._state = _CLOSING
-        if self._transport.get_write_buffer_size():
-            self._transport.abort()
-        else:
-            self._transport.close()
+    def _write_error(self, status: int) -> None:
+        """Write an error response as the last output, without waiting for the client to read it."""
+        response = PendingResponse(self, keep_alive=False, received_at=self._input.received_at)
+        response.set_content(status)
+        assert response.head is not None
+        self._output.write(response.head, response.body, is_last=True)
+        self._discard_input()
 
     def abort(self, reason: CloseReason | None = None) -> None:
         """Close immediately, and discard pending requests and unsent output.
@@ -318,6 +337,7 @@
         """
         if reason is not None:
             self._close_reason = reason
+            self._handler.record_unsent_output(self._peer, reason, self._output.unsent_bytes)
         self._state = _CLOSING
         self._transport.abort()
 
@@ -343,16 +363,18 @@
             self._close_transport()
 
     def _close_transport(self) -> None:
-        """Close the connection; in a drain, close only its sending direction.
+        """Close the connection, or only its sending direction if input is left in the socket.
 
-        During a drain the socket stays open until the client closes it or LINGER_TIMEOUT_S has
-        elapsed: if the client has sent more input, closing would reset the connection, and a
-        response that the client has not read yet could be lost. That input stays unread: the client
-        sees the connection end without a response to it, and can send the request again.
+        That is so during a drain, and once reading has been stopped. Then the socket stays open
+        until the client closes it or LINGER_TIMEOUT_S has elapsed: if the client has sent more
+        input, closing would reset the connection, and a response that the client has not read yet
+        could be lost. That input stays unread: the client sees the connection end without a
+        response to it, and can send the request again.
         """
         if self._transport.is_closing():
             return
-        if self._handler.draining and self._transport.can_write_eof():
+        leaves_input = self._handler.draining or self._input.stopped
+        if leaves_input and self._transport.can_write_eof():
             self._transport.write_eof()
             self._transport.pause_reading()
         else:
--- a/sumacpost/server/connection_protocols.py
+++ b/sumacpost/server/connection_protocols.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol, TypeVar
 
-from sumacpost.policy.connection_rules import CloseDenialReason
+from sumacpost.policy.connection_rules import CloseCause
 from sumacpost.server.close_reason import CloseReason
 
 
@@ -14,21 +14,15 @@
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
 
-    def close_denial_reason(self) -> CloseDenialReason | None:
-        """Return why the connection may not be closed now, or None if it may."""
+    def request_close(self, cause: CloseCause, reason: CloseReason) -> bool:
+        """End the connection if the policy permits that now; return whether it ends.
 
-    def on_request_timeout(self, reason: CloseReason) -> None:
-        """Reject an incomplete request with status 408, or close a connection without one."""
+        reason: what is recorded of the end.
+        """
 
     def finish(self, reason: CloseReason) -> None:
         """Stop reading from the socket, answer the requests already read, then close."""
 
-    def close(self, reason: CloseReason) -> None:
-        """Close the connection between requests; output already written is still sent."""
-
-    def evict(self) -> None:
-        """Close immediately, to make room for another connection."""
-
     def abort(self, reason: CloseReason | None = None) -> None:
         """Close immediately, and discard pending requests and unsent output."""
 
--- a/sumacpost/server/connection_queue.py
+++ b/sumacpost/server/connection_queue.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections import OrderedDict
 from collections.abc import Iterator
+from itertools import islice
 from math import inf
 from typing import Generic
 
@@ -11,10 +13,17 @@
 
 
 class ConnectionQueue(Generic[ConnectionType]):
-    """A queue of connections that adds, finds and removes a connection in constant time."""
+    """A queue of connections in which every operation takes constant time.
+
+    Beside the order by time there is one in which connections are tried when one has to be closed.
+    """
+
+    # Ordered dicts: the first key of a plain dict takes the longer to find the more have been
+    # removed before it.
 
     def __init__(self) -> None:
-        self._added_at: dict[ConnectionType, float] = {}  # monotonic seconds; oldest first
+        self._added_at: OrderedDict[ConnectionType, float] = OrderedDict()  # monotonic seconds
+        self._candidates: OrderedDict[ConnectionType, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._added_at)
@@ -27,13 +36,32 @@
 
     def add(self, connection: ConnectionType) -> None:
         """Append the connection; a connection already in the queue moves to the end."""
-        # Without the removal, setting an existing key would keep its position in the dict.
-        self._added_at.pop(connection, None)
         self._added_at[connection] = time.monotonic()
+        self._added_at.move_to_end(connection)
+        self._candidates[connection] = None
+        self._candidates.move_to_end(connection)
 
     def discard(self, connection: ConnectionType) -> None:
         """Remove the connection if it is in the queue."""
         self._added_at.pop(connection, None)
+        self._candidates.pop(connection, None)
+
+    def set_candidate(self, connection: ConnectionType, is_candidate: bool) -> None:
+        """Set whether a connection of the queue is among the candidates; all are at first."""
+        if not is_candidate:
+            self._candidates.pop(connection, None)
+        elif connection in self._added_at:
+            self._candidates.setdefault(connection)
+
+    def next_candidates(self, count: int) -> Iterator[ConnectionType]:
+        """Yield the next candidates, `count` at most, and move each behind all others.
+
+        So a candidate that may not be closed is not in the way of the others at the next call.
+        """
+        for connection in list(islice(self._candidates, count)):
+            if connection in self._candidates:
+                self._candidates.move_to_end(connection)
+                yield connection
 
     def added_before(self, connection: ConnectionType, before: float) -> bool:
         """Return whether a connection in the queue was added before a time.
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -4,12 +4,11 @@
 
 import logging
 import time
-from collections.abc import Callable
-from itertools import islice
+from collections.abc import Callable, Iterable
 from math import inf
 from typing import Generic
 
-from sumacpost.policy.connection_rules import CloseDenialReason
+from sumacpost.policy.connection_rules import CloseCause
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection_protocols import ConnectionType
 from sumacpost.server.connection_queue import ConnectionQueue
@@ -30,20 +29,29 @@
 # get no grace period.
 WAITING_DIVISOR = 4
 
-# How many connections of a queue are examined for one to evict.
-MAX_EVICTION_EXAMINED = 8
-# A connection may be evicted if it has no request at all, or only an incomplete one.
-_EVICTABLE_REASONS = frozenset((None, CloseDenialReason.REQUEST_INCOMPLETE))
+# How many connections of a queue are examined for one to close in favour of others.
+MAX_EXAMINED = 8
+# How many connections are ended in one callback of the event loop.
+MAX_ENDED_PER_CALL = 64
+# A connection that has had requests without a break for this long ends with the responses to them,
+# if no other connection can make room for a new one.
+MAX_BUSY_S = 1.0
 
 log = logging.getLogger(__name__)
 
 
 class ConnectionRegistry(Generic[ConnectionType]):
-    """The open client connections; each one without a pending response is in one of the queues.
+    """The open client connections; each one is in one of the queues.
+
+    The registry proposes connections to close. Whether one may be closed is decided by the policy,
+    which the connection asks (`RegisteredConnection.request_close`), so each proposal may fail.
 
     Attributes:
-        open: all connections that have a transport, oldest first.
+        open: all connections that have a transport, oldest first, each with its queue.
         waiting: connections without a complete request so far, or with an incomplete next one.
+            Those whose input waits to be parsed are no candidates for a close.
+        busy: connections with a request that has been read and not answered, those included whose
+            input waits to be parsed; by the time since when they have had one without a break.
         idle: connections between requests.
         closing: connections that are ending; they read no further requests, and those that do not
             end within LINGER_TIMEOUT_S are aborted.
@@ -55,8 +63,9 @@
         self._max_connections = max_connections
         self._max_idle = max(1, max_connections // IDLE_DIVISOR)
         self._opening = 0  # accepted connections that do not have a transport yet
-        self.open: dict[ConnectionType, None] = {}
+        self.open: dict[ConnectionType, ConnectionQueue[ConnectionType] | None] = {}
         self.waiting: ConnectionQueue[ConnectionType] = ConnectionQueue()
+        self.busy: ConnectionQueue[ConnectionType] = ConnectionQueue()
         self.idle: ConnectionQueue[ConnectionType] = ConnectionQueue()
         self.closing: ConnectionQueue[ConnectionType] = ConnectionQueue()
         self.on_capacity_available: Callable[[], None] = lambda: None
@@ -85,29 +94,28 @@
     def connection_opened(self, connection: ConnectionType) -> None:
         """Register a connection whose transport has been created."""
         self._opening -= 1
-        self.open[connection] = None
+        self.open[connection] = self.waiting
         self.waiting.add(connection)
         self.on_capacity_available()  # from now on the connection can be evicted
 
     def connection_closed(self, connection: ConnectionType) -> None:
         """Remove a connection that has ended."""
-        self.open.pop(connection, None)
-        self.closing.discard(connection)
-        self.waiting.discard(connection)
-        self.idle.discard(connection)
+        queue = self.open.pop(connection, None)
+        if queue is not None:
+            queue.discard(connection)
+        self.busy.discard(connection)
         self.on_capacity_available()
 
     # ---- states of open connections
 
     def mark_busy(self, connection: ConnectionType) -> None:
         """Record that responses are pending: the connection can't time out or be evicted."""
-        self.waiting.discard(connection)
-        self.idle.discard(connection)
+        self._move(connection, None)
+        self._set_busy(connection, True)
 
     def mark_waiting(self, connection: ConnectionType) -> None:
         """Record that a request has begun; from now on it has REQUEST_TIMEOUT_S to be complete."""
-        self.idle.discard(connection)
-        self.waiting.add(connection)
+        self._move(connection, self.waiting)
 
     def mark_idle(self, connection: ConnectionType) -> None:
         """Record that all responses are sent; close the longest-idle connection if too many are.
@@ -118,118 +126,159 @@
         clients if there are many that each send requests rarely: they then need a new connection
         for each request.
         """
-        self.waiting.discard(connection)
-        self.idle.add(connection)
+        self._move(connection, self.idle)
+        self._set_busy(connection, False)
         self.on_capacity_available()
-        if len(self.idle) > self._max_idle and (longest_idle := self.idle.oldest()) is not None:
-            self._close_idle_connection(longest_idle, CloseReason.EVICTED)
+        if len(self.idle) > self._max_idle:
+            self._close_one(self.idle, CloseCause.IDLE_LIMIT)
 
     def mark_closing(self, connection: ConnectionType) -> None:
         """Record that the last response is sent; the connection ends within LINGER_TIMEOUT_S."""
-        self.waiting.discard(connection)
-        self.idle.discard(connection)
-        self.closing.add(connection)
-
-    # ---- eviction and timeouts
-
-    def eviction_candidate(self) -> ConnectionType | None:
-        """Return the connection whose loss costs least, or None if none may be evicted.
-
-        Connections with pending responses, and those without a transport yet, are never evicted.
-
-        Closing connections come first, then connections without a complete request, then idle ones.
-        A connection in whose socket a complete request may be waiting comes after these, and so
-        does a new one, whose client has had no time to send a request; new connections get no such
-        grace period if many connections are waiting for a request.
+        self._move(connection, self.closing)
+        self._set_busy(connection, False)
+
+    def set_input_waiting(self, connection: ConnectionType, waits: bool) -> None:
+        """Record whether input has been read that is not parsed yet, and may be a request."""
+        self.waiting.set_candidate(connection, not waits)
+        self._set_busy(connection, waits)
+
+    def _set_busy(self, connection: ConnectionType, is_busy: bool) -> None:
+        if not is_busy:
+            self.busy.discard(connection)
+        elif connection in self.open and connection not in self.busy:
+            self.busy.add(connection)
+
+    def _move(
+        self, connection: ConnectionType, target: ConnectionQueue[ConnectionType] | None
+    ) -> None:
+        """Append a connection to another queue, unless the connection has been removed."""
+        if connection not in self.open:
+            return
+        queue = self.open[connection]
+        if queue is not None:
+            queue.discard(connection)
+        self.open[connection] = target
+        if target is not None:
+            target.add(connection)
+
+    # ---- closing connections in favour of others
+
+    def make_room(self) -> bool:
+        """Close the connection whose loss costs least; return False if none may be closed.
+
+        Closing connections come first, then those without a complete request, then idle ones. A new
+        connection, whose client has had no time to send a request, stays, unless many connections
+        are waiting for a request. If none may be closed, the connection that has had requests for
+        longest is told to end with the responses to them, so that clients that send without a break
+        do not keep all others out.
         """
         many_waiting = len(self.waiting) > self._max_connections // WAITING_DIVISOR
         opened_before = inf if many_waiting else time.monotonic() - NEW_CONNECTION_GRACE_S
-        return (
-            self.closing.oldest()
-            or _first_evictable(self.waiting, opened_before)
-            or _first_evictable(self.idle)
-            or self.waiting.oldest()
-            or self.idle.oldest()
-        )
+        if (
+            self._close_one(self.closing, CloseCause.EVICTION)
+            or self._close_one(self.waiting, CloseCause.EVICTION, opened_before)
+            or self._close_one(self.idle, CloseCause.EVICTION)
+        ):
+            return True
+        busiest = self.busy.oldest(time.monotonic() - MAX_BUSY_S)
+        if busiest is not None:
+            self.busy.add(busiest)
+            busiest.finish(CloseReason.EVICTED)
+        return False
+
+    def _close_one(
+        self, queue: ConnectionQueue[ConnectionType], cause: CloseCause, before: float = inf
+    ) -> bool:
+        """Close one connection of a queue, of those added before a time in monotonic seconds.
+
+        Only MAX_EXAMINED candidates are examined. Return whether one has been closed.
+        """
+        for connection in queue.next_candidates(MAX_EXAMINED):
+            if queue.added_before(connection, before) and connection.request_close(
+                cause, CloseReason.EVICTED
+            ):
+                if cause is CloseCause.EVICTION:
+                    self.connection_closed(connection)
+                return True
+        return False
+
+    # ---- timeouts
 
-    def evict(self, connection: ConnectionType) -> None:
-        """Close the connection immediately and remove it."""
-        self.connection_closed(connection)
-        connection.evict()
+    def enforce_timeouts(self) -> bool:
+        """End the requests and connections whose time limit has passed.
 
-    def enforce_timeouts(self) -> None:
-        """End the requests and connections whose time limit has passed."""
+        Return whether there may be more of them, which another call will end.
+        """
         now = time.monotonic()
-        self.close_waiting(now - REQUEST_TIMEOUT_S, CloseReason.REQUEST_TIMEOUT)
-        self.close_idle(now - IDLE_TIMEOUT_S, CloseReason.IDLE)
-        while (expired := self.closing.oldest(now - LINGER_TIMEOUT_S)) is not None:
-            self.closing.discard(expired)
-            expired.abort(CloseReason.LINGER_TIMEOUT)
+        return any(
+            (
+                self.close_waiting(now - REQUEST_TIMEOUT_S, CloseReason.REQUEST_TIMEOUT),
+                self.close_idle(now - IDLE_TIMEOUT_S, CloseReason.IDLE),
+                self._close_expired(
+                    self.closing,
+                    now - LINGER_TIMEOUT_S,
+                    CloseCause.LINGER_TIMEOUT,
+                    CloseReason.LINGER_TIMEOUT,
+                ),
+            )
+        )
 
-    def close_idle(self, before: float, reason: CloseReason) -> None:
+    def close_idle(self, before: float, reason: CloseReason) -> bool:
         """Close the connections that have been idle since before a time, in monotonic seconds.
 
         A connection with input that the event loop has not read yet stays open: if it were closed,
         its client would have to send the request again, on a new connection that may not be
-        available.
+        available. Return whether there may be more to close.
+        """
+        return self._close_expired(self.idle, before, CloseCause.IDLE_TIMEOUT, reason)
+
+    def close_waiting(self, before: float, reason: CloseReason) -> bool:
+        """End the connections that have waited for a request since before a time.
+
+        A connection with input that has not been read or parsed yet gets more time. Return whether
+        there may be more to end.
+
+        before: in monotonic seconds.
+        """
+        return self._close_expired(self.waiting, before, CloseCause.REQUEST_TIMEOUT, reason)
+
+    def _close_expired(
+        self,
+        queue: ConnectionQueue[ConnectionType],
+        before: float,
+        cause: CloseCause,
+        reason: CloseReason,
+    ) -> bool:
+        """End the connections that a queue has had since before a time, MAX_ENDED_PER_CALL at most.
+
+        Those that may not be closed are asked again after the same time. Return whether there are
+        more.
         """
-        while (expired := self.idle.oldest(before)) is not None:
-            if expired.close_denial_reason() is None:
-                self._close_idle_connection(expired, reason)
+        for _ in range(MAX_ENDED_PER_CALL):
+            expired = queue.oldest(before)
+            if expired is None:
+                return False
+            if expired.request_close(cause, reason):
+                queue.discard(expired)  # unless it is another queue's already
             else:
-                self.idle.add(expired)
+                queue.add(expired)
+        return queue.oldest(before) is not None
 
     def close_disconnected(self) -> None:
         """Abort the closing connections whose clients have disconnected after the last response.
 
         During a drain these sockets are not read, so the event loop does not detect the disconnect.
         """
-        for connection in list(self.closing):
+        for connection in self.closing.next_candidates(MAX_ENDED_PER_CALL):
             if connection.has_disconnected():
                 connection.abort()
 
-    def close_waiting(self, before: float, reason: CloseReason) -> None:
-        """End the connections that have waited for a request since before a time.
-
-        A connection with input that the event loop has not read yet gets more time.
-
-        before: in monotonic seconds.
-        """
-        while (expired := self.waiting.oldest(before)) is not None:
-            if expired.close_denial_reason() is CloseDenialReason.REQUEST_UNREAD:
-                self.waiting.add(expired)
-                continue
-            self.waiting.discard(expired)
-            self.closing.add(expired)
-            expired.on_request_timeout(reason)
-
-    def close_all(self, reason: CloseReason) -> None:
-        """Stop reading requests on all connections, and end each one as its state permits."""
-        for connection in list(self.open):
+    def finish(self, connections: Iterable[ConnectionType], reason: CloseReason) -> None:
+        """Stop reading requests on connections, and end each one as its state permits."""
+        for connection in connections:
             try:
                 connection.finish(reason)
             except Exception:
                 # A failure on one connection must not keep the others from ending properly.
                 log.exception("connection not ended: aborting")
                 connection.abort(reason)
-
-    def _close_idle_connection(self, connection: ConnectionType, reason: CloseReason) -> None:
-        self.idle.discard(connection)
-        self.closing.add(connection)
-        connection.close(reason)
-
-
-def _first_evictable(
-    queue: ConnectionQueue[ConnectionType], before: float = inf
-) -> ConnectionType | None:
-    """Return the oldest connection without a complete request, or None if none is found.
-
-    Only the MAX_EVICTION_EXAMINED oldest connections are examined, and of these only those added
-    before the time `before`, in monotonic seconds.
-    """
-    for connection in islice(queue, MAX_EVICTION_EXAMINED):
-        if not queue.added_before(connection, before):
-            return None
-        if connection.close_denial_reason() in _EVICTABLE_REASONS:
-            return connection
-    return None
--- a/sumacpost/server/drain.py
+++ b/sumacpost/server/drain.py
@@ -5,12 +5,13 @@
 import asyncio
 import time
 from dataclasses import dataclass
+from itertools import islice
 
 from sumacpost.diagnostics.event_recorder import EventKind, EventRecorder
 from sumacpost.policy.shutdown import ShutdownSchedule
 from sumacpost.server.close_reason import CloseReason
 from sumacpost.server.connection import ClientConnection
-from sumacpost.server.connection_registry import ConnectionRegistry
+from sumacpost.server.connection_registry import MAX_ENDED_PER_CALL, ConnectionRegistry
 from sumacpost.server.listener import LISTEN_BACKLOG, Listener
 
 DRAIN_POLL_INTERVAL_S = 0.02  # between two checks of the connections
@@ -37,12 +38,13 @@
     async def run(self) -> None:
         """Run the drain; return when all connections have ended or the process has to exit."""
         self._record_phase("accepting")
-        self.registry.close_idle(self.started_at, CloseReason.DRAIN_IDLE)
+        while self.registry.close_idle(self.started_at, CloseReason.DRAIN_IDLE):
+            await asyncio.sleep(0)
         await self._accept_until_quiet()
         self.listener.close()
         self._record_phase("listener_closed")
         await self._serve_until_closed()
-        self.registry.close_all(CloseReason.DRAIN_DEADLINE)
+        await self._finish_all()
         self._record_phase("closing")
         await self._wait_until_closed()
         self._record_phase("connections_ended")
@@ -72,23 +74,40 @@
         schedule = self.schedule
         while not self.registry.is_empty and self._elapsed_ms() < schedule.respond_within_ms:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            now = time.monotonic()
-            self.registry.close_waiting(
-                now - schedule.request_timeout_ms / 1000, CloseReason.DRAIN_NO_REQUEST
-            )
-            self.registry.close_idle(now - schedule.quiet_ms / 1000, CloseReason.DRAIN_IDLE)
-            self.registry.enforce_timeouts()
+            while self._close_expired():
+                await asyncio.sleep(0)
             self.registry.close_disconnected()
 
+    def _close_expired(self) -> bool:
+        """End the connections whose time limit has passed; return whether there may be more."""
+        schedule = self.schedule
+        now = time.monotonic()
+        return any(
+            (
+                self.registry.close_waiting(
+                    now - schedule.request_timeout_ms / 1000, CloseReason.DRAIN_NO_REQUEST
+                ),
+                self.registry.close_idle(now - schedule.quiet_ms / 1000, CloseReason.DRAIN_IDLE),
+                self.registry.enforce_timeouts(),
+            )
+        )
+
     async def _wait_until_closed(self) -> None:
         """Wait for connections whose clients are still reading their last response."""
         while not self.registry.is_empty and self._elapsed_ms() < self.schedule.exit_within_ms:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            # Repeated for connections that have opened since the last call.
-            self.registry.close_all(CloseReason.DRAIN_DEADLINE)
-            self.registry.enforce_timeouts()
+            await self._finish_all()  # repeated for those that have opened since the last call
+            while self.registry.enforce_timeouts():
+                await asyncio.sleep(0)
             self.registry.close_disconnected()
 
+    async def _finish_all(self) -> None:
+        """Stop reading requests on all connections, some of them in an iteration of the loop."""
+        connections = iter(list(self.registry.open))
+        while batch := list(islice(connections, MAX_ENDED_PER_CALL)):
+            self.registry.finish(batch, CloseReason.DRAIN_DEADLINE)
+            await asyncio.sleep(0)
+
     def _elapsed_ms(self) -> float:
         return (time.monotonic() - self.started_at) * 1000
 
--- a/sumacpost/server/listener.py
+++ b/sumacpost/server/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -20,7 +21,8 @@
 # How many connections are accepted in one iteration of the event loop, so that open connections are
 # read in between.
 MAX_ACCEPTS_PER_ITERATION = 16
-# How long accepting is paused after an error, such as a lack of file descriptors or memory.
+# How long accepting is paused after an error, such as a lack of file descriptors or memory, and at
+# most while no connection may be closed for a new one.
 ACCEPT_RETRY_DELAY_S = 0.05
 
 
@@ -47,6 +49,7 @@
         # The time from which connections may have been waiting in the kernel's queue, in monotonic
         # seconds; None after the queue has been emptied.
         self._backlog_since: float | None = None
+        self._retry_timer: asyncio.TimerHandle | None = None
         registry.on_capacity_available = self.resume
 
     def open(self, address: Address) -> Address:
@@ -81,11 +84,12 @@
     def accept(self, limit: int = MAX_ACCEPTS_PER_ITERATION) -> bool:
         """Accept at most `limit` connections; return whether the kernel's queue is empty."""
         for _ in range(limit):
-            evictable = None
             if self._registry.is_full:
-                evictable = self._registry.eviction_candidate()
-                if evictable is None:
-                    self.pause()  # until a connection ends or can be evicted
+                if not self._has_queued_connection():
+                    self._backlog_since = None
+                    return True
+                if not self._registry.make_room():
+                    self._pause_until_retry()
                     return False
             try:
                 sock, _ = self._socket.accept()
@@ -97,15 +101,34 @@
             except OSError as error:
                 self._pause_after(error)
                 return False
-            if evictable is not None:
-                self._registry.evict(evictable)
             self._open_connection(sock)
         return False
 
+    def _has_queued_connection(self) -> bool:
+        """Return whether a connection is waiting in the kernel's queue.
+
+        Asked before a connection is closed for a new one, which would otherwise be done in vain.
+        """
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _pause_after(self, error: OSError) -> None:
         log.warning("accepting paused: error=%s retry_after_s=%s", error, ACCEPT_RETRY_DELAY_S)
+        self._pause_until_retry()
+
+    def _pause_until_retry(self) -> None:
+        """Pause until the registry has capacity; try again soon, as not every change is reported.
+
+        Input that is read, or output that is sent, may allow a connection to be closed.
+        """
         self.pause()
-        self._loop.call_later(ACCEPT_RETRY_DELAY_S, self.resume)
+        if self._retry_timer is None:
+            self._retry_timer = self._loop.call_later(ACCEPT_RETRY_DELAY_S, self._retry)
+
+    def _retry(self) -> None:
+        self._retry_timer = None
+        self.resume()
 
     def _open_connection(self, sock: socket.socket) -> None:
         sock.setblocking(False)
--- a/sumacpost/server/request_handler.py
+++ b/sumacpost/server/request_handler.py
@@ -63,14 +63,26 @@
         reason: CloseReason,
         unsent: Collection[PendingResponse],
         incomplete_bytes: int,
+        unhandled_bytes: int,
     ) -> None:
-        """Cancel the requests whose responses are unsent, and record the end of a connection."""
+        """Cancel the requests whose responses are unsent, and record the end of a connection.
+
+        unhandled_bytes: bytes that were read and not parsed.
+        """
         for response in unsent:
             self._cancel(response)
         if unsent and not reason.permits_unsent_responses:
             self.recorder.record_violation(
                 "closed_with_response_owed", peer, "reason=%s owed=%d", reason.value, len(unsent)
             )
+        if unhandled_bytes and not reason.permits_unsent_responses:
+            self.recorder.record_violation(
+                "closed_with_request_read",
+                peer,
+                "reason=%s bytes=%d",
+                reason.value,
+                unhandled_bytes,
+            )
         self.recorder.record(
             EventKind.CLIENT_CONNECTION_CLOSED,
             reason.value,
@@ -80,6 +92,17 @@
             incomplete_bytes,
         )
 
+    def record_unsent_output(self, peer: Address, reason: CloseReason, unsent_bytes: int) -> None:
+        """Record a violation if output is dropped for a reason that does not permit that."""
+        if unsent_bytes and not reason.permits_unsent_responses:
+            self.recorder.record_violation(
+                "closed_with_response_unsent",
+                peer,
+                "reason=%s bytes=%d",
+                reason.value,
+                unsent_bytes,
+            )
+
     def _cancel(self, response: PendingResponse) -> None:
         """Cancel the request of a disconnected client if its response is still pending."""
         if response.head is None and response.request is not None:
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -41,6 +41,14 @@
     def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
         """Set the final response; it is written after those before it on the connection.
 
+        Raise RuntimeError if the request already has a response.
+        """
+        self.set_content(status, body, headers)
+        self.connection.advance()
+
+    def set_content(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
+        """Set the final response without writing it.
+
         Raise RuntimeError if the request already has a response.
         """
         if self.head is not None:
@@ -53,7 +61,6 @@
         self.head = b"\r\n".join(lines)
         self.body = body
         self.request = None  # breaks the reference cycle with the request
-        self.connection.advance()
 
     def client_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
--- a/sumacpost/server/server.py
+++ b/sumacpost/server/server.py
@@ -36,9 +36,12 @@
         """
         return self.listener.open(address)
 
-    def enforce_timeouts(self) -> None:
-        """End the requests and connections whose time limit has passed; call it regularly."""
-        self.connections.enforce_timeouts()
+    def enforce_timeouts(self) -> bool:
+        """End the requests and connections whose time limit has passed; call it regularly.
+
+        Return whether there may be more, as only a limited number is ended in a call.
+        """
+        return self.connections.enforce_timeouts()
 
     async def drain(self) -> None:
         """Accept late connections and finish all requests.
--- a/sumacpost/service.py
+++ b/sumacpost/service.py
@@ -176,7 +176,8 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._ingress.pool_manager.close_stale_connections()
-            self._server.enforce_timeouts()
+            while self._server.enforce_timeouts():
+                await asyncio.sleep(0)
 
 
 class ConfigReloader:
--- a/tests/policy/test_connection_rules.py
+++ b/tests/policy/test_connection_rules.py
@@ -5,8 +5,11 @@
 import pytest
 
 from sumacpost.policy.connection_rules import (
+    CloseAction,
+    CloseCause,
     CloseDenialReason,
     ConnectionSnapshot,
+    close_action,
     close_denial_reason,
     is_last_response,
 )
@@ -20,6 +23,7 @@
         (ConnectionSnapshot(0, 5, True, True), CloseDenialReason.REQUEST_READ),
         (ConnectionSnapshot(0, 0, True, True), CloseDenialReason.REQUEST_INCOMPLETE),
         (ConnectionSnapshot(0, 0, False, True), CloseDenialReason.REQUEST_UNREAD),
+        (ConnectionSnapshot(0, 0, False, False, 7), CloseDenialReason.RESPONSE_UNSENT),
     ],
 )
 def test_a_connection_is_closed_only_without_received_or_unanswered_requests(
@@ -29,7 +33,7 @@
 
 
 @pytest.mark.parametrize(
-    ("keep_alive", "draining", "has_pending_requests", "last"),
+    ("keep_alive", "ending", "has_pending_requests", "last"),
     [
         (True, False, False, False),
         (False, False, False, True),
@@ -38,6 +42,57 @@
     ],
 )
 def test_the_last_response_is_one_without_keep_alive_or_the_last_of_a_drain(
-    keep_alive: bool, draining: bool, has_pending_requests: bool, last: bool
+    keep_alive: bool, ending: bool, has_pending_requests: bool, last: bool
 ) -> None:
-    assert is_last_response(keep_alive, draining, has_pending_requests) is last
+    assert is_last_response(keep_alive, ending, has_pending_requests) is last
+
+
+NOTHING = ConnectionSnapshot(0, 0, False, False)
+OWED = ConnectionSnapshot(1, 0, False, False)
+READ = ConnectionSnapshot(0, 5, True, False)
+INCOMPLETE = ConnectionSnapshot(0, 0, True, False)
+INCOMPLETE_UNREAD = ConnectionSnapshot(0, 0, True, True)
+UNREAD = ConnectionSnapshot(0, 0, False, True)
+UNSENT = ConnectionSnapshot(0, 0, False, False, 7)
+KEEP, CLOSE, REJECT, ABORT = CloseAction
+
+
+@pytest.mark.parametrize("cause", CloseCause)
+@pytest.mark.parametrize("stalled", [False, True])
+@pytest.mark.parametrize("unsent_bytes", [0, 7])
+def test_no_cause_closes_a_connection_with_a_request_that_was_read(
+    cause: CloseCause, stalled: bool, unsent_bytes: int
+) -> None:
+    # Guards against a fallback that closes some connection although none may be closed (review/6).
+    owed = ConnectionSnapshot(1, 0, True, True, unsent_bytes, stalled)
+    assert close_action(cause, owed) is KEEP
+    read = ConnectionSnapshot(0, 5, True, True, unsent_bytes, is_output_stalled=False)
+    assert close_action(cause, read) is KEEP
+
+
+@pytest.mark.parametrize(
+    ("cause", "actions"),
+    [
+        (CloseCause.EVICTION, (CLOSE, REJECT, KEEP, KEEP, KEEP)),
+        (CloseCause.IDLE_LIMIT, (CLOSE, KEEP, KEEP, KEEP, KEEP)),
+        (CloseCause.IDLE_TIMEOUT, (CLOSE, KEEP, KEEP, KEEP, CLOSE)),
+        (CloseCause.REQUEST_TIMEOUT, (CLOSE, REJECT, REJECT, KEEP, CLOSE)),
+        (CloseCause.LAST_RESPONSE, (CLOSE, REJECT, REJECT, CLOSE, CLOSE)),
+        (CloseCause.LINGER_TIMEOUT, (ABORT, ABORT, ABORT, ABORT, KEEP)),
+    ],
+)
+def test_what_is_done_depends_on_the_cause_and_on_what_would_be_lost(
+    cause: CloseCause, actions: tuple[CloseAction, ...]
+) -> None:
+    snapshots = (NOTHING, INCOMPLETE, INCOMPLETE_UNREAD, UNREAD, UNSENT)
+    assert tuple(close_action(cause, snapshot) for snapshot in snapshots) == actions
+
+
+@pytest.mark.parametrize(
+    "cause", [CloseCause.IDLE_TIMEOUT, CloseCause.REQUEST_TIMEOUT, CloseCause.LINGER_TIMEOUT]
+)
+def test_a_client_that_reads_no_responses_loses_them_and_its_unanswered_requests(
+    cause: CloseCause,
+) -> None:
+    stalled = ConnectionSnapshot(0, 5, False, False, 7, is_output_stalled=True)
+    assert close_action(cause, stalled) is ABORT
