Refuse each request that was read where input is dropped; do the same in an overload of places

Seen: where a connection gives up its input, because memory is needed or because it sent more than 80 KB behind eight responses owed, all requests in the buffer were dropped with one 429; a connection whose responses waited for a slow one before them was aborted to free their memory. And beside 60 bad clients with 300 requests each, in a soak, requests on new connections waited up to 1.6 s for a place, since connections with requests that were read keep theirs now.

Change: RequestReader.count_requests counts the requests of the dropped input, and one PendingResponse writes as many errors; what comes later is left in the socket. Responses that wait become 502 without a body, and the connection stays (memory_limits.release_action). If no connection may be closed for a new one, a client with over 4 KB of requests waiting is refused them the same way, one client for each try. Clients that have sent a part of a request keep their place before those that have sent nothing. After 408 further input stays unread as well.

test_too_much_buffered_input_... asserted a single 429 for 400 requests; it now asserts one for each request that was read, none for others, and that only the last ends the connection.

Without the refusal the new test of new clients fails.

--- a/sumacpost/policy/connection_rules.py
+++ b/sumacpost/policy/connection_rules.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# Less input than this is handled sooner than refused; a usual client has no more of it.
+MIN_REFUSED_BYTES = 4096
+
 
 class CloseDenialReason(Enum):
     """Why a connection may not be closed now."""
@@ -25,6 +28,7 @@
     """What a connection is to be closed for."""
 
     EVICTION = "eviction"  # another client needs the place
+    OVERLOAD = "overload"  # the same, and no connection may be closed
     IDLE_LIMIT = "idle_limit"  # too many connections are idle
     IDLE_TIMEOUT = "idle_timeout"  # between requests for too long
     REQUEST_TIMEOUT = "request_timeout"  # without a complete request for too long
@@ -38,6 +42,7 @@
     KEEP = "keep"  # it may not be closed now; ask again later
     CLOSE = "close"  # responses already written are still sent
     REJECT = "reject"  # the incomplete request gets an error response, then as CLOSE
+    REFUSE = "refuse"  # each request that was read and not handled gets one, then as CLOSE
     ABORT = "abort"  # at once; what is unsent or unhandled is dropped
 
 
@@ -66,6 +71,7 @@
 # What is done where a connection should not be closed for this reason; KEEP for all others.
 _ACTIONS: Mapping[CloseCause, Mapping[CloseDenialReason, CloseAction]] = {
     CloseCause.EVICTION: {CloseDenialReason.REQUEST_INCOMPLETE: CloseAction.REJECT},
+    CloseCause.OVERLOAD: {CloseDenialReason.REQUEST_READ: CloseAction.REFUSE},
     CloseCause.IDLE_LIMIT: {},
     CloseCause.IDLE_TIMEOUT: {CloseDenialReason.RESPONSE_UNSENT: CloseAction.CLOSE},
     CloseCause.REQUEST_TIMEOUT: {
@@ -104,7 +110,8 @@
 
     A client that has read none of its responses for as long as a time limit loses them, because
     nothing can reach it. A place for another client, on the other hand, must not cost a response
-    that is on its way, nor a request whose rest is in the socket.
+    that is on its way, nor a request whose rest is in the socket. In an overload, the requests of a
+    client that has sent many at once are refused, as that is done sooner than to handle them.
     """
     reason = close_denial_reason(snapshot)
     if reason is None:
@@ -114,6 +121,8 @@
         return CloseAction.ABORT if lingered else CloseAction.CLOSE
     if cause is CloseCause.EVICTION and (snapshot.has_unread_input or snapshot.unsent_bytes):
         return CloseAction.KEEP
+    if cause is CloseCause.OVERLOAD and snapshot.buffered_bytes < MIN_REFUSED_BYTES:
+        return CloseAction.KEEP
     if snapshot.is_output_stalled and not snapshot.responses_owed:
         return CloseAction.ABORT
     if cause is CloseCause.LINGER_TIMEOUT and snapshot.unsent_bytes:
--- a/sumacpost/policy/memory_limits.py
+++ b/sumacpost/policy/memory_limits.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import Enum
 from typing import TypeVar
 
 MB = 1024 * 1024
@@ -25,6 +26,14 @@
 Holder = TypeVar("Holder")
 
 
+class ReleaseAction(Enum):
+    """How a client connection gives up the memory that it holds."""
+
+    REFUSE_INPUT = "refuse_input"  # each request that was read and not handled gets an error
+    DROP_RESPONSES = "drop_responses"  # responses that wait for another are replaced by errors
+    ABORT = "abort"  # the client reads nothing, so no error would reach it
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryLimits:
     """The limits on what peers make the ingress hold.
@@ -68,3 +77,19 @@
     if held_in_all <= limits.total:
         return None
     return max(held_by, key=held_by.__getitem__, default=None)
+
+
+def release_action(input_bytes: int, waiting_bytes: int, unread_bytes: int) -> ReleaseAction:
+    """Return how a client connection that has to give up memory does so.
+
+    Every request that was read must get a response, so the connection ends without one only if most
+    of the memory holds responses that the client leaves unread.
+
+    input_bytes: incomplete input, and input that waits to be parsed. waiting_bytes: responses that
+    wait for one before them. unread_bytes: responses that the client has not read in time.
+    """
+    if unread_bytes > max(input_bytes, waiting_bytes):
+        return ReleaseAction.ABORT
+    if waiting_bytes > input_bytes:
+        return ReleaseAction.DROP_RESPONSES
+    return ReleaseAction.REFUSE_INPUT
--- a/sumacpost/server/client_input.py
+++ b/sumacpost/server/client_input.py
@@ -62,6 +62,10 @@
         """Parse a limited part of the bytes; raise RequestError if they are invalid."""
         self.reader.feed(self.take(self.reader.slice_bytes))
 
+    def drop_requests(self) -> int:
+        """Drop all bytes; return how many requests begin in them, the partial one included."""
+        return self.reader.count_requests(lambda size: self.take(size) if self else b"")
+
     def control_reading(self) -> None:
         """Pause reading while much input waits for its turn; resume it afterwards.
 
--- a/sumacpost/server/client_output.py
+++ b/sumacpost/server/client_output.py
@@ -56,8 +56,10 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=OUTPUT_HIGH_WATER_BYTES)
 
-    def write(self, head: bytes, body: bytes, is_last: bool) -> None:
-        """Write a response; the last one tells the client that the connection ends."""
+    def write(self, head: bytes, body: bytes, is_last: bool, count: int = 1) -> None:
+        """Write a response a number of times; the last one may tell that the connection ends."""
+        if count > 1:
+            self._transport.write((head + b"\r\n\r\n" + body) * (count - 1))
         head += b"\r\nConnection: close\r\n\r\n" if is_last else b"\r\n\r\n"
         if len(body) > MAX_BODY_BYTES:
             self._transport.write(head)
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -17,6 +17,7 @@
     close_action,
     is_last_response,
 )
+from sumacpost.policy.memory_limits import ReleaseAction
 from sumacpost.server.client_input import ClientInput
 from sumacpost.server.client_output import ClientOutput
 from sumacpost.server.close_reason import CloseReason
@@ -65,7 +66,6 @@
         self._finish_reason = CloseReason.DRAIN_DEADLINE
         self._pending_responses: deque[PendingResponse] = deque()
         self._input = ClientInput(sock, self._on_request, unread_age_s)
-        self._buffer_overflowed = False  # the input has exceeded the limit of its buffer
         self._parsing = False
         self._output = ClientOutput(self._on_output_unread)
         self._memory = ConnectionMemory(
@@ -153,13 +153,19 @@
         return self._may_parse()
 
     def release_memory(self) -> None:
-        """Reject the incomplete or waiting input, or abort if unread responses hold more."""
-        if self._state is _CLOSING or self._memory.output_bytes > self._memory.input_bytes:
-            self.abort(CloseReason.OUTPUT_UNREAD)
-            self._output.resume()  # the output is discarded, though not at once
-            self._memory.update()
-            return
-        self._refuse(429, "incomplete input holds memory that is needed")
+        """Give up the input, responses that wait, or responses that the client does not read."""
+        match self._memory.release_action:
+            case ReleaseAction.REFUSE_INPUT:
+                self._close_reason = CloseReason.INVALID_INPUT
+                self._refuse_input("input holds memory that is needed")
+            case ReleaseAction.DROP_RESPONSES:
+                for response in self._pending_responses:
+                    response.drop_body()
+                self._memory.update()
+            case ReleaseAction.ABORT:
+                self.abort(CloseReason.OUTPUT_UNREAD)
+                self._output.resume()  # the output is discarded, though not at once
+                self._memory.update()
 
     def _on_output_unread(self) -> None:
         """Count output that the client has not read in time."""
@@ -194,8 +200,8 @@
             if self._state is _READING:
                 self._input.control_reading()
         elif self._input.overflowed:
-            self._buffer_overflowed = True
-            self._refuse(429, "too much input is waiting")
+            self._close_reason = CloseReason.INVALID_INPUT
+            self._refuse_input("too much input is waiting")
         else:
             self._input.resume_reading()
 
@@ -218,14 +224,31 @@
         self._handler.recorder.record(EventKind.REQUEST_REFUSED, str(status), "", "error=%s", error)
         self._reject(status)
 
-    def _reject(self, status: int) -> None:
+    def _refuse_input(self, error: str) -> None:
+        """Refuse each request of the input that waits with status 429; the connection then ends.
+
+        What the client sends after that is left in the socket.
+        """
+        if self._state is _CLOSING:
+            return
+        count = max(1, self._input.drop_requests())
+        self._handler.recorder.record(
+            EventKind.REQUEST_REFUSED, "429", "", "error=%s requests=%d", error, count
+        )
+        self._input.stop_reading()
+        self._reject(429, count)
+
+    def _reject(self, status: int, requests: int = 1) -> None:
         """Send an error response for input that can't be handled; the connection ends after it.
 
         No later request can be read, as the position of its first byte is unknown.
         """
         if self._state is _CLOSING:
             return
-        response = PendingResponse(self, keep_alive=False, received_at=self._input.received_at)
+        received_at = self._input.received_at
+        response = PendingResponse(
+            self, keep_alive=False, received_at=received_at, requests=requests
+        )
         self._pending_responses.append(response)
         self._discard_input()
         response.send(status)
@@ -244,7 +267,7 @@
                 self._handler.draining or self._input.stopped,
                 bool(self._pending_responses or self._input.size),
             )
-            self._output.write(response.head, response.body, is_last)
+            self._output.write(response.head, response.body, is_last, response.requests)
             if is_last:
                 self._end_after_last_response()
         return wrote
@@ -265,7 +288,7 @@
         elif self._input.reader.has_partial_message or self._input.size:
             if wrote or self not in self._registry.waiting:
                 self._registry.mark_waiting(self)
-            self._registry.set_input_waiting(self, self._input.size > 0)
+            self._registry.mark_input(self, waits_for_turn=self._input.size > 0)
         elif wrote:
             self._registry.mark_idle(self)
 
@@ -287,8 +310,13 @@
                 self._write_error(408)
             case CloseAction.REJECT:
                 self._close_reason = reason
+                self._input.stop_reading()
                 self._reject(408)
                 return True
+            case CloseAction.REFUSE:
+                self._close_reason = reason
+                self._refuse_input("the place of the connection is needed")
+                return True
         self._close_reason = reason
         if cause is CloseCause.LAST_RESPONSE:
             self._end_after_last_response()
@@ -356,7 +384,7 @@
             self._close_reason = CloseReason.RESPONSE_WAS_LAST
         self._discard_input()
         self._registry.mark_closing(self)
-        if self._input.reader.incomplete_bytes or self._buffer_overflowed:
+        if self._input.reader.incomplete_bytes and not self._input.stopped:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
         else:
--- a/sumacpost/server/connection_memory.py
+++ b/sumacpost/server/connection_memory.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from itertools import islice
 
 from sumacpost.memory_budget import MemoryBudget, MemoryHolder
+from sumacpost.policy.memory_limits import ReleaseAction, release_action
 from sumacpost.server.client_input import ClientInput
 from sumacpost.server.client_output import ClientOutput
 from sumacpost.server.response import PendingResponse
@@ -41,12 +43,15 @@
         return partial_bytes + self._input.held_bytes
 
     @property
-    def output_bytes(self) -> int:
-        """The memory of responses that the client leaves unread, or that wait for another."""
-        waiting_bytes = 0
-        if len(self._responses) > 1:
-            waiting_bytes = sum(response.held_bytes for response in self._responses)
-        return self._output.unread_bytes + waiting_bytes
+    def waiting_bytes(self) -> int:
+        """The memory of responses that wait for another one."""
+        waiting = islice(self._responses, 1, None)
+        return sum(response.held_bytes for response in waiting)
+
+    @property
+    def release_action(self) -> ReleaseAction:
+        """How memory has to be given up."""
+        return release_action(self.input_bytes, self.waiting_bytes, self._output.unread_bytes)
 
     def update(self) -> None:
         """Report what the connection holds, if that has changed."""
@@ -56,7 +61,9 @@
             or self._output.paused
             or len(self._responses) > 1
         )
-        held = self.input_bytes + self.output_bytes if may_hold else 0
+        held = 0
+        if may_hold:
+            held = self.input_bytes + self.waiting_bytes + self._output.unread_bytes
         if held != self._reported:
             self._reported = held
             self._budget.set_held(self._holder, held)
--- a/sumacpost/server/connection_queue.py
+++ b/sumacpost/server/connection_queue.py
@@ -46,12 +46,9 @@
         self._added_at.pop(connection, None)
         self._candidates.pop(connection, None)
 
-    def set_candidate(self, connection: ConnectionType, is_candidate: bool) -> None:
-        """Set whether a connection of the queue is among the candidates; all are at first."""
-        if not is_candidate:
-            self._candidates.pop(connection, None)
-        elif connection in self._added_at:
-            self._candidates.setdefault(connection)
+    def exclude_candidate(self, connection: ConnectionType) -> None:
+        """Take a connection out of the candidates, until it is added again; all are at first."""
+        self._candidates.pop(connection, None)
 
     def next_candidates(self, count: int) -> Iterator[ConnectionType]:
         """Yield the next candidates, `count` at most, and move each behind all others.
--- a/sumacpost/server/connection_registry.py
+++ b/sumacpost/server/connection_registry.py
@@ -36,6 +36,8 @@
 # A connection that has had requests without a break for this long ends with the responses to them,
 # if no other connection can make room for a new one.
 MAX_BUSY_S = 1.0
+# After this time a connection whose input waits may be refused it, if no other makes room.
+MIN_BUSY_S = 0.1
 
 log = logging.getLogger(__name__)
 
@@ -48,8 +50,9 @@
 
     Attributes:
         open: all connections that have a transport, oldest first, each with its queue.
-        waiting: connections without a complete request so far, or with an incomplete next one.
-            Those whose input waits to be parsed are no candidates for a close.
+        waiting: connections without a complete request so far, or with an incomplete next one. Only
+            those that have sent nothing are candidates for a close.
+        incomplete: those of them whose input has been parsed, and is a part of a request.
         busy: connections with a request that has been read and not answered, those included whose
             input waits to be parsed; by the time since when they have had one without a break.
         idle: connections between requests.
@@ -65,6 +68,7 @@
         self._opening = 0  # accepted connections that do not have a transport yet
         self.open: dict[ConnectionType, ConnectionQueue[ConnectionType] | None] = {}
         self.waiting: ConnectionQueue[ConnectionType] = ConnectionQueue()
+        self.incomplete: ConnectionQueue[ConnectionType] = ConnectionQueue()
         self.busy: ConnectionQueue[ConnectionType] = ConnectionQueue()
         self.idle: ConnectionQueue[ConnectionType] = ConnectionQueue()
         self.closing: ConnectionQueue[ConnectionType] = ConnectionQueue()
@@ -103,6 +107,7 @@
         queue = self.open.pop(connection, None)
         if queue is not None:
             queue.discard(connection)
+        self.incomplete.discard(connection)
         self.busy.discard(connection)
         self.on_capacity_available()
 
@@ -137,10 +142,17 @@
         self._move(connection, self.closing)
         self._set_busy(connection, False)
 
-    def set_input_waiting(self, connection: ConnectionType, waits: bool) -> None:
-        """Record whether input has been read that is not parsed yet, and may be a request."""
-        self.waiting.set_candidate(connection, not waits)
-        self._set_busy(connection, waits)
+    def mark_input(self, connection: ConnectionType, waits_for_turn: bool) -> None:
+        """Record that a connection that is waiting has sent something.
+
+        waits_for_turn: whether the input has not been parsed yet, so that it may be a request.
+        """
+        self.waiting.exclude_candidate(connection)
+        if waits_for_turn:
+            self.incomplete.discard(connection)
+        elif connection in self.waiting and connection not in self.incomplete:
+            self.incomplete.add(connection)
+        self._set_busy(connection, waits_for_turn)
 
     def _set_busy(self, connection: ConnectionType, is_busy: bool) -> None:
         if not is_busy:
@@ -157,6 +169,7 @@
         queue = self.open[connection]
         if queue is not None:
             queue.discard(connection)
+        self.incomplete.discard(connection)
         self.open[connection] = target
         if target is not None:
             target.add(connection)
@@ -166,25 +179,32 @@
     def make_room(self) -> bool:
         """Close the connection whose loss costs least; return False if none may be closed.
 
-        Closing connections come first, then those without a complete request, then idle ones. A new
-        connection, whose client has had no time to send a request, stays, unless many connections
-        are waiting for a request. If none may be closed, the connection that has had requests for
-        longest is told to end with the responses to them, so that clients that send without a break
-        do not keep all others out.
+        Closing connections come first, then those that have sent nothing, those with an incomplete
+        request, and idle ones. A new connection, whose client has had no time to send a request,
+        stays, unless many connections are waiting for a request. If none may be closed, one whose
+        client has sent many requests at once is refused them, and the one that has had requests for
+        longest is told to end with the responses to them. Such clients must not keep others out.
         """
         many_waiting = len(self.waiting) > self._max_connections // WAITING_DIVISOR
         opened_before = inf if many_waiting else time.monotonic() - NEW_CONNECTION_GRACE_S
         if (
             self._close_one(self.closing, CloseCause.EVICTION)
             or self._close_one(self.waiting, CloseCause.EVICTION, opened_before)
+            or self._close_one(self.incomplete, CloseCause.EVICTION, opened_before)
             or self._close_one(self.idle, CloseCause.EVICTION)
         ):
             return True
-        busiest = self.busy.oldest(time.monotonic() - MAX_BUSY_S)
+        self._end_busy()
+        return False
+
+    def _end_busy(self) -> None:
+        """Make busy connections end sooner, so that one may be closed at a later call."""
+        now = time.monotonic()
+        self._close_one(self.busy, CloseCause.OVERLOAD, now - MIN_BUSY_S)
+        busiest = self.busy.oldest(now - MAX_BUSY_S)
         if busiest is not None:
             self.busy.add(busiest)
             busiest.finish(CloseReason.EVICTED)
-        return False
 
     def _close_one(
         self, queue: ConnectionQueue[ConnectionType], cause: CloseCause, before: float = inf
--- a/sumacpost/server/request_reader.py
+++ b/sumacpost/server/request_reader.py
@@ -106,6 +106,30 @@
         if self.incomplete_bytes > MAX_MESSAGE_BYTES:
             raise RequestError(413, f"request message exceeds {MAX_MESSAGE_BYTES} bytes")
 
+    def count_requests(self, next_slice: Callable[[int], bytes | bytearray]) -> int:
+        """Parse further bytes only to count the requests that begin in them, and drop all.
+
+        The partial message counts as well, and so does invalid input, which ends the count; a
+        request after which the connection has to end does so too. The reader must not be used after
+        that.
+
+        next_slice: returns at most the given number of bytes, and none at the end of the input.
+        """
+        counted = 0
+
+        def count(message: RequestMessage) -> None:
+            nonlocal counted
+            counted += 1
+            self._discarded = not message.keep_alive
+
+        self._on_request = count
+        try:
+            while not self._discarded and (data := next_slice(self.slice_bytes)):
+                self.feed(data)
+        except RequestError:
+            return counted + 1
+        return counted if self._discarded else counted + self.has_partial_message
+
     def discard(self) -> None:
         """Drop the partial message, and ignore all further input.
 
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -7,6 +7,8 @@
 from sumacpost.proxied_request import Headers, ProxiedRequest
 from sumacpost.server.connection_protocols import ResponseOwner
 
+# Shorter bodies are not worth dropping.
+MIN_DROPPED_BODY_BYTES = 1024
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -16,6 +18,7 @@
     Attributes:
         connection: the client connection.
         keep_alive: whether the connection stays open after this response.
+        requests: how many requests it answers; several if they are refused together.
         received_at: when the last byte of the request was received, in monotonic seconds.
         request: the request, once the ingress has accepted it.
         head: the status line and headers, once available; without the Connection header and the
@@ -23,12 +26,15 @@
         body: the body.
     """
 
-    __slots__ = ("body", "connection", "head", "keep_alive", "received_at", "request")
+    __slots__ = ("body", "connection", "head", "keep_alive", "received_at", "request", "requests")
 
-    def __init__(self, connection: ResponseOwner, keep_alive: bool, received_at: float) -> None:
+    def __init__(
+        self, connection: ResponseOwner, keep_alive: bool, received_at: float, requests: int = 1
+    ) -> None:
         self.connection = connection
         self.keep_alive = keep_alive
         self.received_at = received_at
+        self.requests = requests
         self.request: ProxiedRequest | None = None
         self.head: bytes | None = None
         self.body = b""
@@ -62,6 +68,15 @@
         self.body = body
         self.request = None  # breaks the reference cycle with the request
 
+    def drop_body(self) -> None:
+        """Replace a long response that waits for others by an error, which needs no memory.
+
+        The request may have been executed, so the client is not told to send it again.
+        """
+        if len(self.body) >= MIN_DROPPED_BODY_BYTES:
+            self.head = None
+            self.set_content(HTTPStatus.BAD_GATEWAY)
+
     def client_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if the loop has not detected it yet."""
         return self.connection.has_disconnected()
--- a/tests/policy/test_connection_rules.py
+++ b/tests/policy/test_connection_rules.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sumacpost.policy.connection_rules import (
+    MIN_REFUSED_BYTES,
     CloseAction,
     CloseCause,
     CloseDenialReason,
@@ -54,7 +55,7 @@
 INCOMPLETE_UNREAD = ConnectionSnapshot(0, 0, True, True)
 UNREAD = ConnectionSnapshot(0, 0, False, True)
 UNSENT = ConnectionSnapshot(0, 0, False, False, 7)
-KEEP, CLOSE, REJECT, ABORT = CloseAction
+KEEP, CLOSE, REJECT, REFUSE, ABORT = CloseAction
 
 
 @pytest.mark.parametrize("cause", CloseCause)
@@ -70,10 +71,20 @@
     assert close_action(cause, read) is KEEP
 
 
+@pytest.mark.parametrize("cause", CloseCause)
+def test_only_in_an_overload_are_many_requests_refused_that_were_read(cause: CloseCause) -> None:
+    # Guards against clients that send hundreds of requests at once and keep new ones out.
+    many = ConnectionSnapshot(0, MIN_REFUSED_BYTES, True, True)
+    assert close_action(cause, many) is (REFUSE if cause is CloseCause.OVERLOAD else KEEP)
+    owed = ConnectionSnapshot(1, MIN_REFUSED_BYTES, True, True)
+    assert close_action(cause, owed) is KEEP
+
+
 @pytest.mark.parametrize(
     ("cause", "actions"),
     [
         (CloseCause.EVICTION, (CLOSE, REJECT, KEEP, KEEP, KEEP)),
+        (CloseCause.OVERLOAD, (CLOSE, KEEP, KEEP, KEEP, KEEP)),
         (CloseCause.IDLE_LIMIT, (CLOSE, KEEP, KEEP, KEEP, KEEP)),
         (CloseCause.IDLE_TIMEOUT, (CLOSE, KEEP, KEEP, KEEP, CLOSE)),
         (CloseCause.REQUEST_TIMEOUT, (CLOSE, REJECT, REJECT, KEEP, CLOSE)),
--- a/tests/policy/test_memory_limits.py
+++ b/tests/policy/test_memory_limits.py
@@ -9,9 +9,11 @@
     MIN_CUSTOMERS,
     MIN_PEER_BYTES,
     MemoryLimits,
+    ReleaseAction,
     holder_to_release,
     memory_limits,
     permits_request,
+    release_action,
 )
 
 LIMITS = MemoryLimits(total=1000, requests=500)
@@ -45,3 +47,19 @@
 def test_there_may_be_nobody_who_can_give_up_memory() -> None:
     empty: dict[str, int] = {}
     assert holder_to_release(LIMITS, 1001, empty) is None
+
+
+@pytest.mark.parametrize(
+    ("input_bytes", "waiting_bytes", "unread_bytes", "action"),
+    [
+        (5, 0, 0, ReleaseAction.REFUSE_INPUT),
+        (5, 5, 5, ReleaseAction.REFUSE_INPUT),
+        (4, 5, 5, ReleaseAction.DROP_RESPONSES),
+        (4, 5, 6, ReleaseAction.ABORT),
+    ],
+)
+def test_a_connection_is_aborted_only_if_its_client_leaves_responses_unread(
+    input_bytes: int, waiting_bytes: int, unread_bytes: int, action: ReleaseAction
+) -> None:
+    # Guards against an abort of clients whose responses wait for a slow one before them.
+    assert release_action(input_bytes, waiting_bytes, unread_bytes) is action
--- a/tests/server/test_connection_ends.py
+++ b/tests/server/test_connection_ends.py
@@ -18,6 +18,7 @@
 
 UNKNOWN_CLASS = b"GET /nothing HTTP/1.1\r\nHost: service.internal\r\n\r\n"
 AT_ONCE = 300
+MANY_AT_ONCE = 3000
 PLACES = 8  # client connections of an ingress with 64 descriptors
 
 
@@ -98,6 +99,24 @@
     run(test())
 
 
+def test_new_clients_are_served_though_all_places_have_many_requests_waiting() -> None:
+    # Guards against new clients that wait until all requests of hundreds have been handled.
+    async def test() -> None:
+        async with running_ingress(respond(), sockets=64) as ingress:
+            clients = await fill_places(ingress)
+            limit_turns(ingress.instance.turns, per_callback=1)
+            for connection in list(ingress.server.connections.open):
+                connection.data_received(UNKNOWN_CLASS * MANY_AT_ONCE)
+            assert (await ingress.send(HEALTH_REQUEST)).status == 200
+            waiting = [connection._input.size for connection in ingress.server.connections.open]
+            assert sum(size > 0 for size in waiting) >= PLACES - 2
+            statuses = [await read_statuses(client, MANY_AT_ONCE) for client in clients]
+            assert {status for found in statuses for status in found} == {404, 429}
+            assert ingress.instance.recorder.violation_count == 0
+
+    run(test())
+
+
 def test_an_incomplete_request_gets_an_error_when_its_place_is_needed() -> None:
     # Guards against a request that was read in part, and whose connection is closed without a word.
     async def test() -> None:
--- a/tests/server/test_connection_registry.py
+++ b/tests/server/test_connection_registry.py
@@ -11,6 +11,7 @@
     MAX_ENDED_PER_CALL,
     MAX_EXAMINED,
     REQUEST_TIMEOUT_S,
+    WAITING_DIVISOR,
     ConnectionRegistry,
 )
 from tests.support.registered_connection import FakeConnection, open_connections
@@ -64,7 +65,7 @@
     connections = open_connections(registry, MANY, may_close)
     for _ in range(10):
         registry.make_room()
-    assert times_asked(connections) <= 10 * (1 if may_close else 3 * MAX_EXAMINED)
+    assert times_asked(connections) <= 10 * (1 if may_close else 4 * MAX_EXAMINED)
 
 
 @pytest.mark.parametrize("may_close", [True, False])
@@ -92,28 +93,41 @@
     assert latest.asked == []
 
 
-def test_a_connection_whose_input_waits_is_not_examined() -> None:
-    registry: ConnectionRegistry[FakeConnection] = ConnectionRegistry(2)
-    connection, other = open_connections(registry, 2, may_close=False)
-    registry.set_input_waiting(connection, True)
+def test_a_connection_whose_input_waits_for_its_turn_is_not_examined() -> None:
+    registry: ConnectionRegistry[FakeConnection] = ConnectionRegistry(2 * WAITING_DIVISOR)
+    connection, other, *_ = open_connections(registry, 2 * WAITING_DIVISOR, may_close=False)
+    registry.mark_input(connection, waits_for_turn=True)
     registry.make_room()
-    registry.set_input_waiting(connection, False)
+    registry.mark_input(connection, waits_for_turn=False)
     registry.make_room()
     assert (len(connection.asked), len(other.asked)) == (1, 2)
 
 
+def test_connections_that_have_sent_nothing_are_closed_before_incomplete_and_idle_ones() -> None:
+    # Guards against clients that write slowly and lose their place to silent ones.
+    registry: ConnectionRegistry[FakeConnection] = ConnectionRegistry(2 * WAITING_DIVISOR)
+    idle, incomplete, *silent = open_connections(registry, 2 * WAITING_DIVISOR)
+    registry.mark_idle(idle)
+    registry.mark_input(incomplete, waits_for_turn=False)
+    closed = []
+    for _ in range(len(silent) - 1):
+        assert registry.make_room()
+        closed += [c for c in (idle, incomplete, *silent) if c.asked and c not in closed]
+    assert closed == silent[:-1]
+
+
 def test_the_connection_that_is_busy_longest_ends_if_no_other_makes_room(clock: Clock) -> None:
     # Guards against clients that send without a break and keep all others out.
     registry: ConnectionRegistry[FakeConnection] = ConnectionRegistry(3)
     flooding, usual, parsed = open_connections(registry, 3)
-    registry.set_input_waiting(flooding, True)
+    registry.mark_input(flooding, waits_for_turn=True)
     flooding.may_close = False
-    registry.set_input_waiting(parsed, True)
+    registry.mark_input(parsed, waits_for_turn=True)
     clock.now += 1.1 * MAX_BUSY_S
     registry.mark_busy(usual)
     registry.mark_busy(parsed)
     registry.mark_waiting(flooding)  # after a response
-    registry.set_input_waiting(flooding, True)
+    registry.mark_input(flooding, waits_for_turn=True)
     assert not registry.make_room()
     assert (flooding.finished, usual.finished, parsed.finished) == (True, False, False)
     assert not registry.make_room()
@@ -127,12 +141,18 @@
     (connection,) = open_connections(registry, 1)
     registry.connection_closed(connection)
     registry.mark_waiting(connection)
-    registry.set_input_waiting(connection, True)
+    registry.mark_input(connection, waits_for_turn=True)
     registry.mark_busy(connection)
     registry.mark_idle(connection)
     registry.mark_closing(connection)
-    queues = (registry.waiting, registry.busy, registry.idle, registry.closing)
-    assert [len(queue) for queue in queues] == [0, 0, 0, 0]
+    queues = (
+        registry.waiting,
+        registry.incomplete,
+        registry.busy,
+        registry.idle,
+        registry.closing,
+    )
+    assert [len(queue) for queue in queues] == [0] * 5
     assert registry.is_empty
 
 
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import accumulate
 
 import pytest
 
 from sumacpost.ingress import CLIENT_DEADLINE_MARGIN_MS
+from sumacpost.server.client_input import ClientInput
 from sumacpost.server.connection import MAX_PIPELINED, ClientConnection
 from sumacpost.server.connection_state import ConnectionState
 from tests.support.event_loop import run, until
-from tests.support.http_client import LONG_TIMEOUT, Client, request
+from tests.support.http_client import HEALTH_REQUEST, LONG_TIMEOUT, Client, request
 from tests.support.ingress import RunningIngress, running_ingress
 from tests.support.peers import OK_RESPONSE, never_respond, respond
 
@@ -90,20 +92,90 @@
     run(test())
 
 
-def test_too_much_buffered_input_ends_the_connection_after_the_pending_responses() -> None:
+def test_too_much_buffered_input_ends_the_connection_after_the_pending_responses(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Every request that was read is refused, not only the first that could not be held."""
+    requests = [request("vat-filing", 100 + n) for n in range(400)]  # some 90 kilobytes
+
     async def test() -> None:
         async with running_ingress(*[never_respond] * 8) as ingress:
             client, connection = await fill_pipeline(ingress)
-            some_90_kilobytes = b"".join(request("vat-filing", 100 + n) for n in range(400))
-            client.write(some_90_kilobytes)
+            read = 0
+            receive = connection._input.receive
+
+            def count_and_receive(data: bytes) -> None:
+                nonlocal read
+                read += len(data)
+                receive(data)
+
+            monkeypatch.setattr(ClientInput, "receive", lambda _, data: count_and_receive(data))
+            client.write(b"".join(requests))
             await until(lambda: connection._state is ConnectionState.CLOSING)
             assert connection._input.size == 0
             respond_to_all(ingress)
             statuses = [(await client.read_response()).status for _ in range(MAX_PIPELINED)]
             assert statuses == [200] * MAX_PIPELINED
-            assert (await client.read_response()).status == 429
+            begun = sum(size < read for size in accumulate(map(len, requests), initial=0))
+            refused = await client.read_responses(begun)
+            assert {response.status for response in refused} == {429}
+            assert [b"Connection: close" in r.head for r in refused] == [False] * (begun - 1) + [
+                True
+            ]
+            assert await client.read_to_end() == b""
+            assert ingress.requests_received == MAX_PIPELINED
+
+    run(test())
+
+
+def test_requests_that_wait_are_each_refused_when_their_memory_is_needed() -> None:
+    # Guards against requests that were read and are dropped with others to free memory.
+    async def test() -> None:
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client, connection = await fill_pipeline(ingress)
+            waiting = b"".join(request("vat-filing", 100 + n) for n in range(10))
+            client.write(waiting + request("vat-filing", 120)[:-1])
+            await until(lambda: connection._input.size > len(waiting))
+            connection.release_memory()
+            assert connection._input.size == 0
+            respond_to_all(ingress)
+            statuses = [r.status for r in await client.read_responses(MAX_PIPELINED + 11)]
+            assert statuses == [200] * MAX_PIPELINED + [429] * 11
             assert await client.read_to_end() == b""
             assert ingress.requests_received == MAX_PIPELINED
+            assert ingress.instance.recorder.violation_count == 0
+
+    run(test())
+
+
+def test_long_responses_that_wait_for_another_become_errors_when_their_memory_is_needed() -> None:
+    # Guards against an abort of a client that reads its responses.
+    long_response = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000
+
+    async def test() -> None:
+        async with running_ingress(*[never_respond] * 8) as ingress:
+            client, connection = await fill_pipeline(ingress)
+            writers = [writer for backend in ingress.backends for writer in backend.writers]
+            first, *others = (
+                next(
+                    w
+                    for b in ingress.backends
+                    for w, r in zip(b.writers, b.requests, strict=True)
+                    if b"%016x" % number in r
+                )
+                for number in range(MAX_PIPELINED)
+            )
+            assert len(writers) == MAX_PIPELINED
+            for writer in others:
+                writer.write(long_response)
+            await until(lambda: connection._memory.waiting_bytes > 60_000 * len(others))
+            connection.release_memory()
+            assert connection._memory.waiting_bytes < 1000 * len(others)
+            first.write(OK_RESPONSE)
+            statuses = [r.status for r in await client.read_responses(MAX_PIPELINED)]
+            assert statuses == [200] + [502] * len(others)
+            client.write(HEALTH_REQUEST)
+            assert (await client.read_response()).status == 200
 
     run(test())
 
