Find the holder that gives up memory at a cost that does not grow with the holders

Cause: MemoryBudget.enforce compared all holders for each one that it released, and released as many as there are in one callback of the event loop; one that gave up nothing was chosen again and again.

The one chosen holds at least half as much as any other.

--- a/sumacpost/policy/memory_limits.py
+++ b/sumacpost/policy/memory_limits.py
@@ -72,7 +72,8 @@
 
     It is the one that holds most: a peer that sends a usual message holds little, and not for long.
 
-    held_in_all: everything that counts, in bytes. held_by: the part of it that can be given up.
+    held_in_all: everything that counts, in bytes. held_by: the largest holders that can give up
+    what they hold, at least half as much as any other.
     """
     if held_in_all <= limits.total:
         return None
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -10,8 +10,8 @@
 
 from sumacpost.diagnostics.event_recorder import EventKind
 from sumacpost.http_message import MAX_BODY_BYTES
-from sumacpost.memory_budget import MemoryBudget
-from sumacpost.policy.memory_limits import MB, MemoryLimits
+from sumacpost.memory_budget import MAX_COMPARED, MAX_RELEASED, MemoryBudget
+from sumacpost.policy.memory_limits import MB, MemoryLimits, holder_to_release
 from sumacpost.proxied_request import ProxiedRequest
 from sumacpost.server.request import Request
 from tests.support.event_loop import run, until
@@ -59,6 +59,37 @@
     assert budget.held_bytes == 0
 
 
+def test_few_of_many_holders_are_compared_and_released(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a callback whose cost grows with the number of connections that hold memory.
+    compared = []
+
+    def record_compared(limits: MemoryLimits, held: int, holders: dict[Holder, int]) -> object:
+        compared.append(len(holders))
+        return holder_to_release(limits, held, holders)
+
+    monkeypatch.setattr("sumacpost.memory_budget.holder_to_release", record_compared)
+    budget = MemoryBudget(MemoryLimits(100, 50))
+    holders = [Holder(budget, keeps=4) for _ in range(10_000)]
+    for number, holder in enumerate(holders):
+        budget.set_held(holder, 5 + number % 100)
+    budget.enforce()
+    assert sum(compared) <= MAX_COMPARED * MAX_RELEASED
+    released = [number for number, holder in enumerate(holders) if holder.released]
+    assert len(released) == MAX_RELEASED
+    assert all(2 * (5 + number % 100) >= 104 for number in released)
+
+
+def test_holders_that_give_up_nothing_do_not_block_smaller_ones() -> None:
+    budget = MemoryBudget(MemoryLimits(100, 50))
+    for _ in range(3):
+        budget.set_held(Holder(budget, keeps=33), 33)
+    holder = Holder(budget)
+    budget.set_held(holder, 32)
+    budget.enforce()
+    assert holder.released == 1
+    assert budget.held_bytes == 99
+
+
 def test_requests_count_towards_the_whole_and_towards_their_own_limit() -> None:
     budget = MemoryBudget(MemoryLimits(100, 50))
     assert budget.reserve_request(30)
