Closes for memory and for too much input ask the same owner as all others

Cause: release_memory and the limit of waiting input still decided by themselves that a connection ends.

Change: causes INPUT_MEMORY and OUTPUT_MEMORY in policy/connection_rules; the caller goes through request_close like eviction and the time limits. The refusals are recorded with their cause.

--- a/sumacpost/policy/connection_rules.py
+++ b/sumacpost/policy/connection_rules.py
@@ -34,6 +34,8 @@
     REQUEST_TIMEOUT = "request_timeout"  # without a complete request for too long
     LAST_RESPONSE = "last_response"  # the connection reads no further requests
     LINGER_TIMEOUT = "linger_timeout"  # the client did not close after its last response
+    INPUT_MEMORY = "input_memory"  # its input holds memory that is needed, or too much of it
+    OUTPUT_MEMORY = "output_memory"  # responses that its client does not read do
 
 
 class CloseAction(Enum):
@@ -42,7 +44,7 @@
     KEEP = "keep"  # it may not be closed now; ask again later
     CLOSE = "close"  # responses already written are still sent
     REJECT = "reject"  # the incomplete request gets an error response, then as CLOSE
-    REFUSE = "refuse"  # each request that was read and not handled gets one, then as CLOSE
+    REFUSE = "refuse"  # so does each request that was read and not handled, after those owed
     ABORT = "abort"  # at once; what is unsent or unhandled is dropped
 
 
@@ -83,6 +85,12 @@
         CloseDenialReason.REQUEST_UNREAD: CloseAction.CLOSE,
         CloseDenialReason.RESPONSE_UNSENT: CloseAction.CLOSE,
     },
+    CloseCause.INPUT_MEMORY: {
+        CloseDenialReason.RESPONSE_OWED: CloseAction.REFUSE,
+        CloseDenialReason.REQUEST_READ: CloseAction.REFUSE,
+        CloseDenialReason.REQUEST_INCOMPLETE: CloseAction.REFUSE,
+    },
+    CloseCause.OUTPUT_MEMORY: dict.fromkeys(CloseDenialReason, CloseAction.ABORT),
     CloseCause.LINGER_TIMEOUT: {
         CloseDenialReason.REQUEST_INCOMPLETE: CloseAction.ABORT,
         CloseDenialReason.REQUEST_UNREAD: CloseAction.ABORT,
@@ -111,7 +119,8 @@
     A client that has read none of its responses for as long as a time limit loses them, because
     nothing can reach it. A place for another client, on the other hand, must not cost a response
     that is on its way, nor a request whose rest is in the socket. In an overload, the requests of a
-    client that has sent many at once are refused, as that is done sooner than to handle them.
+    client that has sent many at once are refused, as that is done sooner than to handle them. They
+    are refused too where memory is needed; responses that are owed go before that.
     """
     reason = close_denial_reason(snapshot)
     if reason is None:
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -156,14 +156,13 @@
         """Give up the input, responses that wait, or responses that the client does not read."""
         match self._memory.release_action:
             case ReleaseAction.REFUSE_INPUT:
-                self._close_reason = CloseReason.INVALID_INPUT
-                self._refuse_input("input holds memory that is needed")
+                self.request_close(CloseCause.INPUT_MEMORY, CloseReason.INVALID_INPUT)
             case ReleaseAction.DROP_RESPONSES:
                 for response in self._pending_responses:
                     response.drop_body()
                 self._memory.update()
             case ReleaseAction.ABORT:
-                self.abort(CloseReason.OUTPUT_UNREAD)
+                self.request_close(CloseCause.OUTPUT_MEMORY, CloseReason.OUTPUT_UNREAD)
                 self._output.resume()  # the output is discarded, though not at once
                 self._memory.update()
 
@@ -200,8 +199,7 @@
             if self._state is _READING:
                 self._input.control_reading()
         elif self._input.overflowed:
-            self._close_reason = CloseReason.INVALID_INPUT
-            self._refuse_input("too much input is waiting")
+            self.request_close(CloseCause.INPUT_MEMORY, CloseReason.INVALID_INPUT)
         else:
             self._input.resume_reading()
 
@@ -224,16 +222,17 @@
         self._handler.recorder.record(EventKind.REQUEST_REFUSED, str(status), "", "error=%s", error)
         self._reject(status)
 
-    def _refuse_input(self, error: str) -> None:
+    def _refuse_input(self, cause: CloseCause, reason: CloseReason) -> None:
         """Refuse each request of the input that waits with status 429; the connection then ends.
 
         What the client sends after that is left in the socket.
         """
         if self._state is _CLOSING:
             return
+        self._close_reason = reason
         count = max(1, self._input.drop_requests())
         self._handler.recorder.record(
-            EventKind.REQUEST_REFUSED, "429", "", "error=%s requests=%d", error, count
+            EventKind.REQUEST_REFUSED, "429", "", "error=%s requests=%d", cause.value, count
         )
         self._input.stop_reading()
         self._reject(429, count)
@@ -314,8 +313,7 @@
                 self._reject(408)
                 return True
             case CloseAction.REFUSE:
-                self._close_reason = reason
-                self._refuse_input("the place of the connection is needed")
+                self._refuse_input(cause, reason)
                 return True
         self._close_reason = reason
         if cause is CloseCause.LAST_RESPONSE:
