Check the ceiling again when a request has waited for the counter

Cause: the ceiling was checked as a request arrived, and its units were taken as it was sent, up to four times count_wait later. All requests that waited together had found the same units; when the counter is silent all are admitted at their time-outs.

Change: Gateway._admit_after_wait asks the ceiling again in the step that takes the units; a request that it denies is rejected, and what the counter has for it is given back. Checked again and not reserved: a reservation has to be given back on each way out of the wait, and is missing to others meanwhile.

Four new cases of test_quota_sync.py fail before.

--- a/sumacpost/policy/gateway.py
+++ b/sumacpost/policy/gateway.py
@@ -154,11 +154,28 @@
         if call is None:
             return
         if call.request is not None and call.grant is not None:
-            self._admit(now, call.request, call.grant)
+            self._admit_after_wait(now, call.request, call.grant)
         elif call.request is not None:
             self._reject(now, call.request, DenialReason.QUOTA)
         self._actions += self.quota_sync.report_after_reply(now, call)
 
+    def _admit_after_wait(self, now: float, request: PendingRequest, grant: Grant) -> None:
+        """Send a request that has waited for the counter, if the ceiling still permits it.
+
+        All requests that wait at the same time have found the same units when they arrived. Units
+        are taken from the ceiling where they are checked, and never between two: so what is sent
+        is at most what the ceiling had, plus its refill. Units that are reserved at arrival would
+        have to be given back wherever a wait can end, and would be missing meanwhile.
+        """
+        customer = request.customer
+        if customer.plan.ceiling_rate:
+            customer.refill(now)
+        if customer.ceiling_permits(request.event.units):
+            self._admit(now, request, grant)
+        else:
+            customer.exhausted = True
+            self._deny_admission(now, request, grant, DenialReason.CEILING)
+
     def _admit(self, now: float, request: PendingRequest, grant: Grant) -> None:
         """Send a request that the quota permits, unless the fleet is overloaded."""
         customer = request.customer
@@ -170,9 +187,7 @@
                 threshold *= BEYOND_QUOTA_THRESHOLD_FRACTION
         backend = self.load_balancer.choose(now, request, threshold)
         if backend is None:
-            if grant is Grant.COUNTER:
-                customer.unreported_units -= units
-            self._reject(now, request, DenialReason.OVERLOAD)
+            self._deny_admission(now, request, grant, DenialReason.OVERLOAD)
             return
         if customer.plan.ceiling_rate:
             customer.ceiling_tokens -= units
@@ -182,6 +197,14 @@
             self._actions += self.quota_sync.report_usage(now, customer)
         self._send(now, request, backend, SendReason.FIRST)
 
+    def _deny_admission(
+        self, now: float, request: PendingRequest, grant: Grant, reason: DenialReason
+    ) -> None:
+        """Reject a request that passed the quota; give back what the counter has for it."""
+        if grant is Grant.COUNTER:
+            request.customer.unreported_units -= request.event.units
+        self._reject(now, request, reason)
+
     def _reject(self, now: float, request: PendingRequest, reason: DenialReason) -> None:
         """Reject a request, with the time after which its client may retry."""
         no_show_ms = NO_SHOW_MS * self.settings.clients_mark_retries
--- a/tests/policy/test_quota_sync.py
+++ b/tests/policy/test_quota_sync.py
@@ -10,6 +10,7 @@
     Action,
     AddToCounter,
     CounterReplied,
+    DenialReason,
     Event,
     Fail,
     Outcome,
@@ -114,6 +115,34 @@
     assert len(actions_of_type(first_actions, Reject)) == 20
 
 
+@pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.REJECTED, Outcome.RESET])
+def test_requests_that_wait_together_do_not_pass_the_ceiling_together(outcome: Outcome) -> None:
+    # Guards against a ceiling that is checked on arrival only (review/9).
+    plan = Plan(rate=8, burst=16, ceiling_rate=20, ceiling_burst=2000)
+    g = gateway(*BACKENDS, **(SMALL_SHARE | {"plans": (plan,)}))
+    now = START_MS + 1e6  # the share of the ceiling is full: 10 units
+    calls = [ask(g, number, now, units=4.0) for number in range(5)]
+    sent = []
+    for call in calls:
+        sent += actions_of_type(reply(g, call, 0.0, outcome, now + 100), Send)
+    assert len(sent) == 2
+    assert g.customers.by_number[calls[0].name & (2**33 - 1)].ceiling_tokens >= 0
+
+
+def test_units_of_a_request_that_the_ceiling_denies_after_its_wait_are_returned() -> None:
+    plan = Plan(rate=8, burst=16, ceiling_rate=20, ceiling_burst=1000)
+    g = gateway(*BACKENDS, **(SMALL_SHARE | {"plans": (plan,)}))
+    now = START_MS + 1e6  # the share of the ceiling is full: 5 units
+    first, second = (ask(g, number, now, units=4.0) for number in range(2))
+    customer = g.customers.by_number[first.name & (2**33 - 1)]
+    before = customer.unreported_units
+    assert actions_of_type(reply(g, first, 0.0, Outcome.TIMEOUT, now + 100), Send)
+    assert customer.unreported_units == pytest.approx(before)
+    rejection = only_action(Reject, reply(g, second, 0.0, Outcome.TIMEOUT, now + 100))
+    assert rejection.reason is DenialReason.CEILING
+    assert customer.unreported_units == pytest.approx(before - 4.0)
+
+
 @pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.REJECTED])
 def test_last_known_balance_decides_if_the_counter_fails(outcome: Outcome) -> None:
     """Guard against double counting: units that may have been added are not reported again."""
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -84,18 +84,10 @@
 
     def play(self, steps: list[Step]) -> None:
         """Play the steps, end all attempts in flight, and check that all requests are concluded."""
-        play_step: dict[str, Callable[[int], None]] = {
-            "ask": self.send_request,
-            "end": self.end_random,
-            "leave": self.cancel_request,
-            "fleet": self.update_endpoints,
-            "timer": self.fire_timer,
-            "restart": self.restart,
-        }
         for kind, pick, pause_ms in steps:
             self.now += pause_ms
             self.time_out()
-            play_step[kind](pick)
+            self.play_one(kind, pick)
         for _ in range(20):
             self.now += 1
             for _ in range(len(self.in_flight)):
@@ -103,6 +95,18 @@
                 self.end(0, Outcome.TIMEOUT if deadline <= self.now else Outcome.OK)
         self.checker.finish()
 
+    def play_one(self, kind: str, pick: int) -> None:
+        """Play one step at the current time."""
+        play_step: dict[str, Callable[[int], None]] = {
+            "ask": self.send_request,
+            "end": self.end_random,
+            "leave": self.cancel_request,
+            "fleet": self.update_endpoints,
+            "timer": self.fire_timer,
+            "restart": self.restart,
+        }
+        play_step[kind](pick)
+
     def start_attempts(self, actions: list[Action]) -> None:
         for send in actions_of_type(actions, Send):
             attempt = len(self.checker.requests[send.request].attempts) - 1
