Report use again only if the counter has surely not added it

Cause: QuotaSync._apply_failure took a call that was lost with its silent connection for one that the counter never read, and reported its units again. The counter had it in its socket and added it later; the protocol calls this unknown.

--- a/sumacpost/counter/connection.py
+++ b/sumacpost/counter/connection.py
@@ -176,7 +176,8 @@
             self._close_silent(Outcome.TIMEOUT, "partial_reply")
             return
         if self._unreplied and self._silent_since() + self._silence_timeout_s() <= now:
-            # the counter most likely never read the calls if it replied to earlier ones
+            # Calls that are lost with a connection that has replied are one sign of congestion; the
+            # counter may still have them in its socket, and add them later.
             outcome = Outcome.RESET if self._has_replied else Outcome.TIMEOUT
             self._close_silent(outcome, "no_reply")
             return
--- a/sumacpost/policy/quota_sync.py
+++ b/sumacpost/policy/quota_sync.py
@@ -177,11 +177,13 @@
         self._congested_at = now
 
     def _apply_failure(self, call: CounterCall, outcome: Outcome) -> None:
-        # The counter has probably not read a call whose connection was lost, but it may still apply
-        # one that timed out.
-        not_applied = outcome.never_ran or outcome is Outcome.RESET
-        call.grant = Grant.COUNTER_NOT_APPLIED if not_applied else Grant.COUNTER
-        if not_applied:
+        """Report the units again if they were surely not added.
+
+        The counter may have added, or may still add, those of a call that has timed out or was lost
+        with its connection: reported again, they could be counted twice.
+        """
+        call.grant = Grant.COUNTER_NOT_APPLIED if outcome.never_ran else Grant.COUNTER
+        if outcome.never_ran:
             request_units = call.request.event.units if call.request is not None else 0.0
             call.customer.unreported_units += call.reported_units - request_units
 
