Return the units of a request that left while its counter call was lost

Cause: a call that times out was taken for added with the units of the request that waited for it, also if its client had left by then, so that it was never sent.

Change: QuotaSync._apply_failure returns the units of a request that does not wait any more. The player of steps plays time-outs of calls and attempts in the order of time, and those at the end of a play.

--- a/sumacpost/policy/quota_sync.py
+++ b/sumacpost/policy/quota_sync.py
@@ -139,7 +139,7 @@
         if event.outcome is Outcome.OK and name.number == event.name:
             self._apply_total(now, call, event.total, name.age_ms, is_waiting)
         else:
-            self._apply_failure(call, event.outcome)
+            self._apply_failure(call, event.outcome, is_waiting)
         if not is_waiting:
             call.request = None
         return call
@@ -176,16 +176,19 @@
         self.counter_call_rate = max(MIN_CALL_RATE, self.counter_call_rate * CALL_RATE_DECREASE)
         self._congested_at = now
 
-    def _apply_failure(self, call: CounterCall, outcome: Outcome) -> None:
+    def _apply_failure(self, call: CounterCall, outcome: Outcome, is_waiting: bool) -> None:
         """Report the units again if they were surely not added.
 
         The counter may have added, or may still add, those of a call that has timed out or was lost
-        with its connection: reported again, they could be counted twice.
+        with its connection: reported again, they could be counted twice. They are returned if they
+        were for a request that does not wait any more.
         """
         call.grant = Grant.COUNTER_NOT_APPLIED if outcome.never_ran else Grant.COUNTER
+        request_units = call.request.event.units if call.request is not None else 0.0
         if outcome.never_ran:
-            request_units = call.request.event.units if call.request is not None else 0.0
             call.customer.unreported_units += call.reported_units - request_units
+        elif not is_waiting:
+            call.customer.unreported_units -= request_units
 
     def _apply_total(
         self, now: float, call: CounterCall, total: float, age_ms: float, is_waiting: bool
--- a/tests/policy/test_counter_rules.py
+++ b/tests/policy/test_counter_rules.py
@@ -85,9 +85,11 @@
     # The fault of review/10, planted again.
     apply_failure = QuotaSync._apply_failure
 
-    def report_again(sync: QuotaSync, call: CounterCall, outcome: Outcome) -> None:
+    def report_again(
+        sync: QuotaSync, call: CounterCall, outcome: Outcome, is_waiting: bool
+    ) -> None:
         lost = outcome is Outcome.RESET
-        apply_failure(sync, call, Outcome.REJECTED if lost else outcome)
+        apply_failure(sync, call, Outcome.REJECTED if lost else outcome, is_waiting)
 
     monkeypatch.setattr(QuotaSync, "_apply_failure", report_again)
     steps = [("reply", 3, 5) if step[:2] == ("reply", 0) else step for step in spikes(seed)]
--- a/tests/policy/test_quota_sync.py
+++ b/tests/policy/test_quota_sync.py
@@ -164,6 +164,19 @@
     assert returned == pytest.approx(-call.amount, abs=REPORT_BATCH)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.RESET])
+def test_units_of_a_cancelled_request_are_returned_if_its_call_may_have_been_added(
+    outcome: Outcome,
+) -> None:
+    # Guards against units that are counted for a request that was never sent.
+    g, call = gateway_with_a_waiting_request()
+    g.quota_sync.counter_call_rate = 0.0
+    unreported = g.customers.by_number[9].unreported_units
+    g.handle(START_MS + 1, RequestCancelled(1))
+    assert not actions_of_type(reply(g, call, 0.0, outcome), Send)
+    assert g.customers.by_number[9].unreported_units == pytest.approx(unreported - 4.0)
+
+
 def test_overloaded_fleet_rejects_before_the_counter_is_asked() -> None:
     """Guard against useless counter calls for requests that overload rejects afterwards.
 
--- a/tests/support/player.py
+++ b/tests/support/player.py
@@ -213,6 +213,7 @@
             else:
                 super().play_one(kind, pick)
         self.now += COUNTER_TIMEOUT_MS
+        self.time_out()
         super().play([])
 
     def send_request(self, pick: int) -> None:
@@ -238,6 +239,7 @@
         now = self.now
         while self.calls and self.calls[0].sent_at + COUNTER_TIMEOUT_MS <= now:
             self.now = self.calls[0].sent_at + COUNTER_TIMEOUT_MS
+            super().time_out()
             self.reply(Outcome.TIMEOUT)
         self.now = now
         super().time_out()
