Limit the learned delay of another poll by the grace of a drain

Cause: the delay before another poll follows what the agent took lately, up to 1.2 s whatever the grace. In an outage no response lowers it, so the polls of a silent agent were 1.3 s apart.

Change: PollSchedule limits what is learned to 0.75 of the grace, less the 0.1 s until the poll is sent; the inequality is in its doc comment. Nothing changes for a grace of 1.74 s or more.

--- a/sumacpost/discovery/watch.py
+++ b/sumacpost/discovery/watch.py
@@ -103,7 +103,7 @@
             MIN_RESPONSE_TIMEOUT_S,
             min(RESPONSE_TIMEOUT_S, drain_grace_s * RESPONSE_TIMEOUT_GRACE_FRACTION),
         )
-        self._schedule = PollSchedule(self._response_timeout_s)
+        self._schedule = PollSchedule(self._response_timeout_s, drain_grace_s, RECONNECT_DELAY_S)
         self._backoff = PollBackoff()
         self._polls: list[_Poll] = []  # outstanding, oldest first
         self._polls_changed = asyncio.Event()
--- a/sumacpost/policy/poll_schedule.py
+++ b/sumacpost/policy/poll_schedule.py
@@ -16,6 +16,9 @@
 
 # Another poll is sent at the latest when a response is overdue for this time.
 MAX_HEDGE_DELAY_S = 1.2
+# Of the grace of a drain, the fraction in which the return of a silent agent has to be noticed. The
+# rest is for the response, and for the event loop.
+RETURN_GRACE_FRACTION = 0.75
 # The hedge delay as a multiple of the delay of responses.
 HEDGE_DELAY_FACTOR = 1.5
 # Factor on the estimated delay of responses after each one that comes sooner.
@@ -44,17 +47,32 @@
 class PollSchedule:
     """Decides when another poll is sent, and learns from the delay of the responses.
 
-    response_timeout_s is the hedge delay for an agent that has not been slow, in seconds.
+    All times are in seconds. response_timeout_s is the hedge delay for an agent that has not been
+    slow, drain_grace_s the time after which nothing may be sent to a backend that is listed as
+    draining, and reconnect_delay_s what passes until an overdue poll is followed by another one.
+
+    What is learned from late responses must not outlast them: an agent that falls silent teaches
+    nothing any more, and at its return, changes count at once. The return is noticed by the next
+    poll, hedge_delay_s + reconnect_delay_s after the one before. So with
+    hedge_delay_s <= RETURN_GRACE_FRACTION * drain_grace_s - reconnect_delay_s it is noticed within
+    that fraction of the grace, whatever was learned before.
     """
 
-    def __init__(self, response_timeout_s: float) -> None:
+    def __init__(
+        self,
+        response_timeout_s: float,
+        drain_grace_s: float = inf,
+        reconnect_delay_s: float = 0.0,
+    ) -> None:
         self._response_timeout_s = response_timeout_s
+        return_delay_s = RETURN_GRACE_FRACTION * drain_grace_s - reconnect_delay_s
+        self._max_hedge_delay_s = min(MAX_HEDGE_DELAY_S, return_delay_s)
         self._delay_s = 0.0  # estimated delay of responses
 
     @property
     def hedge_delay_s(self) -> float:
         """How long a response may be overdue before another poll is sent, in seconds."""
-        learned_s = min(MAX_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * self._delay_s)
+        learned_s = min(self._max_hedge_delay_s, HEDGE_DELAY_FACTOR * self._delay_s)
         return max(self._response_timeout_s, learned_s)
 
     def record_response(self, poll: OutstandingPoll, now: float) -> None:
--- a/tests/discovery/test_list_updates.py
+++ b/tests/discovery/test_list_updates.py
@@ -11,8 +11,10 @@
 import pytest
 
 from sumacpost.config import read_config
+from sumacpost.discovery.backoff import RECONNECT_DELAY_S
 from sumacpost.discovery.endpoint_list import EndpointListReader
 from sumacpost.discovery.watch import DiscoveryWatch
+from sumacpost.policy.poll_schedule import OutstandingPoll
 from tests.support.discovery_agent import endpoint_entry, endpoint_list, list_response
 from tests.support.event_loop import run, until
 from tests.support.http_client import request
@@ -195,6 +197,14 @@
     assert watch._response_timeout_s == timeout_s
 
 
+def test_a_watch_that_has_learned_from_a_slow_agent_keeps_to_the_grace_of_its_settings() -> None:
+    # Guards against an agent whose return is noticed after the grace of a drain (review/7).
+    reader = EndpointListReader((), ())
+    watch = DiscoveryWatch(("127.0.0.1", 1), reader, 0, lambda *_: None, drain_grace_s=1.0)
+    watch._schedule.record_response(OutstandingPoll(due_at=0.0), 4.0)
+    assert watch._schedule.hedge_delay_s + RECONNECT_DELAY_S == pytest.approx(0.75)
+
+
 def test_indented_list_received_byte_by_byte_is_read() -> None:
     async def test() -> None:
         async with running_peer(respond(b"new")) as new:
--- a/tests/policy/test_poll_schedule.py
+++ b/tests/policy/test_poll_schedule.py
@@ -5,7 +5,10 @@
 from math import inf
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from sumacpost.discovery.backoff import RECONNECT_DELAY_S
 from sumacpost.policy.poll_schedule import (
     KEEP_INTERVAL_S,
     MAX_HEDGE_DELAY_S,
@@ -14,6 +17,7 @@
 )
 
 RESPONSE_TIMEOUT_S = 0.5
+LONG_POLL_S = 1.0
 
 
 @pytest.fixture
@@ -55,3 +59,32 @@
     assert not schedule.replaces_youngest([oldest, OutstandingPoll(KEEP_INTERVAL_S)])
     close.receiving = True
     assert not schedule.replaces_youngest([oldest, close])
+
+
+@given(
+    grace_s=st.floats(0.3, 5.0),
+    delays_s=st.lists(st.floats(0.2, 4.0), max_size=8),
+    polled_before_s=st.floats(0.0, LONG_POLL_S),
+    outage_s=st.floats(3.0, 12.0),
+)
+@settings(derandomize=True, max_examples=300, deadline=None)
+def test_the_return_of_an_agent_is_noticed_within_the_grace_whatever_was_learned_before(
+    grace_s: float, delays_s: list[float], polled_before_s: float, outage_s: float
+) -> None:
+    # Guards against a delay learned from late responses that outlasts them (review/7).
+    response_timeout_s = min(RESPONSE_TIMEOUT_S, grace_s / 2)
+    schedule = PollSchedule(response_timeout_s, grace_s, RECONNECT_DELAY_S)
+    for delay_s in delays_s:
+        schedule.record_response(OutstandingPoll(due_at=0.0), delay_s)
+    # Of the silent agent: a poll from before the outage, which it may hold, and those that follow.
+    poll = OutstandingPoll(due_at=LONG_POLL_S - polled_before_s)
+    while (sent_at := schedule.overdue_at([poll]) + RECONNECT_DELAY_S) < outage_s:
+        poll = OutstandingPoll(due_at=sent_at)
+    assert sent_at - outage_s <= grace_s
+
+
+def test_what_is_learned_is_limited_by_the_grace_and_never_below_the_usual_delay() -> None:
+    for grace_s, expected_s in ((5.0, MAX_HEDGE_DELAY_S), (1.0, 0.65), (0.3, 0.15)):
+        schedule = PollSchedule(min(RESPONSE_TIMEOUT_S, grace_s / 2), grace_s, RECONNECT_DELAY_S)
+        schedule.record_response(OutstandingPoll(due_at=0.0), 4.0)
+        assert schedule.hedge_delay_s == pytest.approx(expected_s)
