--- a/sumacpost/server/client_output.py
+++ b/sumacpost/server/client_output.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from sumacpost.http_message import MAX_BODY_BYTES
+from sumacpost.server.response import response_head
 
 # With more unsent output than this, no further input is parsed.
 OUTPUT_HIGH_WATER_BYTES = 16 * 1024
@@ -15,7 +16,7 @@
 
 
 class ClientOutput:
-    """Writes responses to a transport, which reports when the client reads too slowly.
+    """Writes responses to a transport, which reports when the client reads too slowly, and ends it.
 
     on_unread is called when output has been unsent for UNREAD_AFTER_S.
 
@@ -67,6 +68,31 @@
         else:
             self._transport.write(head + body)
 
+    def write_error(self, status: int) -> None:
+        """Write an error response without a body as the last one."""
+        self.write(response_head(status, 0), b"", is_last=True)
+
+    def end_sending(self) -> None:
+        """Close only the sending direction, once everything has been sent; reading goes on."""
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+
+    def end(self, leaves_input: bool) -> None:
+        """Close the connection once everything has been sent, or only its sending direction.
+
+        leaves_input: whether input stays in the socket. Then the socket stays open until the client
+            closes it or the registry ends it: if the client has sent more, closing would reset the
+            connection, and a response that the client has not read yet could be lost. The client
+            sees the connection end without a response to that input, and can send it again.
+        """
+        if self._transport.is_closing():
+            return
+        if leaves_input and self._transport.can_write_eof():
+            self._transport.write_eof()
+            self._transport.pause_reading()
+        else:
+            self._transport.close()
+
     def pause(self) -> None:
         """Record that much output is unsent."""
         self.paused = True
--- a/sumacpost/server/connection.py
+++ b/sumacpost/server/connection.py
@@ -306,7 +306,8 @@
                 self.abort(CloseReason.OUTPUT_UNREAD if snapshot.is_output_stalled else reason)
                 return True
             case CloseAction.REJECT if cause is CloseCause.EVICTION:
-                self._write_error(408)
+                self._output.write_error(408)
+                self._discard_input()
             case CloseAction.REJECT:
                 self._close_reason = reason
                 self._input.stop_reading()
@@ -324,7 +325,7 @@
         else:
             self._state = _CLOSING
             self._registry.mark_closing(self)
-            self._close_transport()
+            self._end_output()
         return True
 
     def _snapshot(self, cause: CloseCause) -> ConnectionSnapshot:
@@ -347,14 +348,6 @@
         self._input.stop_reading()
         self.advance()
 
-    def _write_error(self, status: int) -> None:
-        """Write an error response as the last output, without waiting for the client to read it."""
-        response = PendingResponse(self, keep_alive=False, received_at=self._input.received_at)
-        response.set_content(status)
-        assert response.head is not None
-        self._output.write(response.head, response.body, is_last=True)
-        self._discard_input()
-
     def abort(self, reason: CloseReason | None = None) -> None:
         """Close immediately, and discard pending requests and unsent output.
 
@@ -383,25 +376,9 @@
         self._discard_input()
         self._registry.mark_closing(self)
         if self._input.reader.incomplete_bytes and not self._input.stopped:
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
+            self._output.end_sending()
         else:
-            self._close_transport()
+            self._end_output()
 
-    def _close_transport(self) -> None:
-        """Close the connection, or only its sending direction if input is left in the socket.
-
-        That is so during a drain, and once reading has been stopped. Then the socket stays open
-        until the client closes it or LINGER_TIMEOUT_S has elapsed: if the client has sent more
-        input, closing would reset the connection, and a response that the client has not read yet
-        could be lost. That input stays unread: the client sees the connection end without a
-        response to it, and can send the request again.
-        """
-        if self._transport.is_closing():
-            return
-        leaves_input = self._handler.draining or self._input.stopped
-        if leaves_input and self._transport.can_write_eof():
-            self._transport.write_eof()
-            self._transport.pause_reading()
-        else:
-            self._transport.close()
+    def _end_output(self) -> None:
+        self._output.end(leaves_input=self._handler.draining or self._input.stopped)
--- a/sumacpost/server/response.py
+++ b/sumacpost/server/response.py
@@ -12,6 +12,16 @@
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+def response_head(status: int, content_length: int, headers: Headers = ()) -> bytes:
+    """Return a status line and headers, without Connection and the empty line at the end."""
+    lines = [
+        b"HTTP/1.1 %d %b" % (status, _REASON_PHRASES.get(status, b"")),
+        b"Content-Length: %d" % content_length,
+    ]
+    lines += [b"%b: %b" % header for header in headers]
+    return b"\r\n".join(lines)
+
+
 class PendingResponse:
     """A response's position on its client connection, and its content once it is available.
 
@@ -59,12 +69,7 @@
         """
         if self.head is not None:
             raise RuntimeError("the request already has a response")
-        lines = [
-            b"HTTP/1.1 %d %b" % (status, _REASON_PHRASES.get(status, b"")),
-            b"Content-Length: %d" % len(body),
-        ]
-        lines += [b"%b: %b" % header for header in headers]
-        self.head = b"\r\n".join(lines)
+        self.head = response_head(status, len(body), headers)
         self.body = body
         self.request = None  # breaks the reference cycle with the request
 
