Ceilings of customers that the table dropped fill from when they may have been used

Cause: a new entry's ceiling had filled since the start of the gateway, though the customer may have used it until it was dropped.

Change: CustomerTable.forgotten_until is the latest time of use of any entry that was dropped too early; ceilings of customers that are not in the table fill from then on.

Not tried with real processes.

--- a/sumacpost/policy/quota.py
+++ b/sumacpost/policy/quota.py
@@ -41,8 +41,8 @@
         refilled_at: the time up to which bucket and ceiling are refilled.
         number: the number of the customer.
         unreported_units: units used and not reported to the counter; negative: reported, not used.
-        gateway_started_at: the start of this gateway. The units of the ceiling that were used
-            before are unknown, so the ceiling of a new customer fills from then on.
+        unknown_until: the time up to which the units used of the ceiling are unknown, such as the
+            start of this gateway. The ceiling of a new customer fills from then on.
         initial_share: an even share of the quota.
         quota_share: the fraction of the plan's quota that this gateway may use.
         tokens: units in the bucket.
@@ -59,7 +59,7 @@
     refilled_at: float
     number: int = 0
     unreported_units: float = 0.0
-    gateway_started_at: InitVar[float] = inf
+    unknown_until: InitVar[float] = inf
     initial_share: float = field(init=False)
     quota_share: float = field(init=False)
     tokens: float = field(init=False)
@@ -70,12 +70,12 @@
     exhausted: bool = False
     return_queue: ReturnQueue = field(init=False)
 
-    def __post_init__(self, gateway_spread: int, gateway_started_at: float) -> None:
+    def __post_init__(self, gateway_spread: int, unknown_until: float) -> None:
         plan = self.plan
         self.initial_share = 1 / gateway_spread
         self.quota_share = self.initial_share
         self.tokens = plan.burst * self.initial_share
-        unspent_s = max(0.0, self.refilled_at - gateway_started_at) / 1000
+        unspent_s = max(0.0, self.refilled_at - unknown_until) / 1000
         ceiling_tokens = min(plan.ceiling_burst, unspent_s * plan.ceiling_rate)
         self.ceiling_tokens = ceiling_tokens * self.initial_share
         self.shared_balance = plan.burst
@@ -173,13 +173,22 @@
     """The customers with recent requests. Others are dropped, as a new entry is equivalent.
 
     At most `max_customers` are kept. Beyond that the one longest without requests is dropped even
-    if its entry is not equivalent to a new one: clients can make up any number of customers.
+    if its entry is not equivalent to a new one: clients can make up any number of customers. So a
+    customer that is not in the table may have been dropped, and may have used its ceiling up to
+    `forgotten_until`: its ceiling fills from then on, so that no more is permitted than if it had
+    been kept.
+
+    Attributes:
+        by_number: the customers, longest without requests first.
+        forgotten_until: up to when a customer may have used its ceiling that was dropped before its
+            entry was equivalent to a new one, in ms.
     """
 
     def __init__(
         self, settings: Settings, random: Random, max_customers: int = DEFAULT_MAX_CUSTOMERS
     ) -> None:
-        self.by_number: dict[int, CustomerQuota] = {}  # longest without requests first
+        self.by_number: dict[int, CustomerQuota] = {}
+        self.forgotten_until = -inf
         self._settings = settings
         self._random = random
         self._max_customers = max_customers
@@ -195,16 +204,17 @@
             spread = max(1, min(event.gateway_spread, self._settings.gateways))
             # A random initial value makes reports in whole batches correct on average.
             unreported = -self._random.random() * REPORT_BATCH_FRACTION * plan.burst
-            customer = CustomerQuota(
-                plan, spread, now, event.customer, unreported, gateway_started_at
-            )
+            unknown_until = max(gateway_started_at, self.forgotten_until)
+            customer = CustomerQuota(plan, spread, now, event.customer, unreported, unknown_until)
         self.by_number[event.customer] = customer
         customer.refill(now)
         for _ in range(EXPIRIES_PER_REQUEST):
             number, longest_unseen = next(iter(self.by_number.items()))
-            expired = now - longest_unseen.refilled_at > self._expiry_ms
-            if expired or len(self.by_number) > self._max_customers:
+            if now - longest_unseen.refilled_at > self._expiry_ms:
+                del self.by_number[number]
+            elif len(self.by_number) > self._max_customers:
                 del self.by_number[number]
+                self.forgotten_until = max(self.forgotten_until, longest_unseen.refilled_at)
         return customer
 
 
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -129,6 +129,39 @@
     assert g.customers.by_number[2].ceiling_tokens == 20 - 2  # its even share of the ceiling
 
 
+def test_a_customer_that_was_dropped_does_not_get_its_ceiling_again() -> None:
+    # Guards against a customer that returns with a full ceiling as others have taken its entry.
+    plan = Plan(rate=100, burst=200, ceiling_rate=10, ceiling_burst=40)
+    g = Gateway(settings(plans=(plan,)), 1, max_customers=5)
+    g.handle(START_MS, endpoint_list_update(*range(1, 30)))
+    g.handle(START_MS, request_arrived(0, customer=0))
+    now = START_MS + 60_000  # the ceiling of a customer is full: 20 units are its even share
+    number = 0
+    sent = 0
+    for _ in range(5):
+        for _ in range(10):
+            number += 1
+            actions = g.handle(now, request_arrived(number, customer=1, units=4.0))
+            sent += 4 * len(actions_of_type(actions, Send))
+        for other in range(100, 106):
+            number += 1
+            g.handle(now, request_arrived(number, customer=other, units=1.0))
+        assert 1 not in g.customers.by_number
+        now += 200
+    assert sent <= 20 + 4 * 0.2 * 10 / 2  # what it had, and the refill of its share
+
+
+def test_a_customer_that_expired_in_time_returns_with_a_full_ceiling() -> None:
+    plan = Plan(rate=100, burst=200, ceiling_rate=10, ceiling_burst=40)
+    g = Gateway(settings(plans=(plan,)), 1)
+    g.handle(START_MS, endpoint_list_update(*range(1, 30)))
+    for number, at_s in enumerate((60, 120)):
+        now = START_MS + at_s * 1000
+        g.handle(now, request_arrived(2 * number, customer=1, units=4.0))
+        g.handle(now, request_arrived(2 * number + 1, customer=2, units=4.0))
+    assert g.customers.by_number[1].ceiling_tokens == 20 - 4
+
+
 # ---- the share
 
 
