Soak plans and tests: a draw and a clock that stood twice

draw_deadlines serves the plans of bad clients and of unlike backends; the clock that tests set moves to tests/support/clock.py.

--- a/fleetlab/soak/bad_clients_plan.py
+++ b/fleetlab/soak/bad_clients_plan.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from fleetlab.soak.schedule import FAULT_FREE_S, FaultKind, PlannedFault, SoakPlan, draw_site
-from fleetlab.soak.stress_plans import draw_disturbances, make_stress_plan
+from fleetlab.soak.stress_plans import draw_deadlines, draw_disturbances, make_stress_plan
 
 CLIENTS = 20  # usual clients per ingress: with the bad ones, below a third of the descriptors
 NEW_CONNECTIONS = 0.4  # fraction of the usual requests that are sent on a new connection
@@ -19,15 +19,8 @@
     """Return a plan with bad clients at all ingresses, beside which usual requests are served."""
     random = Random(f"bad clients {seed}")
     site = draw_site(random, ingresses)
-    longest_s = random.choice(DEADLINES_S)
-    site = replace(
-        site,
-        classes=tuple(
-            replace(request_class, deadline_s=longest_s * random.uniform(0.6, 1.0))
-            for request_class in site.classes
-        ),
-        sockets=random.choice(SOCKETS),
-    )
+    site = draw_deadlines(random, site, random.choice(DEADLINES_S))
+    site = replace(site, sockets=random.choice(SOCKETS))
     backends = random.randint(6, 8)
     faults = [
         PlannedFault(
--- a/fleetlab/soak/stress_plans.py
+++ b/fleetlab/soak/stress_plans.py
@@ -88,6 +88,15 @@
     return [fault for fault in faults if fault.target in disturbed]
 
 
+def draw_deadlines(random: Random, site: SoakSite, longest_s: float) -> SoakSite:
+    """Return the site with deadlines drawn from the upper part of those up to the longest one."""
+    classes = tuple(
+        replace(request_class, deadline_s=longest_s * random.uniform(0.6, 1.0))
+        for request_class in site.classes
+    )
+    return replace(site, classes=classes)
+
+
 def _share_of(count: int, share: float) -> int:
     return max(1, round(count * share))
 
--- a/fleetlab/soak/unlike_backends_plan.py
+++ b/fleetlab/soak/unlike_backends_plan.py
@@ -8,6 +8,7 @@
 from fleetlab.soak.machine import MachineSpec
 from fleetlab.soak.schedule import SoakPlan, draw_site
 from fleetlab.soak.stress_plans import (
+    draw_deadlines,
     draw_disturbances,
     draw_replacements,
     make_stress_plan,
@@ -33,13 +34,9 @@
     random = Random(f"unlike backends {seed}")
     size_meaning = random.choice(SIZE_MEANINGS)
     site = draw_site(random, ingresses)
-    longest_s = random.choice(DEADLINES_S)
+    site = draw_deadlines(random, site, random.choice(DEADLINES_S))
     site = replace(
         site,
-        classes=tuple(
-            replace(request_class, deadline_s=longest_s * random.uniform(0.6, 1.0))
-            for request_class in site.classes
-        ),
         overload_window_s=random.choice((0.5, 1.0, 3.0)),
         overload_factor=random.choice((1.3, 2.0, 2.5)),
         slow_start_s=random.choice((8.0, 15.0)),
--- a/tests/server/test_connection_queue.py
+++ b/tests/server/test_connection_queue.py
@@ -8,19 +8,12 @@
 
 from sumacpost.server.connection import ClientConnection
 from sumacpost.server.connection_queue import ConnectionQueue
+from tests.support.clock import Clock
 
 # The queue calls no method of a connection, so plain objects are sufficient.
 FIRST, SECOND, THIRD, FOURTH = (cast(ClientConnection, object()) for _ in range(4))
 
 
-class Clock:
-    """A monotonic clock set by the test, in seconds."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.now = 100.0
-        monkeypatch.setattr("sumacpost.server.connection_queue.time.monotonic", lambda: self.now)
-
-
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     return Clock(monkeypatch)
--- a/tests/server/test_connection_registry.py
+++ b/tests/server/test_connection_registry.py
@@ -14,19 +14,12 @@
     WAITING_DIVISOR,
     ConnectionRegistry,
 )
+from tests.support.clock import Clock
 from tests.support.registered_connection import FakeConnection, open_connections
 
 MANY = 10_000
 
 
-class Clock:
-    """A monotonic clock set by the test, in seconds."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.now = 100.0
-        monkeypatch.setattr("sumacpost.server.connection_queue.time.monotonic", lambda: self.now)
-
-
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     return Clock(monkeypatch)
